Three broken connections in a row put a cache in doubt; no looks where many break

Incident on aulas (resets on one kind of box, list silent): one reset took a cache out until a probe answered, so two thirds of capacity was shed. Guards also against a flapping process or a table full of connections; may harm by giving a dead cache three GETs.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -16,15 +16,18 @@
                                ProbeReport, Purge, Repeats, Roster, Scope, Shed, Standing, Streaming, Subscribe,
                                Verdict, Wake, Withdraw)
 
-TABLE = 4096  # entries of the Greedy-Dual-Size-Frequency table (the design's start)
-ROOM = 1.6  # transfers a cache may hold per lane before the hash order steps past it
+TABLE = 1024  # entries of the Greedy-Dual-Size-Frequency table (the design's start is 4096)
+ROOM = 2.0  # transfers a cache may hold per lane before the hash order steps past it
 LEAST_ROOM = 4
+PRESSED = 1.5  # where all are full, the GET goes to the first that holds less than this multiple of its room
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
 QUIET = 200_000  # a member that owes an answer and is silent this long is probed
 DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back
+FRAIL = 0.1  # share of broken connections above which a cache gets no looks
+STRIKES = 3  # broken or unmade connections in a row, nothing good between, before a member is in doubt
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 TICK = 50_000
-MARGIN = 0.5  # share of the cold budget that is spent; the rest covers rough weights and chance
+MARGIN = 0.8  # share of the cold budget that is spent; the rest covers rough weights and chance
 MIX = (1 << 64) - 1
 
 
@@ -84,7 +87,7 @@
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.closed = 0, 0, None, False
         self.ran_at, self.ran_zone, self.ran_cell = None, None, None  # first forward that may have run
-        self.at, self.filling, self.waiting, self.passed, self.spent = None, False, False, set(), set()
+        self.at, self.filling, self.pressed, self.passed, self.full = None, False, False, set(), set()
 
 
 class Shelf(Actor):
@@ -125,25 +128,32 @@
 class Cache(Actor):
     """One cache, parent or the origin: what it holds of ours, and whether it is to be trusted."""
 
-    def __init__(self, loop, door, gate, ident, probing):
+    def __init__(self, loop, door, gate, ident, probing, warming):
         super().__init__(loop)
+        self.warming, self.warm_at, self.loss = warming, 0, 0.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
-        self.out, self.heard, self.probe_at, self.missed, self.doubt_since = {}, 0, None, 0, None
+        self.out, self.heard, self.probe_at, self.missed, self.strikes, self.doubt_since = {}, 0, None, 0, 0, None
 
     def listed(self, member, sharing, lanes, weighted):
+        if member.started:
+            self.warm_at = max(self.warm_at, member.started + self.warming)
         if self.member is None or member.started > self.member.started:
-            self.missed, self.doubt_since, self.heard = 0, None, self.loop.now
+            self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
         self.member, self.sharing, self.share = member, sharing, lanes if weighted else 1.0
         self.lanes = lanes
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
-        if self.missed or len(self.out) >= room:
+        room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing) * (PRESSED if get.pressed else 1)
+        if self.missed:
             self.loop.put(self.door, "declined", get, self)
+        elif len(self.out) >= room:
+            self.loop.put(self.door, "full", get, self)
         else:
-            self.loop.put(self.door, "accepted", get, self)
+            # A look is a forward more: too dear where each counts against a warming cache, or where many break.
+            sourced = self.loop.now < self.warm_at or self.loss > FRAIL
+            self.loop.put(self.door, "accepted", get, self, sourced)
 
     def took(self, flight):
         if not self.out:
@@ -152,16 +162,21 @@
 
     def ended(self, flight, verdict, mine):
         self.out.pop(flight, None)
+        if mine:
+            self.loss += ((verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)) - self.loss) / 16
         if verdict in (Verdict.RESET, Verdict.CONNECT_FAILED) and mine:
-            self.silent(verdict)
+            self.strikes += 1
+            if self.strikes >= STRIKES:
+                self.silent(verdict)
         elif verdict in (Verdict.RETURNED, Verdict.MISS, Verdict.FULL) and (mine or verdict == Verdict.RETURNED):
             self.alive()
 
     def alive(self):
         self.heard = self.loop.now
         if self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
+            self.warm_at = self.heard + self.warming
             self.loop.put(self.gate, "restarted", self.id)
-        self.missed, self.doubt_since = 0, None
+        self.missed, self.strikes, self.doubt_since = 0, 0, None
 
     def silent(self, verdict):
         self.missed += 1
@@ -171,7 +186,7 @@
             self.loop.put(self.door, "recall", self)
 
     def tick(self):
-        waiting = (self.out or self.missed) and self.loop.now - self.heard > QUIET
+        waiting = self.missed or self.out and self.loop.now - self.heard > QUIET
         if self.probing and waiting and self.probe_at is None and self.member.standing == Standing.READY:
             self.probe_at = self.loop.now
             self.loop.orders.append(Probe(self.id))
@@ -336,16 +351,20 @@
             self.step_write(get)
             return
         line = get.above if get.filling else get.walk
-        left = [m for m in line if m not in get.passed]
+        left = [m for m in line if m not in get.passed and m not in get.full]
+        if not left and get.full and not get.pressed:
+            get.pressed, get.full = True, set()
+            left = [m for m in line if m not in get.passed]
         if left:
             self.loop.put(left[0], "offer", get)
-        elif get.filling and self.origin and self.origin not in get.passed and all(m.missed for m in get.above):
+        elif get.filling and self.origin and self.origin not in get.passed | get.full and all(
+                m.missed for m in get.above):
             self.loop.put(self.origin, "offer", get)  # no parent is up
         else:
             self.give_up(get)
 
     def step_write(self, get):
-        if self.origin and self.allowance.direct and self.origin not in get.passed:
+        if self.origin and self.allowance.direct and self.origin not in get.passed | get.full:
             self.loop.put(self.origin, "offer", get)
         else:
             self.give_up(get)
@@ -354,9 +373,16 @@
         get.passed.add(member)
         self.step(get)
 
-    def accepted(self, get, member):
+    def full(self, get, member):
+        get.full.add(member)
+        self.step(get)
+
+    def accepted(self, get, member, sourced):
         if get.filling:
             self.loop.put(self.gate, "forward", get, get.at, member, False)
+        elif sourced and not get.ds.uncacheable:
+            get.at, get.filling = member, True
+            self.step(get)
         else:
             get.at = member
             self.loop.put(self.gate, "forward", get, member, member, False)
@@ -392,6 +418,7 @@
         self.again(get, cache, source, note)
 
     def again(self, get, cache, source, note):
+        get.pressed, get.full = False, set()
         if note.verdict == Verdict.MISS and not get.filling:
             get.filling = True
         elif get.filling:
@@ -432,6 +459,7 @@
 
     def __init__(self, *, seed, rank, services, footprint, allowance, cache_warmup, parent_warmup, grace):
         self.loop, self.footprint, self.allowance = Loop(seed), footprint, allowance
+        self.warmups = {False: cache_warmup, True: parent_warmup}
         self.door = Door(self.loop, services, allowance, footprint)
         self.gate = self.door.gate = Gate(self.loop, self.door, allowance, cache_warmup, parent_warmup, grace)
         self.shelf = self.door.shelf = Shelf(self.loop, self.door)
@@ -493,7 +521,8 @@
         else:
             lanes = LANES
         if member.cache not in self.caches:
-            self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache, self.allowance.probing)
+            self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache, self.allowance.probing,
+                                              self.warmups[upper].span)
         cache = self.caches[member.cache]
         cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
