--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -17,9 +17,9 @@
                                Verdict, Wake, Withdraw)
 
 TABLE = 1024  # entries of the Greedy-Dual-Size-Frequency table (the design's start is 4096)
-ROOM = 2.0  # transfers a cache may hold per lane before the hash order steps past it
+ROOM = 1.8  # transfers a cache may hold per lane before the hash order steps past it
 LEAST_ROOM = 4
-PRESSED = 1.5  # where all are full, the GET goes to the first that holds less than this multiple of its room
+PRESSED = 1.4  # where all are full, the GET goes to the first that holds less than this multiple of its room
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
 QUIET = 200_000  # a member that owes an answer and is silent this long is probed
 DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back
