Limit the fills out to this front's share of the location's link

Cause: with the link jammed every fill was late; the GETs beyond it are answered at once with a time to come back. May harm where a link is told too small.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -19,6 +19,8 @@
 TABLE = 1024  # entries of the Greedy-Dual-Size-Frequency table (the design's start is 4096)
 ROOM = 1.8  # transfers a cache may hold per lane before the hash order steps past it
 LEAST_ROOM = 4
+PARENT_ROOM = 12  # GETs of this front that a parent may fill before the hash order steps past it
+FILLS = 2.2  # fills this front may have out, in its share of the location's link (in transfers at full pace)
 PRESSED = 1.4  # where all are full, the GET goes to the first that holds less than this multiple of its room
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
 QUIET = 200_000  # a member that owes an answer and is silent this long is probed
@@ -128,9 +130,9 @@
 class Cache(Actor):
     """One cache, parent or the origin: what it holds of ours, and whether it is to be trusted."""
 
-    def __init__(self, loop, door, gate, ident, probing, warming):
+    def __init__(self, loop, door, gate, ident, probing, upper, warming):
         super().__init__(loop)
-        self.warming, self.warm_at, self.loss = warming, 0, 0.0
+        self.upper, self.warming, self.warm_at, self.loss = upper, warming, 0, 0.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
         self.out, self.heard, self.probe_at, self.missed, self.strikes, self.doubt_since = {}, 0, None, 0, 0, None
@@ -145,7 +147,7 @@
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing) * (PRESSED if get.pressed else 1)
+        room = max(PARENT_ROOM if self.upper else LEAST_ROOM, ROOM * self.lanes / self.sharing) * (PRESSED if get.pressed else 1)
         if self.missed:
             self.loop.put(self.door, "declined", get, self)
         elif len(self.out) >= room:
@@ -321,8 +323,10 @@
     def __init__(self, loop, services, allowance, footprint):
         super().__init__(loop)
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
+        link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
+        self.fill_room = FILLS * link / footprint.flow_kb_s / footprint.fronts_in_zone if link else 1 << 30
         self.shelf = self.gate = None
-        self.open, self.flights, self.fills = {}, {}, {}
+        self.open, self.flights, self.fills = {}, {}, set()
         self.caches, self.parents, self.origin = [], [], None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
 
@@ -350,6 +354,9 @@
         if get.ds.uncacheable:
             self.step_write(get)
             return
+        if get.filling and len(self.fills) >= self.fill_room:
+            self.give_up(get)  # one more on a jammed link makes all fills late, whatever jams it
+            return
         line = get.above if get.filling else get.walk
         left = [m for m in line if m not in get.passed and m not in get.full]
         if not left and get.full and not get.pressed:
@@ -397,6 +404,7 @@
         self.flights[get.out] = (get, cache, source, self.loop.now)
         self.loop.put(cache, "took", get.out)
         if source is not cache:
+            self.fills.add(get.out)
             self.loop.put(source, "took", get.out)
 
     def ended(self, note):
@@ -408,6 +416,7 @@
         if source is not cache:
             self.loop.put(source, "ended", flight, note.verdict, False)
         get.out = None
+        self.fills.discard(flight)
         if note.verdict in NEVER_RAN and get.sent == 1:
             get.ran_at = None
         if note.closed:
@@ -522,7 +531,7 @@
             lanes = LANES
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache, self.allowance.probing,
-                                              self.warmups[upper].span)
+                                              upper, self.warmups[upper].span)
         cache = self.caches[member.cache]
         cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
