--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -21,6 +21,7 @@
 LEAST_ROOM = 4
 PARENT_ROOM = 12  # GETs of this front that a parent may fill before the hash order steps past it
 FILLS = 2.2  # fills this front may have out, in its share of the location's link (in transfers at full pace)
+LIGHT = 1.5
 PRESSED = 1.4  # where all are full, the GET goes to the first that holds less than this multiple of its room
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
 QUIET = 200_000  # a member that owes an answer and is silent this long is probed
@@ -85,11 +86,12 @@
     """One GET that is owed a final answer."""
 
     def __init__(self, get, ds, due, work):
-        self.id, self.ds, self.due, self.work = get.id, ds, due, work
+        self.id, self.dsi, self.ds, self.due, self.work = get.id, get.ds, ds, due, work
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.closed = 0, 0, None, False
         self.ran_at, self.ran_zone, self.ran_cell = None, None, None  # first forward that may have run
-        self.at, self.filling, self.pressed, self.passed, self.full = None, False, False, set(), set()
+        self.at, self.filling, self.pressed, self.stale = None, False, False, False
+        self.passed, self.full = set(), set()
 
 
 class Shelf(Actor):
@@ -230,9 +232,9 @@
         if self.purges.get(name) == when:
             del self.purges[name]
 
-    def oldest(self, get, stale):
+    def oldest(self, get):
         """The oldest copy that will do: the tighter of freshness and purges, never 0 where a purge asks for less."""
-        limit = get.ds.fresh + (get.ds.grace if stale else 0) if get.ds.fresh else 0
+        limit = get.ds.fresh + (get.ds.grace if get.stale else 0) if get.ds.fresh else 0
         for name in ((get.name[0], 0), (None, get.group)):
             if name in self.purges:
                 since = max(1, self.loop.now - self.purges[name] - 2)
@@ -287,7 +289,7 @@
                 return "cold"
         return None
 
-    def forward(self, get, cache, source, stale):
+    def forward(self, get, cache, source):
         rule = self.barred(get, cache, source)
         if rule:
             self.loop.put(self.door, "barred", get, cache, source, rule)
@@ -300,7 +302,7 @@
         if get.ran_at is None:
             get.ran_at, get.ran_zone, get.ran_cell = self.loop.now, member.zone, member.cell
         get.sent += 1
-        self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get, stale), join))
+        self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join))
         self.loop.put(self.door, "left_for", get, cache, source)
 
     def final(self, get, come_back):
@@ -354,8 +356,8 @@
         if get.ds.uncacheable:
             self.step_write(get)
             return
-        if get.filling and len(self.fills) >= self.fill_room:
-            self.give_up(get)  # one more on a jammed link makes all fills late, whatever jams it
+        if get.filling and len(self.fills) >= self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1):
+            self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
         line = get.above if get.filling else get.walk
         left = [m for m in line if m not in get.passed and m not in get.full]
@@ -367,6 +369,14 @@
         elif get.filling and self.origin and self.origin not in get.passed | get.full and all(
                 m.missed for m in get.above):
             self.loop.put(self.origin, "offer", get)  # no parent is up
+        else:
+            self.fall_back(get)
+
+    def fall_back(self, get):
+        """No fill is to be had: an ageing copy will do where one is allowed, else the GET is given up."""
+        if get.filling and get.ds.grace and not get.stale:
+            get.stale, get.filling, get.pressed, get.full, get.passed = True, False, False, set(), set()
+            self.step(get)
         else:
             self.give_up(get)
 
@@ -386,13 +396,13 @@
 
     def accepted(self, get, member, sourced):
         if get.filling:
-            self.loop.put(self.gate, "forward", get, get.at, member, False)
+            self.loop.put(self.gate, "forward", get, get.at, member)
         elif sourced and not get.ds.uncacheable:
             get.at, get.filling = member, True
             self.step(get)
         else:
             get.at = member
-            self.loop.put(self.gate, "forward", get, member, member, False)
+            self.loop.put(self.gate, "forward", get, member, member)
 
     def barred(self, get, cache, source, rule):
         if rule in ("answer", "effect"):
@@ -417,6 +427,8 @@
             self.loop.put(source, "ended", flight, note.verdict, False)
         get.out = None
         self.fills.discard(flight)
+        if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # what was held shows its sending time
+            self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.sent == 1:
             get.ran_at = None
         if note.closed:
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -59,7 +59,7 @@
         orders = host.get(obj)
         sent += any(o.cache == 1 for o in forwards(orders))
         for forward in forwards(orders):
-            host.end(forward, V.RETURNED, closed=True)
+            host.end(forward, V.RETURNED, closed=True, took=600_000)
     assert 0 < sent <= 3  # 0.8 of 2 x 0.2 x 6 lanes for 1 s, at 0.6 s each
 
 
@@ -114,3 +114,15 @@
 def test_a_full_origin_is_offered_a_get_once():
     host = FakeHost(services=(service(uncacheable=True),), fleet=(member(21, ORIGIN, weight=1.0),))
     assert {type(o) for _ in range(40) for o in host.get()} == {c.Forward, c.Shed}
+
+
+def test_a_jammed_link_takes_no_more_fills_and_an_ageing_copy_will_do():
+    host = FakeHost(services=(service(fresh=8 * SECOND, grace=30 * SECOND), service()))
+    for obj in range(60):
+        (look,) = host.get(obj, ds=1)
+        last = host.end(look, V.MISS)
+    assert kinds(last) == ["Shed"]
+    (look,) = host.get(70)
+    (aged,) = host.end(look, V.MISS)
+    assert aged.source == aged.cache and look.oldest == 8 * SECOND and aged.oldest == 38 * SECOND
+    assert kinds(host.end(aged, V.MISS, 1)) == ["Shed"]
