--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -90,7 +90,7 @@
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.closed = 0, 0, None, False
         self.ran_at, self.ran_zone, self.ran_cell = None, None, None  # first forward that may have run
-        self.at, self.filling, self.pressed, self.stale = None, False, False, False
+        self.at, self.filling, self.direct, self.pressed, self.stale = None, False, False, False, False
         self.passed, self.full = set(), set()
 
 
@@ -282,7 +282,7 @@
                      Scope.CELL: (member.zone, member.cell) == (get.ran_zone, get.ran_cell)}[ds.scope]
             if ds.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect"
-        for ident in {cache.id, source.id}:  # a set of one or two; the order does not show
+        for ident in dict.fromkeys((cache.id, source.id)):
             if ident not in self.members or self.members[ident][0].standing != Standing.READY:
                 return "drain"  # the grace is not used: the list is late enough as it is
             if not self.affordable(ident, get.work):
@@ -294,7 +294,7 @@
         if rule:
             self.loop.put(self.door, "barred", get, cache, source, rule)
             return
-        for ident in {cache.id, source.id}:
+        for ident in dict.fromkeys((cache.id, source.id)):
             self.charge(ident, get.work)
         join = self.allowance.joins and source is not cache
         member = self.members[cache.id][0]
@@ -345,44 +345,41 @@
 
     def ranked(self, get, rank):
         get.rank = rank
-        get.walk = hash_order(get.name, self.caches)
-        get.above = hash_order(get.name, self.parents)
+        get.walk, get.above = hash_order(get.name, self.caches), hash_order(get.name, self.parents)
+        if get.ds.uncacheable:  # passes through untouched: straight to the origin, or by a cache with it as source
+            get.above = [self.origin] if self.origin else []
+            get.walk = get.above if self.allowance.direct else get.walk
         self.step(get)
 
     def step(self, get):
         """Offer the GET to the next in hash order: first a look at a cache, then a parent to fill from."""
         if get.closed:
             return
-        if get.ds.uncacheable:
-            self.step_write(get)
-            return
-        if get.filling and len(self.fills) >= self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1):
+        above = get.filling or get.direct
+        if above and not get.ds.uncacheable and len(self.fills) >= self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1):
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
-        line = get.above if get.filling else get.walk
+        line = get.above if above else get.walk
+        if get.filling and self.origin and all(m.missed for m in line):  # no parent is up
+            line = line + [self.origin]
         left = [m for m in line if m not in get.passed and m not in get.full]
         if not left and get.full and not get.pressed:
             get.pressed, get.full = True, set()
             left = [m for m in line if m not in get.passed]
         if left:
             self.loop.put(left[0], "offer", get)
-        elif get.filling and self.origin and self.origin not in get.passed | get.full and all(
-                m.missed for m in get.above):
-            self.loop.put(self.origin, "offer", get)  # no parent is up
         else:
             self.fall_back(get)
 
     def fall_back(self, get):
-        """No fill is to be had: an ageing copy will do where one is allowed, else the GET is given up."""
+        """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight to a
+        parent, where the link has room. Else the GET is given up."""
         if get.filling and get.ds.grace and not get.stale:
             get.stale, get.filling, get.pressed, get.full, get.passed = True, False, False, set(), set()
             self.step(get)
-        else:
-            self.give_up(get)
-
-    def step_write(self, get):
-        if self.origin and self.allowance.direct and self.origin not in get.passed | get.full:
-            self.loop.put(self.origin, "offer", get)
+        elif self.allowance.direct and self.origin and not (get.filling or get.direct or get.ds.uncacheable):
+            get.direct, get.pressed, get.full = True, False, set()
+            self.step(get)
         else:
             self.give_up(get)
 
@@ -397,7 +394,9 @@
     def accepted(self, get, member, sourced):
         if get.filling:
             self.loop.put(self.gate, "forward", get, get.at, member)
-        elif sourced and not get.ds.uncacheable:
+        elif get.direct:
+            self.loop.put(self.gate, "forward", get, member, self.origin)
+        elif sourced or get.ds.uncacheable and member is not self.origin:
             get.at, get.filling = member, True
             self.step(get)
         else:
@@ -408,7 +407,7 @@
         if rule in ("answer", "effect"):
             self.give_up(get)
         else:
-            self.declined(get, source)
+            self.declined(get, cache if get.direct else source)
 
     def left_for(self, get, cache, source):
         self.flights[get.out] = (get, cache, source, self.loop.now)
@@ -440,9 +439,9 @@
 
     def again(self, get, cache, source, note):
         get.pressed, get.full = False, set()
-        if note.verdict == Verdict.MISS and not get.filling:
+        if note.verdict == Verdict.MISS and not (get.filling or get.direct):
             get.filling = True
-        elif get.filling:
+        elif get.filling or get.direct:
             get.passed.update((cache, source))
             get.filling = False
         else:
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -126,3 +126,18 @@
     (aged,) = host.end(look, V.MISS)
     assert aged.source == aged.cache and look.oldest == 8 * SECOND and aged.oldest == 38 * SECOND
     assert kinds(host.end(aged, V.MISS, 1)) == ["Shed"]
+
+
+def test_with_no_cache_left_gets_go_straight_to_a_parent_until_the_link_is_full():
+    host = FakeHost()
+    host.roster(*(member(cache, standing=c.Standing.GONE) for cache in (1, 2, 3)))
+    straight = host.get()[0]
+    assert straight.cache in (11, 12) and straight.source == 21
+    assert any(kinds(host.get(obj)) == ["Shed"] for obj in range(60))
+
+
+def test_a_warming_parent_over_its_budget_ends_in_one_answer():
+    host = FakeHost()
+    host.roster(*(member(cache, standing=c.Standing.GONE) for cache in (1, 2, 3)))
+    host.roster(member(11, PARENT, started=host.now, weight=1.0), member(12, PARENT, started=host.now, weight=1.0))
+    assert kinds(host.get()) == ["Shed"]
