--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -1,7 +1,7 @@
 """All decisions of a limepath front: Greedy-Dual-Size-Frequency (docs/design.md) and the guards around it.
 
-A host makes one `Front(seed=..., ...)` per instance and calls `front.handle(now, notes)`; it returns the orders
-to carry out. The records that pass in and out are in limepath/contract.py. Times are whole microseconds.
+A host makes one `Front(seed=..., ...)` per instance and calls `front.handle(now, notes)`, which returns the
+orders to carry out. What passes in and out is in limepath/contract.py. Times are whole microseconds.
 Inside, each part is an actor with an inbox; `Loop` empties the inboxes in the order in which notes were put.
 A GET goes Door -> Shelf (rank) -> Door -> Cache (has it room?) -> Gate (the five rules) -> order.
 """
@@ -12,16 +12,17 @@
 
 from sortedcontainers import SortedList
 
-from limepath.contract import (NEVER_RAN, AskRoster, Due, Errored, Forward, Get, Left, Listing, Outcome, Probe,
-                               ProbeReport, Purge, Repeats, Roster, Scope, Shed, Standing, Streaming, Subscribe,
-                               Verdict, Wake, Withdraw)
+from limepath.contract import (NEVER_RAN, Due, Errored, Forward, Get, Left, Listing, Outcome, Probe, ProbeReport,
+                               Purge, Repeats, Roster, Scope, Shed, Standing, Streaming, Subscribe, Verdict, Wake,
+                               Withdraw)
 
 TABLE = 1024  # entries of the Greedy-Dual-Size-Frequency table (the design's start is 4096)
 ROOM = 1.8  # transfers a cache may hold per lane before the hash order steps past it
 LEAST_ROOM = 4
-PARENT_ROOM = 12  # GETs of this front that a parent may fill before the hash order steps past it
+PARENT_ROOM = 12  # GETs of this front that a parent may fill before the hash order steps past it; less where late
 FILLS = 2.2  # fills this front may have out, in its share of the location's link (in transfers at full pace)
-LIGHT = 1.5
+LIGHT = 1.5  # a GET of little sending time may fill up to this multiple of that
+YIELD = 0.85  # what a fill that did not come back leaves of the fetch window; one that did adds 2 / window
 PRESSED = 1.4  # where all are full, the GET goes to the first that holds less than this multiple of its room
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
 QUIET = 200_000  # a member that owes an answer and is silent this long is probed
@@ -30,6 +31,7 @@
 STRIKES = 3  # broken or unmade connections in a row, nothing good between, before a member is in doubt
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 TICK = 50_000
+LAST_CALL = 20_000  # with less time left than this a GET gets no further forward
 MARGIN = 0.8  # share of the cold budget that is spent; the rest covers rough weights and chance
 MIX = (1 << 64) - 1
 
@@ -85,12 +87,13 @@
 class OpenGet:
     """One GET that is owed a final answer."""
 
-    def __init__(self, get, ds, due, work):
-        self.id, self.dsi, self.ds, self.due, self.work = get.id, get.ds, ds, due, work
+    def __init__(self, get, ds, due, work, own):
+        self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.closed = 0, 0, None, False
-        self.ran_at, self.ran_zone, self.ran_cell = None, None, None  # first forward that may have run
-        self.at, self.filling, self.direct, self.pressed, self.stale = None, False, False, False, False
+        self.ran_at = self.ran_by = self.ran_in = None  # the first forward that may have run: when, which, where
+        self.at, self.filling, self.direct, self.pressed, self.stale, self.held = (
+            None, False, False, False, False, False)
         self.passed, self.full = set(), set()
 
 
@@ -134,52 +137,53 @@
 
     def __init__(self, loop, door, gate, ident, probing, upper, warming):
         super().__init__(loop)
-        self.upper, self.warming, self.warm_at, self.loss = upper, warming, 0, 0.0
+        self.upper, self.warming, self.warm_at, self.loss, self.window = upper, warming, 0, 0.0, PARENT_ROOM
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
-        self.out, self.heard, self.probe_at, self.missed, self.strikes, self.doubt_since = {}, 0, None, 0, 0, None
+        self.out, self.heard, self.probe_at = set(), 0, None
+        self.missed, self.strikes, self.doubt_since = 0, 0, None
 
     def listed(self, member, sharing, lanes, weighted):
         if member.started:
             self.warm_at = max(self.warm_at, member.started + self.warming)
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
-        self.member, self.sharing, self.share = member, sharing, lanes if weighted else 1.0
-        self.lanes = lanes
+        self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = max(PARENT_ROOM if self.upper else LEAST_ROOM, ROOM * self.lanes / self.sharing) * (PRESSED if get.pressed else 1)
-        if self.missed:
-            self.loop.put(self.door, "declined", get, self)
-        elif len(self.out) >= room:
-            self.loop.put(self.door, "full", get, self)
+        room = (self.window if self.upper else max(LEAST_ROOM, ROOM * self.lanes / self.sharing)) * (
+            PRESSED if get.pressed else 1)
+        if self.missed or len(self.out) >= room:
+            self.loop.put(self.door, "declined", get, self, not self.missed)
         else:
-            # A look is a forward more: too dear where each counts against a warming cache, or where many break.
+            # A look is one forward more: too dear for a warming cache, or where many connections break.
             sourced = self.loop.now < self.warm_at or self.loss > FRAIL
             self.loop.put(self.door, "accepted", get, self, sourced)
 
     def took(self, flight):
         if not self.out:
             self.heard = max(self.heard, self.loop.now)
-        self.out[flight] = self.loop.now
-
-    def ended(self, flight, verdict, mine):
-        self.out.pop(flight, None)
-        if mine:
-            self.loss += ((verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)) - self.loss) / 16
-        if verdict in (Verdict.RESET, Verdict.CONNECT_FAILED) and mine:
+        self.out.add(flight)
+
+    def ended(self, flight, verdict, mine, late):
+        self.out.discard(flight)
+        if not mine and verdict == Verdict.RETURNED:  # its own link or ours is jammed: fewer at a time come in time
+            self.window = max(2, self.window * YIELD) if late else min(PARENT_ROOM, self.window + 2 / self.window)
+        broken = mine and verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)
+        self.loss += (broken - self.loss) / 16
+        if broken:
             self.strikes += 1
             if self.strikes >= STRIKES:
                 self.silent(verdict)
-        elif verdict in (Verdict.RETURNED, Verdict.MISS, Verdict.FULL) and (mine or verdict == Verdict.RETURNED):
+        elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
             self.alive()
 
     def alive(self):
         self.heard = self.loop.now
         if self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
             self.warm_at = self.heard + self.warming
-            self.loop.put(self.gate, "restarted", self.id)
+            self.loop.put(self.gate, "started", self.id, self.heard)
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
     def silent(self, verdict):
@@ -197,7 +201,7 @@
 
     def probed(self, report):
         sent, self.probe_at = self.probe_at, None
-        if report.verdict == Verdict.RETURNED:
+        if report.verdict in (Verdict.RETURNED, Verdict.FULL):  # who turns a probe away is there
             self.alive()
         elif sent is not None and self.heard <= sent:
             self.silent(report.verdict)
@@ -214,12 +218,9 @@
 
     def listed(self, cache, member, sharing, lanes, upper):
         old = self.members.get(member.cache)
-        if member.started and (old is None or member.started > old[0].started):
-            self.starts[member.cache] = max(member.started, self.starts.get(member.cache, 0))
         self.members[member.cache] = (member, sharing, lanes, upper)
-
-    def restarted(self, ident):
-        self.starts[ident] = self.loop.now
+        if member.started and (old is None or member.started > old[0].started):
+            self.started(member.cache, member.started)
 
     def purged(self, purge):
         """Rule 5: remember the latest purge of an object or group until its copies are gone everywhere."""
@@ -233,7 +234,7 @@
             del self.purges[name]
 
     def oldest(self, get):
-        """The oldest copy that will do: the tighter of freshness and purges, never 0 where a purge asks for less."""
+        """The oldest copy that will do: the tighter of freshness and purges; 0, no limit, only where neither is."""
         limit = get.ds.fresh + (get.ds.grace if get.stale else 0) if get.ds.fresh else 0
         for name in ((get.name[0], 0), (None, get.group)):
             if name in self.purges:
@@ -241,33 +242,23 @@
                 limit = min(limit, since) if limit else since
         return limit
 
-    def cold(self, ident):
-        """Whether a member is still warming, by its listed start or by what was seen."""
-        start = self.starts.get(ident)
-        if start is None or ident not in self.members:
-            return False
-        if self.loop.now - start > self.warmups[self.members[ident][3]].span:
-            del self.starts[ident]
-            self.ledgers.pop(ident, None)
-            return False
-        return True
-
-    def affordable(self, ident, work):
-        """Rule 4: this front's part of what a warming member can take, counted over every window."""
-        if not self.cold(ident):
-            return True
+    def budget(self, ident):
+        """Rule 4: this front's part of what a warming member can still take, counted over every window."""
+        if ident not in self.starts:
+            return float("inf")
         _, sharing, lanes, upper = self.members[ident]
-        warmup = self.warmups[upper]
-        age = max(0, self.loop.now - self.starts[ident] - warmup.window)
-        able = lanes * (warmup.share + (1 - warmup.share) * age / warmup.span)
-        ledger = self.ledgers.setdefault(ident, deque())
+        warmup, age, ledger = self.warmups[upper], self.loop.now - self.starts[ident], self.ledgers[ident]
+        if age > warmup.span:
+            del self.starts[ident], self.ledgers[ident]
+            return float("inf")
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
-        return sum(w for _, w in ledger) + work <= MARGIN * warmup.factor * able * warmup.window / sharing
+        able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
+        return MARGIN * warmup.factor * able * warmup.window / sharing - sum(work for _, work in ledger)
 
-    def charge(self, ident, work):
-        if self.cold(ident):
-            self.ledgers.setdefault(ident, deque()).append((self.loop.now, work))
+    def started(self, ident, when):
+        self.starts[ident] = max(when, self.starts.get(ident, when))
+        self.ledgers.setdefault(ident, deque())
 
     def barred(self, get, cache, source):
         """The rule that a forward would break, or None."""
@@ -278,14 +269,14 @@
             return "effect"
         if get.ran_at is not None and ds.repeats != Repeats.IDEMPOTENT:
             member = self.members[cache.id][0]
-            group = {Scope.ALL: True, Scope.ZONE: member.zone == get.ran_zone,
-                     Scope.CELL: (member.zone, member.cell) == (get.ran_zone, get.ran_cell)}[ds.scope]
+            group = {Scope.ALL: True, Scope.ZONE: member.zone == get.ran_in[0],
+                     Scope.CELL: (member.zone, member.cell) == get.ran_in}[ds.scope]
             if ds.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect"
         for ident in dict.fromkeys((cache.id, source.id)):
             if ident not in self.members or self.members[ident][0].standing != Standing.READY:
                 return "drain"  # the grace is not used: the list is late enough as it is
-            if not self.affordable(ident, get.work):
+            if self.budget(ident) < get.work:
                 return "cold"
         return None
 
@@ -295,14 +286,16 @@
             self.loop.put(self.door, "barred", get, cache, source, rule)
             return
         for ident in dict.fromkeys((cache.id, source.id)):
-            self.charge(ident, get.work)
-        join = self.allowance.joins and source is not cache
+            if ident in self.starts:
+                self.ledgers[ident].append((self.loop.now, get.work))
+        join = self.allowance.joins and source is not cache and not get.direct
         member = self.members[cache.id][0]
         get.out = (get.id, get.sent)
         if get.ran_at is None:
-            get.ran_at, get.ran_zone, get.ran_cell = self.loop.now, member.zone, member.cell
+            get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
         get.sent += 1
-        self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join))
+        self.loop.orders.append(
+            Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join, get.held and not get.direct))
         self.loop.put(self.door, "left_for", get, cache, source)
 
     def final(self, get, come_back):
@@ -327,6 +320,7 @@
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = FILLS * link / footprint.flow_kb_s / footprint.fronts_in_zone if link else 1 << 30
+        self.window, self.fetches = self.fill_room, set()
         self.shelf = self.gate = None
         self.open, self.flights, self.fills = {}, {}, set()
         self.caches, self.parents, self.origin = [], [], None
@@ -337,16 +331,15 @@
 
     def arrived(self, note):
         ds, work = self.services[note.ds], self.work[note.ds]
-        if note.size_kb and self.flow_kb_s:
-            own = int(note.size_kb / self.flow_kb_s * 1_000_000)
-            self.work[note.ds] = work = work + (own - work) // 32
-        get = self.open[note.id] = OpenGet(note, ds, self.loop.now + note.patience, work)
+        own = int(note.size_kb / self.flow_kb_s * 1_000_000) if note.size_kb and self.flow_kb_s else work
+        self.work[note.ds] += (own - work) // 32
+        get = self.open[note.id] = OpenGet(note, ds, self.loop.now + note.patience, work, own)
         self.loop.put(self.shelf, "count", get)
 
     def ranked(self, get, rank):
         get.rank = rank
         get.walk, get.above = hash_order(get.name, self.caches), hash_order(get.name, self.parents)
-        if get.ds.uncacheable:  # passes through untouched: straight to the origin, or by a cache with it as source
+        if get.ds.uncacheable:  # passes through untouched, straight to the origin or by a cache with it as source
             get.above = [self.origin] if self.origin else []
             get.walk = get.above if self.allowance.direct else get.walk
         self.step(get)
@@ -356,7 +349,8 @@
         if get.closed:
             return
         above = get.filling or get.direct
-        if above and not get.ds.uncacheable and len(self.fills) >= self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1):
+        room = self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1)
+        if above and not get.ds.uncacheable and len(self.fills) >= room:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
         line = get.above if above else get.walk
@@ -372,8 +366,8 @@
             self.fall_back(get)
 
     def fall_back(self, get):
-        """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight to a
-        parent, where the link has room. Else the GET is given up."""
+        """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
+        to a parent, where the link has room. Else the GET is given up."""
         if get.filling and get.ds.grace and not get.stale:
             get.stale, get.filling, get.pressed, get.full, get.passed = True, False, False, set(), set()
             self.step(get)
@@ -383,19 +377,18 @@
         else:
             self.give_up(get)
 
-    def declined(self, get, member):
-        get.passed.add(member)
-        self.step(get)
-
-    def full(self, get, member):
-        get.full.add(member)
+    def declined(self, get, member, full=False):
+        (get.full if full else get.passed).add(member)
         self.step(get)
 
     def accepted(self, get, member, sourced):
+        # Where fills do not come back, wherever above they stick: beyond the window ask for held copies only.
+        above = (get.filling or get.direct) and member is not self.origin
+        get.held = above and len(self.fetches) >= self.window
         if get.filling:
             self.loop.put(self.gate, "forward", get, get.at, member)
         elif get.direct:
-            self.loop.put(self.gate, "forward", get, member, self.origin)
+            self.loop.put(self.gate, "forward", get, member, member if get.held else self.origin)
         elif sourced or get.ds.uncacheable and member is not self.origin:
             get.at, get.filling = member, True
             self.step(get)
@@ -413,22 +406,32 @@
         self.flights[get.out] = (get, cache, source, self.loop.now)
         self.loop.put(cache, "took", get.out)
         if source is not cache:
-            self.fills.add(get.out)
             self.loop.put(source, "took", get.out)
+        if source is not cache or get.direct:
+            self.fills.add(get.out)
+            if not get.held:
+                self.fetches.add(get.out)
 
     def ended(self, note):
         flight = (note.id, note.forward)
         if flight not in self.flights:
             return
         get, cache, source, _ = self.flights.pop(flight)
-        self.loop.put(cache, "ended", flight, note.verdict, True)
+        late = note.took > get.ds.objective + get.ds.stretch * get.own
+        self.loop.put(cache, "ended", flight, note.verdict, True, late)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False)
+            self.loop.put(source, "ended", flight, note.verdict, False, late)
         get.out = None
         self.fills.discard(flight)
-        if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # what was held shows its sending time
+        if flight in self.fetches:
+            self.fetches.remove(flight)
+            if note.verdict == Verdict.RETURNED:
+                self.window = min(self.fill_room, self.window + 2 / self.window)
+            elif note.verdict in (Verdict.TIMED_OUT, Verdict.ERRORED):
+                self.window = max(1, self.window * YIELD)
+        if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
-        if note.verdict in NEVER_RAN and get.sent == 1:
+        if note.verdict in NEVER_RAN and get.ran_by == note.forward:
             get.ran_at = None
         if note.closed:
             get.closed = True
@@ -439,14 +442,15 @@
 
     def again(self, get, cache, source, note):
         get.pressed, get.full = False, set()
-        if note.verdict == Verdict.MISS and not (get.filling or get.direct):
+        if note.verdict == Verdict.MISS and get.held:
+            self.fall_back(get)
+            return
+        if note.verdict == Verdict.MISS and source is cache:
             get.filling = True
-        elif get.filling or get.direct:
+        else:
             get.passed.update((cache, source))
             get.filling = False
-        else:
-            get.passed.add(cache)
-        if get.due - self.loop.now < 20_000:
+        if get.due - self.loop.now < LAST_CALL:
             self.give_up(get)
         else:
             self.step(get)
@@ -465,19 +469,14 @@
         get = self.open.pop(note.id, None)
         if get:
             get.closed = True
-            if get.ds.repeats == Repeats.IDEMPOTENT:
+            if get.ds.repeats == Repeats.IDEMPOTENT and isinstance(note, Left):  # a stream that began goes on
                 self.loop.put(self.gate, "withdraw", get)
 
-    def streaming(self, note):
-        get = self.open.pop(note.id, None)
-        if get:
-            get.closed = True
-
 
 class Front:
     """One instance: the parts above, wired together, and the list of members as this front holds it."""
 
-    def __init__(self, *, seed, rank, services, footprint, allowance, cache_warmup, parent_warmup, grace):
+    def __init__(self, *, seed, services, footprint, allowance, cache_warmup, parent_warmup, grace):
         self.loop, self.footprint, self.allowance = Loop(seed), footprint, allowance
         self.warmups = {False: cache_warmup, True: parent_warmup}
         self.door = Door(self.loop, services, allowance, footprint)
@@ -485,8 +484,8 @@
         self.shelf = self.door.shelf = Shelf(self.loop, self.door)
         self.caches, self.next_tick, self.armed, self.inbox = {}, 0, None, deque()
         self.desks = {Get: (self.door, "arrived"), Outcome: (self.door, "ended"), Left: (self.door, "left"),
-                      Streaming: (self.door, "streaming"), Purge: (self.gate, "purged"), Roster: (self, "roster"),
-                      ProbeReport: (self, "probed")}
+                      Streaming: (self.door, "left"), Purge: (self.gate, "purged"),
+                      Roster: (self, "roster"), ProbeReport: (self, "probed")}
 
     def handle(self, now, notes):
         """Take in what the host heard at `now`; give the orders that follow."""
@@ -535,14 +534,14 @@
         sharing = place.fronts if upper else place.fronts_in_zone
         if place.weighted:
             lanes = member.weight
-        elif upper and place.flow_kb_s:  # a parent's link is sized for several locations: one location's is sure
+        elif upper and place.flow_kb_s:  # a parent's link is sized for several locations: that of one is sure
             links = [kb for kb in place.link_kb_s if kb]
             lanes = sum(links) / len(links) / place.flow_kb_s if links else LANES
         else:
             lanes = LANES
         if member.cache not in self.caches:
-            self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache, self.allowance.probing,
-                                              upper, self.warmups[upper].span)
+            self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
+                                              self.allowance.probing, upper, self.warmups[upper].span)
         cache = self.caches[member.cache]
         cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
--- a/limepath/wirehost/dialect.py
+++ b/limepath/wirehost/dialect.py
@@ -198,7 +198,7 @@
         family.get("upper-fall-multiple", safety["overload-factor"]), us(safety["tip-after"]))
     grace = c.Grace(us(safety["answer-slack"]), us(safety["drain-grace"]), us(family.get("heed-within", 0)),
                     us(family.get("gone-everywhere", 0)), us(safety.get("must-ask-in", 0)))
-    return {"rank": settings["rank"], "services": services, "footprint": footprint, "allowance": allowance,
+    return {"services": services, "footprint": footprint, "allowance": allowance,
             "cache_warmup": cache_warmup, "parent_warmup": parent_warmup, "grace": grace}
 
 
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -27,7 +27,7 @@
         allowance = c.Allowance(forwards=6, overlap=False, withdraw=True, probing=True, peers=False,
                                 come_back=SECOND, direct=True, joins=False, lateral="none", subscribe=False)
         self.front = Front(
-            seed=seed, rank=0, services=services,
+            seed=seed, services=services,
             footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(9000.0, 0.0), fronts_in_zone=1, fronts=2,
                                   parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0, weighted=True),
             allowance=allowance._replace(**allowed),
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -141,3 +141,36 @@
     host.roster(*(member(cache, standing=c.Standing.GONE) for cache in (1, 2, 3)))
     host.roster(member(11, PARENT, started=host.now, weight=1.0), member(12, PARENT, started=host.now, weight=1.0))
     assert kinds(host.get()) == ["Shed"]
+
+
+def test_where_fills_do_not_come_back_parents_are_asked_for_held_copies_only():
+    host = FakeHost()
+    for obj in range(40):
+        (look,) = host.get(obj)
+        fill = forwards(host.end(look, V.MISS))[0]
+        host.end(fill, V.TIMED_OUT, 1)
+        host.hear(c.Left(look.id))
+    (look,) = host.get(90)
+    (fetch,) = host.end(look, V.MISS)
+    assert not fetch.held_only
+    (look,) = host.get(91)
+    (held,) = host.end(look, V.MISS)
+    assert held.held_only and kinds(host.end(held, V.MISS, 1)) == ["Shed"]
+    host.end(fetch, V.RETURNED, 1, closed=True)
+    for turn in range(40):
+        (look,) = host.get(100 + turn)
+        (fetch,) = host.end(look, V.MISS)
+        host.end(fetch, V.RETURNED, 1, closed=True)
+    (look,) = host.get(199)
+    host.end(look, V.MISS)
+    (look,) = host.get(200)
+    assert not host.end(look, V.MISS)[0].held_only
+
+
+def test_a_probe_turned_away_is_an_answer():
+    host = FakeHost()
+    (look,) = host.get()
+    for _ in range(4):
+        host.wait(SECOND // 2)
+        assert not host.probe_report(look.cache, V.FULL)
+    assert host.get()[0].cache == look.cache
