--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -137,7 +137,7 @@
 
     def __init__(self, loop, door, gate, ident, probing, upper, warming):
         super().__init__(loop)
-        self.upper, self.warming, self.warm_at, self.loss, self.window = upper, warming, 0, 0.0, PARENT_ROOM
+        self.upper, self.warming, self.warm_at, self.loss, self.window = upper, warming, 0, 0.0, 1e9
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
         self.out, self.heard, self.probe_at = set(), 0, None
@@ -152,8 +152,9 @@
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = (self.window if self.upper else max(LEAST_ROOM, ROOM * self.lanes / self.sharing)) * (
-            PRESSED if get.pressed else 1)
+        room = max(PARENT_ROOM if self.upper else LEAST_ROOM, ROOM * self.lanes / self.sharing)
+        self.window = min(self.window, room)
+        room = self.window * (PRESSED if get.pressed else 1)
         if self.missed or len(self.out) >= room:
             self.loop.put(self.door, "declined", get, self, not self.missed)
         else:
@@ -168,8 +169,8 @@
 
     def ended(self, flight, verdict, mine, late):
         self.out.discard(flight)
-        if not mine and verdict == Verdict.RETURNED:  # its own link or ours is jammed: fewer at a time come in time
-            self.window = max(2, self.window * YIELD) if late else min(PARENT_ROOM, self.window + 2 / self.window)
+        if self.upper and verdict == Verdict.RETURNED:  # its own link or ours is jammed: fewer at a time come in time
+            self.window = max(2, self.window * YIELD) if late else self.window + 2 / self.window
         broken = mine and verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)
         self.loss += (broken - self.loss) / 16
         if broken:
@@ -417,7 +418,7 @@
         if flight not in self.flights:
             return
         get, cache, source, _ = self.flights.pop(flight)
-        late = note.took > get.ds.objective + get.ds.stretch * get.own
+        late = get.held and note.took > get.ds.objective + get.ds.stretch * get.own
         self.loop.put(cache, "ended", flight, note.verdict, True, late)
         if source is not cache:
             self.loop.put(source, "ended", flight, note.verdict, False, late)
@@ -425,9 +426,9 @@
         self.fills.discard(flight)
         if flight in self.fetches:
             self.fetches.remove(flight)
-            if note.verdict == Verdict.RETURNED:
+            if note.verdict == Verdict.RETURNED and note.took <= get.ds.objective + get.ds.stretch * get.own:
                 self.window = min(self.fill_room, self.window + 2 / self.window)
-            elif note.verdict in (Verdict.TIMED_OUT, Verdict.ERRORED):
+            elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED):
                 self.window = max(1, self.window * YIELD)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
