--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -12,27 +12,27 @@
 
 from sortedcontainers import SortedList
 
-from limepath.contract import (NEVER_RAN, Due, Errored, Forward, Get, Left, Listing, Outcome, Probe, ProbeReport,
-                               Purge, Repeats, Roster, Scope, Shed, Standing, Streaming, Subscribe, Verdict, Wake,
-                               Withdraw)
-
-TABLE = 1024  # entries of the Greedy-Dual-Size-Frequency table (the design's start is 4096)
-ROOM = 1.8  # transfers a cache may hold per lane before the hash order steps past it
-LEAST_ROOM = 4
-PARENT_ROOM = 12  # GETs of this front that a parent may fill before the hash order steps past it; less where late
-FILLS = 2.2  # fills this front may have out, in its share of the location's link (in transfers at full pace)
-LIGHT = 1.5  # a GET of little sending time may fill up to this multiple of that
-YIELD = 0.85  # what a fill that did not come back leaves of the fetch window; one that did adds 2 / window
-PRESSED = 1.4  # where all are full, the GET goes to the first that holds less than this multiple of its room
-LANES = 5.0  # transfers at full pace that a member of untold size is taken for, until reports say more
-QUIET = 200_000  # a member that owes an answer and is silent this long is probed
-DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back
+from limepath.contract import (NEVER_RAN, Due, Errored, Forward, Get, Left, Listing, Outcome, Probe,
+                               ProbeReport, Purge, Repeats, Roster, Scope, Shed, Standing, Streaming,
+                               Subscribe, Verdict, Wake, Withdraw)
+
+TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
+ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
+LEAST_ROOM = 4  # of GETs, for a small cache shared by many fronts; 2 costs hits
+PARENT_ROOM = 12  # fills of this front that a parent may have: fewer move objects from their parent
+PRESSED = 1.4  # multiple of its room that a cache may hold when all are full; 1.25 to 1.5 are alike
+FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
+LIGHT = 1.5  # multiple of that for GETs of little sending time
+GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
+LANES = 5.0  # transfers at full pace that a member of untold size is taken for
+QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
+DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back; 1 condemns pauses
 FRAIL = 0.1  # share of broken connections above which a cache gets no looks
-STRIKES = 3  # broken or unmade connections in a row, nothing good between, before a member is in doubt
+STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
+MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 topples caches of rough weight
 TICK = 50_000
 LAST_CALL = 20_000  # with less time left than this a GET gets no further forward
-MARGIN = 0.8  # share of the cold budget that is spent; the rest covers rough weights and chance
 MIX = (1 << 64) - 1
 
 
@@ -91,7 +91,7 @@
         self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.closed = 0, 0, None, False
-        self.ran_at = self.ran_by = self.ran_in = None  # the first forward that may have run: when, which, where
+        self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
         self.at, self.filling, self.direct, self.pressed, self.stale, self.held = (
             None, False, False, False, False, False)
         self.passed, self.full = set(), set()
@@ -169,8 +169,8 @@
 
     def ended(self, flight, verdict, mine, late):
         self.out.discard(flight)
-        if self.upper and verdict == Verdict.RETURNED:  # its own link or ours is jammed: fewer at a time come in time
-            self.window = max(2, self.window * YIELD) if late else self.window + 2 / self.window
+        if self.upper and verdict == Verdict.RETURNED:  # on a jammed link fewer at a time come in time
+            self.window = max(2, self.window * YIELD) if late else self.window + GROW / self.window
         broken = mine and verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)
         self.loss += (broken - self.loss) / 16
         if broken:
@@ -217,7 +217,7 @@
         self.warmups = {False: cache_warmup, True: parent_warmup}
         self.members, self.purges, self.ledgers, self.starts = {}, {}, {}, {}
 
-    def listed(self, cache, member, sharing, lanes, upper):
+    def listed(self, member, sharing, lanes, upper):
         old = self.members.get(member.cache)
         self.members[member.cache] = (member, sharing, lanes, upper)
         if member.started and (old is None or member.started > old[0].started):
@@ -235,7 +235,7 @@
             del self.purges[name]
 
     def oldest(self, get):
-        """The oldest copy that will do: the tighter of freshness and purges; 0, no limit, only where neither is."""
+        """The oldest copy that will do: the tighter of freshness and purges; 0 (any) where neither is."""
         limit = get.ds.fresh + (get.ds.grace if get.stale else 0) if get.ds.fresh else 0
         for name in ((get.name[0], 0), (None, get.group)):
             if name in self.purges:
@@ -295,8 +295,8 @@
         if get.ran_at is None:
             get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
         get.sent += 1
-        self.loop.orders.append(
-            Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join, get.held and not get.direct))
+        self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join,
+                                        get.held and not get.direct))
         self.loop.put(self.door, "left_for", get, cache, source)
 
     def final(self, get, come_back):
@@ -340,7 +340,7 @@
     def ranked(self, get, rank):
         get.rank = rank
         get.walk, get.above = hash_order(get.name, self.caches), hash_order(get.name, self.parents)
-        if get.ds.uncacheable:  # passes through untouched, straight to the origin or by a cache with it as source
+        if get.ds.uncacheable:  # passes through untouched: straight, or by a cache with the origin as source
             get.above = [self.origin] if self.origin else []
             get.walk = get.above if self.allowance.direct else get.walk
         self.step(get)
@@ -427,7 +427,7 @@
         if flight in self.fetches:
             self.fetches.remove(flight)
             if note.verdict == Verdict.RETURNED and note.took <= get.ds.objective + get.ds.stretch * get.own:
-                self.window = min(self.fill_room, self.window + 2 / self.window)
+                self.window = min(self.fill_room, self.window + GROW / self.window)
             elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED):
                 self.window = max(1, self.window * YIELD)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
@@ -533,20 +533,16 @@
         place = self.footprint
         upper = member.kind in (place.parent_kind, place.origin_kind)
         sharing = place.fronts if upper else place.fronts_in_zone
-        if place.weighted:
-            lanes = member.weight
-        elif upper and place.flow_kb_s:  # a parent's link is sized for several locations: that of one is sure
-            links = [kb for kb in place.link_kb_s if kb]
-            lanes = sum(links) / len(links) / place.flow_kb_s if links else LANES
-        else:
-            lanes = LANES
+        links = [kb for kb in place.link_kb_s if kb and upper]  # a parent carries several locations' fills
+        told = sum(links) / len(links) / place.flow_kb_s if links and place.flow_kb_s else LANES
+        lanes = member.weight if place.weighted else told
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
                                               self.allowance.probing, upper, self.warmups[upper].span)
         cache = self.caches[member.cache]
         cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
-        self.loop.put(self.gate, "listed", cache, member, sharing, lanes, upper)
+        self.loop.put(self.gate, "listed", member, sharing, lanes, upper)
         self.loop.run()
 
     def probed(self, note):
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -2,7 +2,7 @@
 
 A host builds one `limepath.choice.Front` per instance from the records under "Told at start", then calls
 `front.handle(now, notes)` with the notes under "Notes in" and carries out the returned "Orders out" in
-their sequence. Times are whole microseconds; `now` and `Member.started` are on the host's clock, all else are spans.
+their sequence. Times are whole microseconds; `now` and `Member.started` are on the host's clock, others spans.
 Caches, parents and the origin are known by a stable integer that is the same at every front.
 """
 
@@ -28,7 +28,7 @@
 
 
 class Hint(IntEnum):
-    """What an outcome may tell about the copy or about why a fill ended; NONE where the deployment is silent."""
+    """What an outcome may tell of the copy or of why a fill ended; NONE where the deployment is silent."""
 
     NONE = 0
     HIT = 1
--- a/limepath/wirehost/dialect.py
+++ b/limepath/wirehost/dialect.py
@@ -9,8 +9,10 @@
 START = "start"
 U32, U8, U16 = struct.Struct(">I"), struct.Struct(">B"), struct.Struct(">H")
 ENTRY = struct.Struct(">B6sQHBHf")
-LOAD_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps", "fail_rate": "eps"}
-REPEATS = {"free": c.Repeats.IDEMPOTENT, "guarded": c.Repeats.TOKENED, "single_shot": c.Repeats.NON_IDEMPOTENT}
+LOAD_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
+              "fail_rate": "eps"}
+REPEATS = {"free": c.Repeats.IDEMPOTENT, "guarded": c.Repeats.TOKENED,
+           "single_shot": c.Repeats.NON_IDEMPOTENT}
 SCOPES = {"all": c.Scope.ALL, "zone": c.Scope.ZONE, "cell": c.Scope.CELL}
 LATERAL = {"none": "none", "location": "zone", "any": "any"}
 EVERY_PEER = 0xFFFFFFFF
@@ -48,14 +50,15 @@
     members = []
     for _entry in range(count):
         standing, raw, started, cell, zone, kind, weight = cursor.take(ENTRY)
-        members.append(c.Member(enum_of(c.Standing, standing, where), cache_of(raw), -(-started // 1000), cell,
-                                zone, kind, weight))
+        members.append(c.Member(enum_of(c.Standing, standing, where), cache_of(raw), -(-started // 1000),
+                                cell, zone, kind, weight))
     return c.Roster(enum_of(c.Listing, mode, where), version, tuple(members))
 
 
 def read_arrival(cursor, _):
     op, ds, org, obj, patience, size, group, part, marks = cursor.take(struct.Struct(">IBIQQfffB"))
-    return c.Get(op, ds, org, obj, us(patience), size, int(group), int(part), bool(marks & 2), bool(marks & 4))
+    return c.Get(op, ds, org, obj, us(patience), size, int(group), int(part), bool(marks & 2),
+                 bool(marks & 4))
 
 
 def read_purge(cursor, _):
@@ -102,7 +105,7 @@
 
 
 def read_event(cursor, fields_of):
-    """Give (instance, note) of the next record; `fields_of(instance)` names the values of its load reports."""
+    """Give (instance, note) of the next record; `fields_of(instance)` names the values of load reports."""
     at = cursor.at
     (code,) = cursor.take(U8)
     reader = READERS.get(code)
@@ -165,8 +168,9 @@
         return values[i] if i < len(values) else absent
 
     return c.DeliveryService(
-        objective=us(entry["aim"]), stretch=entry.get("aim-stretch", 0.0), viewer_timeout=us(entry["deadline"]),
-        revenue=entry.get("worth", 1.0), late_share=entry.get("late-worth", 0.0),
+        objective=us(entry["aim"]), stretch=entry.get("aim-stretch", 0.0),
+        viewer_timeout=us(entry["deadline"]), revenue=entry.get("worth", 1.0),
+        late_share=entry.get("late-worth", 0.0),
         repeats=REPEATS[entry["idempotency"]], scope=SCOPES[entry.get("key-scope", "all")],
         window=us(entry.get("repeat-window", 0)), streamed=bool(entry.get("stream", False)),
         fresh=us(per_class("max-age", 0)), grace=us(per_class("class-grace", 0)),
@@ -175,7 +179,7 @@
 
 
 def start_of(settings):
-    """Turn the settings into the keyword arguments of `Front`; raises KeyError, TypeError or ValueError on bad ones."""
+    """Turn the settings into the keyword arguments of `Front`; bad ones raise KeyError, TypeError, ValueError."""
     family, limits, safety = settings.get("family-info", {}), settings.get("limits", {}), settings["safety"]
     zone, fronts = settings["az"], settings["replicas-of-me"]
     zone_fronts = family.get("zone-balancers") or []
@@ -184,13 +188,16 @@
         zone=zone, hub_of=tuple(family.get("hub-of", ())), link_kb_s=tuple(family.get("pipe-kb-per-s", ())),
         fronts_in_zone=zone_fronts[zone] if zone < len(zone_fronts) else fronts, fronts=fronts,
         parent_kind=family.get("mid-kind", -1), origin_kind=family.get("master-kind", -1),
-        flow_kb_s=family.get("one-flow-kb-per-s", 0.0), weighted=settings.get("weight-kind") in ("nominal", "rough"))
+        flow_kb_s=family.get("one-flow-kb-per-s", 0.0),
+        weighted=settings.get("weight-kind") in ("nominal", "rough"))
     allowance = c.Allowance(
         forwards=limits.get("max-attempts", 1), overlap=limits.get("second-copies", False),
-        withdraw=limits.get("cancel", False), probing=limits.get("probing", False), peers=limits.get("peers", False),
+        withdraw=limits.get("cancel", False), probing=limits.get("probing", False),
+        peers=limits.get("peers", False),
         come_back=us(limits.get("max-retry-after", 0)) if limits.get("retry-after", False) else 0,
         direct=family.get("direct", False), joins=family.get("shares-fills", False),
-        lateral=LATERAL[family.get("lateral", "none")], subscribe=settings.get("membership-mode") == "subscribe")
+        lateral=LATERAL[family.get("lateral", "none")],
+        subscribe=settings.get("membership-mode") == "subscribe")
     cache_warmup = c.Warmup(safety["cold-share"], us(safety["cold"]), safety["overload-factor"],
                             us(safety["tip-after"]))
     parent_warmup = c.Warmup(
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -139,7 +139,7 @@
 def test_a_warming_parent_over_its_budget_ends_in_one_answer():
     host = FakeHost()
     host.roster(*(member(cache, standing=c.Standing.GONE) for cache in (1, 2, 3)))
-    host.roster(member(11, PARENT, started=host.now, weight=1.0), member(12, PARENT, started=host.now, weight=1.0))
+    host.roster(*(member(ident, PARENT, started=host.now, weight=1.0) for ident in (11, 12)))
     assert kinds(host.get()) == ["Shed"]
 
 
