--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -2,7 +2,8 @@
 
 A host builds one `limepath.choice.Front` per instance from the records under "Told at start", then calls
 `front.handle(now, notes)` with the notes under "Notes in" and carries out the returned "Orders out" in
-their sequence. Times are whole microseconds; `now` and `Member.started` are on the host's clock, others spans.
+their sequence. Times are whole microseconds; `now` and `Member.started` are on the host's clock, others are
+spans.
 Caches, parents and the origin are known by a stable integer that is the same at every front.
 """
 
--- a/limepath/wirehost/dialect.py
+++ b/limepath/wirehost/dialect.py
@@ -179,7 +179,7 @@
 
 
 def start_of(settings):
-    """Turn the settings into the keyword arguments of `Front`; bad ones raise KeyError, TypeError, ValueError."""
+    """Turn the settings into the keyword arguments of `Front`; bad ones raise Key-, Type- or ValueError."""
     family, limits, safety = settings.get("family-info", {}), settings.get("limits", {}), settings["safety"]
     zone, fronts = settings["az"], settings["replicas-of-me"]
     zone_fronts = family.get("zone-balancers") or []
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -10,7 +10,8 @@
 def service(**changes):
     plain = c.DeliveryService(objective=600_000, stretch=1.6, viewer_timeout=5 * SECOND, revenue=1.0,
                               late_share=0.2, repeats=c.Repeats.IDEMPOTENT, scope=c.Scope.ALL, window=SECOND,
-                              streamed=False, fresh=0, grace=0, stale_share=0.5, uncacheable=False, segmented=False)
+                              streamed=False, fresh=0, grace=0, stale_share=0.5, uncacheable=False,
+                              segmented=False)
     return plain._replace(**changes)
 
 
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -174,3 +174,83 @@
         host.wait(SECOND // 2)
         assert not host.probe_report(look.cache, V.FULL)
     assert host.get()[0].cache == look.cache
+
+
+def test_a_tokened_get_is_repeated_only_within_its_group_and_window():
+    tokened = service(repeats=c.Repeats.TOKENED, scope=c.Scope.CELL, window=SECOND // 10)
+    host = FakeHost(services=(tokened,))
+    (look,) = host.get()
+    assert forwards(host.end(look, V.ERRORED))
+    (look,) = host.get()
+    host.wait(SECOND // 5)
+    assert kinds(host.end(look, V.ERRORED)) == ["Errored"]
+    fleet = tuple(m._replace(cell=m.cache) for m in (member(1), member(2), member(3)))
+    host = FakeHost(services=(tokened,), fleet=fleet)
+    (look,) = host.get()
+    assert kinds(host.end(look, V.ERRORED)) == ["Errored"]
+    (look,) = host.get()
+    assert forwards(host.end(look, V.FULL))
+
+
+def test_no_second_forward_beside_one_that_is_out_and_none_after_the_viewer_timeout():
+    host = FakeHost()
+    (look,) = host.get(patience=SECOND)
+    assert not forwards(host.wait(SECOND * 2))
+    assert kinds(host.end(look, V.TIMED_OUT)) == ["Shed"]
+
+
+def test_doubt_ends_with_an_answer_and_a_long_silence_makes_cold():
+    host = FakeHost()
+    (look,) = host.get()
+    for _ in range(6):
+        host.wait(SECOND // 2)
+        host.probe_report(look.cache, V.TIMED_OUT)
+    assert host.get()[0].cache != look.cache
+    host.wait(SECOND // 2)
+    host.probe_report(look.cache)
+    back = host.get()[0]
+    assert back.cache == look.cache and back.source in (11, 12)  # cold: no look
+    host.end(back, V.RETURNED, closed=True)
+    host.wait(11 * SECOND)
+    assert host.get()[0].source == look.cache
+
+
+def test_a_budget_ends_when_its_cache_is_warm():
+    host = FakeHost(fleet=(member(1, started=100 * SECOND), member(11, PARENT), member(21, ORIGIN)))
+    host.wait(11 * SECOND)
+    assert [host.get(obj)[0].cache for obj in range(8)] == [1] * 8 and not host.front.gate.starts
+
+
+def push(host, get, cache=1):
+    """Put a forward to the gate past all that would not ask for it; give what it lets through."""
+    front = host.front
+    front.loop.orders = []
+    front.gate.inbox.clear()
+    front.gate.forward(get, front.caches[cache], front.caches[cache])
+    return forwards(front.loop.orders)
+
+
+def test_the_gate_alone_bars_what_a_rule_forbids():
+    host = FakeHost(services=(service(), service(repeats=c.Repeats.NON_IDEMPOTENT)))
+    (look,) = host.get(patience=SECOND)
+    get = host.front.door.open[look.id]
+    assert not push(host, get)  # one is out
+    get.out = None
+    assert push(host, get)
+    get.out, get.closed = None, True
+    assert not push(host, get)  # answered
+    get.closed, host.front.loop.now = False, host.now + SECOND
+    assert not push(host, get)  # too late
+    (look,) = forwards(host.get(ds=1))
+    get = host.front.door.open[look.id]
+    get.out = None
+    assert not push(host, get)  # may have run
+    (look,) = forwards(host.get())
+    get = host.front.door.open[look.id]
+    get.out = None
+    host.roster(member(1, standing=c.Standing.DRAINING))
+    assert not push(host, get) and push(host, get, 2)  # draining
+    host.front.loop.orders = []
+    host.front.gate.final(get, 0)
+    host.front.gate.final(get, 0)
+    assert kinds(host.front.loop.orders) == ["Shed"]
