--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -167,10 +167,10 @@
             self.heard = max(self.heard, self.loop.now)
         self.out.add(flight)
 
-    def ended(self, flight, verdict, mine, late):
+    def ended(self, flight, verdict, mine, pace):
         self.out.discard(flight)
         if self.upper and verdict == Verdict.RETURNED:  # on a jammed link fewer at a time come in time
-            self.window = max(2, self.window * YIELD) if late else self.window + GROW / self.window
+            self.window = max(2, self.window * YIELD) if pace < 0 else self.window + pace * GROW / self.window
         broken = mine and verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)
         self.loss += (broken - self.loss) / 16
         if broken:
@@ -418,15 +418,16 @@
         if flight not in self.flights:
             return
         get, cache, source, _ = self.flights.pop(flight)
-        late = get.held and note.took > get.ds.objective + get.ds.stretch * get.own
-        self.loop.put(cache, "ended", flight, note.verdict, True, late)
+        in_time = note.verdict == Verdict.RETURNED and note.took <= get.ds.objective + get.ds.stretch * get.own
+        pace = 1 if in_time else -get.held  # a late whole fetch may be the origin's doing: it tells nothing here
+        self.loop.put(cache, "ended", flight, note.verdict, True, pace)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, late)
+            self.loop.put(source, "ended", flight, note.verdict, False, pace)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
             self.fetches.remove(flight)
-            if note.verdict == Verdict.RETURNED and note.took <= get.ds.objective + get.ds.stretch * get.own:
+            if in_time:
                 self.window = min(self.fill_room, self.window + GROW / self.window)
             elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED):
                 self.window = max(1, self.window * YIELD)
