The origin fills, within the fetch window, when no parent that is up has room

Exception to the design's 'only when no parent is up'. Cause: with one of two parents silent or cold, the other is jammed while the origin idles at a quarter of its load. The fetch window guards the origin; may harm where origin bytes are dear.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -363,6 +363,9 @@
             left = [m for m in line if m not in get.passed]
         if left:
             self.loop.put(left[0], "offer", get)
+        elif get.filling and self.origin not in {None, *line, *get.passed} and len(self.fetches) < self.window:
+            get.passed.add(self.origin)  # no parent that is up has room: within the fetch window the origin fills
+            self.loop.put(self.origin, "offer", get)
         else:
             self.fall_back(get)
 
