--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -149,10 +149,11 @@
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
         self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
+        self.told = weighted
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = max(PARENT_ROOM if self.upper else LEAST_ROOM, ROOM * self.lanes / self.sharing)
+        room = max(PARENT_ROOM if self.upper and not self.told else LEAST_ROOM, ROOM * self.lanes / self.sharing)
         self.window = min(self.window, room)
         room = self.window * (PRESSED if get.pressed else 1)
         if self.missed or len(self.out) >= room:
