--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -19,7 +19,7 @@
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
 LEAST_ROOM = 4  # of GETs, for a small cache shared by many fronts; 2 costs hits
-PARENT_ROOM = 12  # fills of this front that a parent may have: fewer move objects from their parent
+PARENT_ROOM = 8  # fills of this front that a parent may have: fewer move objects from their parent
 PRESSED = 1.4  # multiple of its room that a cache may hold when all are full; 1.25 to 1.5 are alike
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT = 1.5  # multiple of that for GETs of little sending time
