A shed GET may come back after a tenth to three tenths of the longest wait

Cause: with half to all of it every repeat came after its latency objective and took room from fresh GETs. May harm where clients heed no wait and all retry at once.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -31,6 +31,7 @@
 STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 topples caches of rough weight
+COME_BACK = 0.2  # of the longest wait, give or take half: a repeat may still be in time; 0.75 makes all late
 TICK = 50_000
 LAST_CALL = 20_000  # with less time left than this a GET gets no further forward
 MIX = (1 << 64) - 1
@@ -464,7 +465,7 @@
     def give_up(self, get):
         """What is given up is answered at once, with a time to come back where that is heard."""
         self.open.pop(get.id, None)
-        self.loop.put(self.gate, "final", get, int(self.allowance.come_back * (0.5 + self.loop.chance() / 2)))
+        self.loop.put(self.gate, "final", get, int(self.allowance.come_back * COME_BACK * (0.5 + self.loop.chance())))
 
     def recall(self, member):
         for get, cache, source, _ in list(self.flights.values()):
