--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -31,9 +31,10 @@
 STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 topples caches of rough weight
-COME_BACK = 0.1  # of the longest wait, give or take half: a repeat may still be in time; 0.2 alike, 0.75 sends all late
+COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
 TICK = 50_000
 LAST_CALL = 20_000  # with less time left than this a GET gets no further forward
+BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
 MIX = (1 << 64) - 1
 
 
@@ -138,7 +139,7 @@
 
     def __init__(self, loop, door, gate, ident, probing, upper, warming):
         super().__init__(loop)
-        self.upper, self.warming, self.warm_at, self.loss, self.window = upper, warming, 0, 0.0, 1e9
+        self.upper, self.warming, self.warm_at, self.loss = upper, warming, 0, 0.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
         self.out, self.heard, self.probe_at = set(), 0, None
@@ -149,14 +150,13 @@
             self.warm_at = max(self.warm_at, member.started + self.warming)
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
-        self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
-        self.told = weighted
+        self.member, self.sharing, self.lanes, self.told = member, sharing, lanes, weighted
+        self.share = lanes if weighted else 1.0
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        room = max(PARENT_ROOM if self.upper and not self.told else LEAST_ROOM, ROOM * self.lanes / self.sharing)
-        self.window = min(self.window, room)
-        room = self.window * (PRESSED if get.pressed else 1)
+        least = PARENT_ROOM if self.upper and not self.told else LEAST_ROOM
+        room = max(least, ROOM * self.lanes / self.sharing) * (PRESSED if get.pressed else 1)
         if self.missed or len(self.out) >= room:
             self.loop.put(self.door, "declined", get, self, not self.missed)
         else:
@@ -169,11 +169,9 @@
             self.heard = max(self.heard, self.loop.now)
         self.out.add(flight)
 
-    def ended(self, flight, verdict, mine, pace):
+    def ended(self, flight, verdict, mine):
         self.out.discard(flight)
-        if self.upper and verdict == Verdict.RETURNED:  # on a jammed link fewer at a time come in time
-            self.window = max(2, self.window * YIELD) if pace < 0 else self.window + pace * GROW / self.window
-        broken = mine and verdict in (Verdict.RESET, Verdict.CONNECT_FAILED)
+        broken = mine and verdict in BROKEN
         self.loss += (broken - self.loss) / 16
         if broken:
             self.strikes += 1
@@ -357,16 +355,14 @@
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
         line = get.above if above else get.walk
-        if get.filling and self.origin and all(m.missed for m in line):  # no parent is up
-            line = line + [self.origin]
         left = [m for m in line if m not in get.passed and m not in get.full]
         if not left and get.full and not get.pressed:
             get.pressed, get.full = True, set()
             left = [m for m in line if m not in get.passed]
         if left:
             self.loop.put(left[0], "offer", get)
-        elif get.filling and self.origin not in {None, *line, *get.passed} and len(self.fetches) < self.window:
-            get.passed.add(self.origin)  # no parent that is up has room: within the fetch window the origin fills
+        elif get.filling and len(self.fetches) < self.window and self.origin not in {None, *line, *get.passed}:
+            get.passed.add(self.origin)  # no parent is up, or none that is has room
             self.loop.put(self.origin, "offer", get)
         else:
             self.fall_back(get)
@@ -423,11 +419,10 @@
         if flight not in self.flights:
             return
         get, cache, source, _ = self.flights.pop(flight)
-        in_time = note.verdict == Verdict.RETURNED and note.took <= get.ds.objective + get.ds.stretch * get.own
-        pace = 1 if in_time else -get.held  # a late whole fetch may be the origin's doing: it tells nothing here
-        self.loop.put(cache, "ended", flight, note.verdict, True, pace)
+        in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
+        self.loop.put(cache, "ended", flight, note.verdict, True)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, pace)
+            self.loop.put(source, "ended", flight, note.verdict, False)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
@@ -455,7 +450,8 @@
         if note.verdict == Verdict.MISS and source is cache:
             get.filling = True
         else:
-            get.passed.update((cache, source))
+            # A broken connection to the cache says nothing of the source.
+            get.passed.update((cache,) if note.verdict in BROKEN else (cache, source))
             get.filling = False
         if get.due - self.loop.now < LAST_CALL:
             self.give_up(get)
@@ -465,7 +461,8 @@
     def give_up(self, get):
         """What is given up is answered at once, with a time to come back where that is heard."""
         self.open.pop(get.id, None)
-        self.loop.put(self.gate, "final", get, int(self.allowance.come_back * COME_BACK * (0.5 + self.loop.chance())))
+        wait = self.allowance.come_back * COME_BACK * (0.5 + self.loop.chance())
+        self.loop.put(self.gate, "final", get, int(wait))
 
     def recall(self, member):
         for get, cache, source, _ in list(self.flights.values()):
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -1,7 +1,7 @@
 """Short stories, one for each rule and each failure met."""
 
 from limepath import contract as c
-from tests.fake_host import ORIGIN, PARENT, SECOND, FakeHost, member, service
+from tests.fake_host import FLEET, ORIGIN, PARENT, SECOND, FakeHost, member, service
 
 V = c.Verdict
 
@@ -254,3 +254,18 @@
     host.front.gate.final(get, 0)
     host.front.gate.final(get, 0)
     assert kinds(host.front.loop.orders) == ["Shed"]
+
+
+def test_a_parent_left_alone_and_full_passes_fills_to_the_origin():
+    host = FakeHost(services=(service(),), fleet=tuple(m._replace(weight=40.0) for m in FLEET[:3]) + FLEET[4:])
+    host.front.door.fill_room = host.front.door.window = 100
+    sources = [host.end(forwards(host.get(obj))[0], V.MISS)[0].source for obj in range(60)]
+    assert sources[:20] == [12] * 20 and 21 in sources
+
+
+def test_a_broken_cache_does_not_rule_out_the_parent():
+    host = FakeHost(fleet=FLEET[:3] + FLEET[4:])
+    (look,) = host.get()
+    (fill,) = host.end(look, V.MISS)
+    (look,) = host.end(fill, V.RESET, 1)
+    assert look.cache != fill.cache and host.end(look, V.MISS, 2)[0].source == 12
