--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -361,7 +361,7 @@
             left = [m for m in line if m not in get.passed]
         if left:
             self.loop.put(left[0], "offer", get)
-        elif get.filling and len(self.fetches) < self.window and self.origin not in {None, *line, *get.passed}:
+        elif get.filling and len(self.fetches) < self.window and self.origin not in {None, *line} | get.passed:
             get.passed.add(self.origin)  # no parent is up, or none that is has room
             self.loop.put(self.origin, "offer", get)
         else:
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -257,7 +257,7 @@
 
 
 def test_a_parent_left_alone_and_full_passes_fills_to_the_origin():
-    host = FakeHost(services=(service(),), fleet=tuple(m._replace(weight=40.0) for m in FLEET[:3]) + FLEET[4:])
+    host = FakeHost(fleet=tuple(m._replace(weight=40.0) for m in FLEET[:3]) + FLEET[4:])
     host.front.door.fill_room = host.front.door.window = 100
     sources = [host.end(forwards(host.get(obj))[0], V.MISS)[0].source for obj in range(60)]
     assert sources[:20] == [12] * 20 and 21 in sources
