--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -5,10 +5,11 @@
 
 from limepath import choice
 from limepath.wirehost import frames
-from tests import stories
+from tests import stories, wire_stories
 
 if __name__ == "__main__":
-    told = [(name, story) for name, story in vars(stories).items() if name.startswith("test_")]
+    known = vars(stories) | vars(wire_stories)
+    told = [(name, story) for name, story in known.items() if name.startswith("test_")]
     flawed = 0
     for name, story in told:
         try:
