The origin is never taken for cold

Found by reading: an origin silent for over 2 s was given a cold parent's budget on its return, so non-idempotent GETs would be shed for the whole warm span. A story fails without the fix.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -49,7 +49,7 @@
     """Weighted rendezvous: the members by falling score for `name`, the same at every front."""
     obj, part = name
     key = mixed(obj * 64 + part + 1)
-    return sorted(members, key=lambda m: (m.share / log((mixed(key ^ m.salt) + 1.5) / (MIX + 2.0)), m.id))
+    return sorted(members, key=lambda m: ((m.lanes if m.told else 1) / log((mixed(key ^ m.salt) + 1.5) / (MIX + 2.0)), m.id))
 
 
 class Loop:
@@ -141,7 +141,7 @@
         super().__init__(loop)
         self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
-        self.member, self.share, self.sharing, self.lanes = None, 1.0, 1, LANES
+        self.member, self.sharing, self.lanes, self.told = None, 1, LANES, False
         self.out, self.heard, self.probe_at = set(), 0, None
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
@@ -151,7 +151,6 @@
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
         self.member, self.sharing, self.lanes, self.told = member, sharing, lanes, weighted
-        self.share = lanes if weighted else 1.0
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
@@ -182,7 +181,7 @@
 
     def alive(self):
         self.heard = self.loop.now
-        if self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
+        if self.warming and self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
             self.warm_at = self.heard + self.warming
             self.loop.put(self.gate, "started", self.id, self.heard)
         self.missed, self.strikes, self.doubt_since = 0, 0, None
@@ -438,8 +437,7 @@
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
             get.ran_at = None
-        if note.closed:
-            get.closed = True
+        get.closed |= note.closed
         if get.closed:
             self.open.pop(get.id, None)
             return
@@ -535,13 +533,15 @@
     def enlist(self, member):
         place = self.footprint
         upper = member.kind in (place.parent_kind, place.origin_kind)
+        warming = 0 if member.kind == place.origin_kind else self.warmups[upper].span
+        member = member if warming else member._replace(started=0)  # the origin is never cold
         sharing = place.fronts if upper else place.fronts_in_zone
         links = [kb for kb in place.link_kb_s if kb and upper]  # a parent carries several locations' fills
         told = sum(links) / len(links) / place.flow_kb_s if links and place.flow_kb_s else LANES
         lanes = member.weight if place.weighted else told
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
-                                              self.allowance.probing, upper, self.warmups[upper].span)
+                                              self.allowance.probing, upper, warming)
         cache = self.caches[member.cache]
         cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -298,3 +298,15 @@
     (fill,) = host.end(look, V.MISS)
     (look,) = host.end(fill, V.RESET, 1)
     assert look.cache != fill.cache and host.end(look, V.MISS, 2)[0].source == 12
+
+
+def test_an_origin_that_was_silent_is_not_taken_for_cold():
+    host = FakeHost(services=(service(uncacheable=True),))
+    (straight,) = host.get()
+    for _ in range(8):
+        host.wait(SECOND // 2)
+        host.probe_report(straight.cache, V.TIMED_OUT)
+    assert kinds(host.get())[-1] == "Shed"
+    host.wait(SECOND // 2)
+    host.probe_report(straight.cache)
+    assert all(forwards(host.get(obj)) for obj in range(8))
