--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -49,7 +49,7 @@
     """Weighted rendezvous: the members by falling score for `name`, the same at every front."""
     obj, part = name
     key = mixed(obj * 64 + part + 1)
-    return sorted(members, key=lambda m: ((m.lanes if m.told else 1) / log((mixed(key ^ m.salt) + 1.5) / (MIX + 2.0)), m.id))
+    return sorted(members, key=lambda m: (m.share / log((mixed(key ^ m.salt) + 1.5) / (MIX + 2.0)), m.id))
 
 
 class Loop:
@@ -92,10 +92,9 @@
     def __init__(self, get, ds, due, work, own):
         self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
-        self.rank, self.sent, self.out, self.closed = 0, 0, None, False
+        self.rank, self.sent, self.out, self.at = 0, 0, None, None
+        self.closed = self.filling = self.direct = self.pressed = self.stale = self.held = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
-        self.at, self.filling, self.direct, self.pressed, self.stale, self.held = (
-            None, False, False, False, False, False)
         self.passed, self.full = set(), set()
 
 
@@ -141,7 +140,7 @@
         super().__init__(loop)
         self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
-        self.member, self.sharing, self.lanes, self.told = None, 1, LANES, False
+        self.member, self.sharing, self.lanes, self.told, self.share = None, 1, LANES, False, 1.0
         self.out, self.heard, self.probe_at = set(), 0, None
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
@@ -151,6 +150,7 @@
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
         self.member, self.sharing, self.lanes, self.told = member, sharing, lanes, weighted
+        self.share = lanes if weighted else 1.0
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
