--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -18,20 +18,23 @@
 
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
-LEAST_ROOM = 4  # of GETs, for a small cache shared by many fronts; 2 scored worse
+LEAST_ROOM = 4  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 PARENT_ROOM = 8  # fills of this front at a parent of untold size; 12 jams the last one left
 PRESSED = 1.4  # multiple of its room that a cache may hold when all are full; 1.25 to 1.5 are alike
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
+LEAST_WINDOW = 0.1  # below 1 by chance: one fetch of each of 200 fronts is a jam of its own
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
+PACE = 1_000_000  # between probes of a member not newly silent: many fronts' probes add up
 DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back; 1 condemns pauses
 SATED = 0.95  # load that a parent reports above which its room shrinks
 FRAIL = 0.1  # share of broken connections above which a cache gets no looks
 STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 cost a busy day 0.24
+THIN = 0.5  # of that where it is by chance, since fronts' forwards then fall together at times
 COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
 TICK = 50_000
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
@@ -141,7 +144,7 @@
         self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.sharing, self.lanes, self.told, self.share = None, 1, LANES, False, 1.0
-        self.out, self.heard, self.probe_at = set(), 0, None
+        self.out, self.heard, self.probe_at, self.asked = set(), 0, None, 0
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
     def listed(self, member, sharing, lanes, weighted):
@@ -156,7 +159,7 @@
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
         least = PARENT_ROOM if self.upper and not self.told else LEAST_ROOM
         room = max(least, ROOM * self.lanes / self.sharing) * self.ease * (PRESSED if get.pressed else 1)
-        if self.missed or len(self.out) >= room:
+        if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self, not self.missed)
         else:
             # A look is one forward more: too dear for a warming cache, or where many connections break.
@@ -168,8 +171,10 @@
             self.heard = max(self.heard, self.loop.now)
         self.out.add(flight)
 
-    def ended(self, flight, verdict, mine):
+    def ended(self, flight, verdict, mine, strained):
         self.out.discard(flight)
+        if strained is not None:
+            self.eased(strained)
         broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
         self.loss += (broken - self.loss) / 16
         if broken:
@@ -179,6 +184,10 @@
         elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
             self.alive()
 
+    def eased(self, strained):
+        """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
+        self.ease = max(0.1, self.ease * YIELD) if strained else min(1, self.ease + 0.1)
+
     def alive(self):
         self.heard = self.loop.now
         if self.warming and self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
@@ -195,15 +204,16 @@
 
     def tick(self):
         waiting = self.missed or self.out and self.loop.now - self.heard > QUIET
-        if self.probing and waiting and self.probe_at is None and self.member.standing == Standing.READY:
-            self.probe_at = self.loop.now
+        paced = self.missed == 1 or self.loop.now - self.asked > PACE
+        if self.probing and waiting and paced and self.probe_at is None \
+                and self.member.standing == Standing.READY:
+            self.probe_at = self.asked = self.loop.now
             self.loop.orders.append(Probe(self.id))
 
     def probed(self, report):
         sent, self.probe_at = self.probe_at, None
         if report.verdict == Verdict.RETURNED:
-            sated = self.upper and report.load.get("util", 0) > SATED  # jammed: it gets less till it is not
-            self.ease = max(0.1, self.ease * YIELD) if sated else min(1, self.ease + 0.1)
+            self.eased(report.load.get("util", 0) > SATED)
             self.alive()
         elif report.verdict != Verdict.FULL and sent is not None and self.heard <= sent:
             self.silent(report.verdict)
@@ -216,7 +226,7 @@
         super().__init__(loop)
         self.door, self.allowance, self.grace = door, allowance, grace
         self.warmups = {False: cache_warmup, True: parent_warmup}
-        self.members, self.purges, self.ledgers, self.starts = {}, {}, {}, {}
+        self.members, self.purges, self.ledgers, self.starts, self.phase = {}, {}, {}, {}, {}
 
     def listed(self, member, sharing, lanes, upper):
         old = self.members.get(member.cache)
@@ -244,23 +254,29 @@
                 limit = min(limit, since) if limit else since
         return limit
 
-    def budget(self, ident):
-        """Rule 4: this front's part of what a warming member can still take, counted over every window."""
+    def spared(self, ident, work):
+        """Rule 4: whether this front's part of what a warming member can still take allows for `work` more."""
         if ident not in self.starts:
-            return float("inf")
+            return True
         _, sharing, lanes, upper = self.members[ident]
         warmup, age, ledger = self.warmups[upper], self.loop.now - self.starts[ident], self.ledgers[ident]
         if age > warmup.span:
             del self.starts[ident], self.ledgers[ident]
-            return float("inf")
+            return True
+        able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
+        part = MARGIN * warmup.factor * able * warmup.window / sharing
+        if part < work:  # less than one forward: one in several windows, the first at a moment by chance
+            every = warmup.window * work / part / THIN
+            since = self.loop.now - ledger[-1][0] if ledger else age - every * (self.phase[ident] - 1)
+            return since >= every
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
-        able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
-        return MARGIN * warmup.factor * able * warmup.window / sharing - sum(work for _, work in ledger)
+        return part - sum(work for _, work in ledger) >= work
 
     def started(self, ident, when):
         self.starts[ident] = max(when, self.starts.get(ident, when))
         self.ledgers.setdefault(ident, deque())
+        self.phase[ident] = self.loop.chance()
 
     def barred(self, get, cache, source):
         """The rule that a forward would break, or None."""
@@ -278,7 +294,7 @@
         for ident in dict.fromkeys((cache.id, source.id)):
             if ident not in self.members or self.members[ident][0].standing != Standing.READY:
                 return "drain"  # the grace is not used: the list is late enough as it is
-            if self.budget(ident) < get.work:
+            if not self.spared(ident, get.work):
                 return "cold"
         return None
 
@@ -360,7 +376,7 @@
         if not left and get.full and not get.pressed:
             get.pressed, get.full = True, set()
             left = [m for m in line if m not in get.passed]
-        spare = get.filling and len(self.fetches) < self.window
+        spare = get.filling and self.may_fetch()
         if left:
             self.loop.put(left[0], "offer", get)
         elif spare and self.origin not in {None, *line} | get.passed:
@@ -369,6 +385,9 @@
         else:
             self.fall_back(get)
 
+    def may_fetch(self):
+        return len(self.fetches) < self.window and (self.window >= 1 or self.loop.chance() < self.window)
+
     def fall_back(self, get):
         """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
         to a parent, where the link has room. Else the GET is given up."""
@@ -388,7 +407,7 @@
     def accepted(self, get, member, sourced):
         # Where fills do not come back, wherever above they stick: beyond the window ask for held copies only.
         above = (get.filling or get.direct) and member is not self.origin
-        get.held = above and len(self.fetches) >= self.window
+        get.held = above and not self.may_fetch()
         if get.filling:
             self.loop.put(self.gate, "forward", get, get.at, member)
         elif get.direct:
@@ -422,9 +441,11 @@
             return
         get, cache, source, _ = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
-        self.loop.put(cache, "ended", flight, note.verdict, True)
+        strained = note.verdict == Verdict.FULL or (
+            None if source is not cache or note.verdict != Verdict.RETURNED else not in_time)
+        self.loop.put(cache, "ended", flight, note.verdict, True, strained)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False)
+            self.loop.put(source, "ended", flight, note.verdict, False, None)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
@@ -432,7 +453,7 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + GROW / self.window)
             elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED):
-                self.window = max(1, self.window * YIELD)
+                self.window = max(LEAST_WINDOW, self.window * YIELD)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
@@ -502,7 +523,8 @@
         if now >= self.next_tick:
             self.next_tick = now + TICK
             for cache in self.caches.values():
-                self.loop.put(cache, "tick")
+                if cache.out or cache.missed:
+                    self.loop.put(cache, "tick")
         self.loop.run()
         due = min(self.next_tick, self.loop.calendar[0][0]) if self.loop.calendar else self.next_tick
         if self.armed is None or due < self.armed:
@@ -515,7 +537,9 @@
             self.loop.orders.append(Subscribe(True))
         if note.listing == Listing.UNAVAILABLE:
             return
-        members = {m.cache: m for m in note.members}
+        place = self.footprint  # caches elsewhere are none of this front's business
+        members = {m.cache: m for m in note.members if m.zone == place.zone or m.cache in self.caches
+                   or m.kind in (place.parent_kind, place.origin_kind)}
         if note.listing != Listing.DELTA:
             for ident, cache in self.caches.items():
                 if ident not in members:
@@ -523,7 +547,6 @@
         for member in members.values():
             self.enlist(member)
         ready = [c for c in self.caches.values() if c.member.standing == Standing.READY]
-        place = self.footprint
         self.loop.put(self.door, "members",
                       [c for c in ready if c.member.zone == place.zone
                        and c.member.kind not in (place.parent_kind, place.origin_kind)],
