--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -18,7 +18,8 @@
 
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
-LEAST_ROOM = 4  # of GETs, where the share of a member among many fronts is less; its ease brings it below
+EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
+LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 PARENT_ROOM = 8  # fills of this front at a parent of untold size; 12 jams the last one left
 PRESSED = 1.4  # multiple of its room that a cache may hold when all are full; 1.25 to 1.5 are alike
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
@@ -175,7 +176,7 @@
         self.out.discard(flight)
         if strained is not None:
             self.eased(strained)
-        broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
+        broken = verdict in BROKEN if mine else verdict in (Verdict.TIMED_OUT, Verdict.FULL)
         self.loss += (broken - self.loss) / 16
         if broken:
             self.strikes += 1
@@ -186,7 +187,7 @@
 
     def eased(self, strained):
         """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
-        self.ease = max(0.1, self.ease * YIELD) if strained else min(1, self.ease + 0.1)
+        self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
 
     def alive(self):
         self.heard = self.loop.now
@@ -199,7 +200,7 @@
         self.missed += 1
         if self.doubt_since is None:
             self.doubt_since = self.loop.now
-        if self.missed >= DOUBT_AFTER or verdict != Verdict.TIMED_OUT:
+        if self.missed >= DOUBT_AFTER or verdict in BROKEN:
             self.loop.put(self.door, "recall", self)
 
     def tick(self):
@@ -441,18 +442,18 @@
             return
         get, cache, source, _ = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
-        strained = note.verdict == Verdict.FULL or (
-            None if source is not cache or note.verdict != Verdict.RETURNED else not in_time)
-        self.loop.put(cache, "ended", flight, note.verdict, True, strained)
+        full = note.verdict == Verdict.FULL
+        strained = full if full or note.verdict != Verdict.RETURNED else not in_time
+        self.loop.put(cache, "ended", flight, note.verdict, True, strained if source is cache else None)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, None)
+            self.loop.put(source, "ended", flight, note.verdict, False, strained or None)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
             self.fetches.remove(flight)
             if in_time:
-                self.window = min(self.fill_room, self.window + GROW / self.window)
-            elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED):
+                self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
+            elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED) and source.ease == 1:
                 self.window = max(LEAST_WINDOW, self.window * YIELD)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
