--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -442,11 +442,11 @@
             return
         get, cache, source, _ = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
-        full = note.verdict == Verdict.FULL
-        strained = full if full or note.verdict != Verdict.RETURNED else not in_time
-        self.loop.put(cache, "ended", flight, note.verdict, True, strained if source is cache else None)
+        full = note.verdict == Verdict.FULL or None
+        strained = None if source is not cache else not in_time if note.verdict == Verdict.RETURNED else full
+        self.loop.put(cache, "ended", flight, note.verdict, True, strained)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, strained or None)
+            self.loop.put(source, "ended", flight, note.verdict, False, full)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
