--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -39,6 +39,7 @@
 COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
 TICK = 50_000
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
+STUCK = (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED, Verdict.FULL)
 MIX = (1 << 64) - 1
 
 
@@ -145,7 +146,7 @@
         self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.sharing, self.lanes, self.told, self.share = None, 1, LANES, False, 1.0
-        self.out, self.heard, self.probe_at, self.asked = set(), 0, None, 0
+        self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
     def listed(self, member, sharing, lanes, weighted):
@@ -176,7 +177,8 @@
         self.out.discard(flight)
         if strained is not None:
             self.eased(strained)
-        broken = verdict in BROKEN if mine else verdict in (Verdict.TIMED_OUT, Verdict.FULL)
+        broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
+        self.suspect |= verdict == Verdict.FULL and not mine  # down, sated, or its own fetches stick: ask
         self.loss += (broken - self.loss) / 16
         if broken:
             self.strikes += 1
@@ -204,11 +206,12 @@
             self.loop.put(self.door, "recall", self)
 
     def tick(self):
-        waiting = self.missed or self.out and self.loop.now - self.heard > QUIET
+        waiting = self.missed or self.suspect or self.out and self.loop.now - self.heard > QUIET
         paced = self.missed == 1 or self.loop.now - self.asked > PACE
         if self.probing and waiting and paced and self.probe_at is None \
                 and self.member.standing == Standing.READY:
-            self.probe_at = self.asked = self.loop.now
+            self.probe_at, self.suspect = self.loop.now, False
+            self.asked = self.loop.now
             self.loop.orders.append(Probe(self.id))
 
     def probed(self, report):
@@ -442,18 +445,18 @@
             return
         get, cache, source, _ = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
-        full = note.verdict == Verdict.FULL or None
-        strained = None if source is not cache else not in_time if note.verdict == Verdict.RETURNED else full
+        strained = None if source is not cache else not in_time if note.verdict == Verdict.RETURNED else (
+            note.verdict == Verdict.FULL or None)
         self.loop.put(cache, "ended", flight, note.verdict, True, strained)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, full)
+            self.loop.put(source, "ended", flight, note.verdict, False, None)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
             self.fetches.remove(flight)
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
-            elif note.verdict in (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED) and source.ease == 1:
+            elif note.verdict in STUCK and source.ease == 1 and not source.missed:
                 self.window = max(LEAST_WINDOW, self.window * YIELD)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
@@ -524,7 +527,7 @@
         if now >= self.next_tick:
             self.next_tick = now + TICK
             for cache in self.caches.values():
-                if cache.out or cache.missed:
+                if cache.out or cache.missed or cache.suspect:
                     self.loop.put(cache, "tick")
         self.loop.run()
         due = min(self.next_tick, self.loop.calendar[0][0]) if self.loop.calendar else self.next_tick
