--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -25,7 +25,7 @@
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
-LEAST_WINDOW = 0.1  # below 1 by chance: one fetch of each of 200 fronts is a jam of its own
+LEAST_FETCHES = 4  # least window of all fronts together; a front's part below 1 is taken by chance
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
 PACE = 1_000_000  # between probes of a member not newly silent: many fronts' probes add up
@@ -35,7 +35,7 @@
 STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 cost a busy day 0.24
-THIN = 0.5  # of that where it is by chance, since fronts' forwards then fall together at times
+SPREAD = 2  # standard deviations left free where fronts' single forwards may fall together by chance
 COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
 TICK = 50_000
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
@@ -178,7 +178,8 @@
         if strained is not None:
             self.eased(strained)
         broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
-        self.suspect |= verdict == Verdict.FULL and not mine  # down, sated, or its own fetches stick: ask
+        if verdict == Verdict.FULL and not mine:  # down, sated, or its own fetches stick: ask
+            self.suspected()
         self.loss += (broken - self.loss) / 16
         if broken:
             self.strikes += 1
@@ -187,6 +188,9 @@
         elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
             self.alive()
 
+    def suspected(self):
+        self.suspect = True
+
     def eased(self, strained):
         """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
         self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
@@ -219,7 +223,11 @@
         if report.verdict == Verdict.RETURNED:
             self.eased(report.load.get("util", 0) > SATED)
             self.alive()
-        elif report.verdict != Verdict.FULL and sent is not None and self.heard <= sent:
+            if self.upper and not self.warming and self.ease == 1:
+                self.loop.put(self.door, "origin_well")
+        elif report.verdict == Verdict.FULL:  # proves neither life nor silence, but strain
+            self.eased(True)
+        elif sent is not None and self.heard <= sent:
             self.silent(report.verdict)
 
 
@@ -268,9 +276,11 @@
             del self.starts[ident], self.ledgers[ident]
             return True
         able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
-        part = MARGIN * warmup.factor * able * warmup.window / sharing
+        whole = MARGIN * warmup.factor * able * warmup.window
+        part = whole / sharing
         if part < work:  # less than one forward: one in several windows, the first at a moment by chance
-            every = warmup.window * work / part / THIN
+            many = whole / work
+            every = warmup.window * sharing / max(many / 3, many - SPREAD * many ** 0.5)
             since = self.loop.now - ledger[-1][0] if ledger else age - every * (self.phase[ident] - 1)
             return since >= every
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
@@ -343,6 +353,7 @@
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = FILLS * link / footprint.flow_kb_s / footprint.fronts_in_zone if link else 1 << 30
         self.window, self.fetches = self.fill_room, set()
+        self.least = min(1, LEAST_FETCHES / footprint.fronts)
         self.shelf = self.gate = None
         self.open, self.flights, self.fills = {}, {}, set()
         self.caches, self.parents, self.origin = [], [], None
@@ -392,6 +403,12 @@
     def may_fetch(self):
         return len(self.fetches) < self.window and (self.window >= 1 or self.loop.chance() < self.window)
 
+    def origin_well(self):
+        """The origin answers probes and is not sated: fetches may be tried again, though few came back."""
+        if self.window < 1:
+            self.window *= 2
+            self.loop.put(self.origin, "suspected")
+
     def fall_back(self, get):
         """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
         to a parent, where the link has room. Else the GET is given up."""
@@ -445,11 +462,11 @@
             return
         get, cache, source, _ = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
-        strained = None if source is not cache else not in_time if note.verdict == Verdict.RETURNED else (
-            note.verdict == Verdict.FULL or None)
-        self.loop.put(cache, "ended", flight, note.verdict, True, strained)
+        strained = note.verdict == Verdict.FULL or None
+        late = not in_time if note.verdict == Verdict.RETURNED else strained
+        self.loop.put(cache, "ended", flight, note.verdict, True, late if source is cache else None)
         if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, None)
+            self.loop.put(source, "ended", flight, note.verdict, False, get.held and strained or None)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
@@ -457,7 +474,9 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
             elif note.verdict in STUCK and source.ease == 1 and not source.missed:
-                self.window = max(LEAST_WINDOW, self.window * YIELD)
+                self.window = max(self.least, self.window * YIELD)
+                if self.origin and self.window < 1:
+                    self.loop.put(self.origin, "suspected")
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
@@ -563,8 +582,9 @@
         warming = 0 if member.kind == place.origin_kind else self.warmups[upper].span
         member = member if warming else member._replace(started=0)  # the origin is never cold
         sharing = place.fronts if upper else place.fronts_in_zone
-        links = [kb for kb in place.link_kb_s if kb and upper]  # a parent carries several locations' fills
-        told = sum(links) / len(links) / place.flow_kb_s if links and place.flow_kb_s else LANES
+        parents = sum(c.member.kind == place.parent_kind for c in self.caches.values()) or 1
+        carried = sum(place.link_kb_s) / parents if upper else 0  # the parents carry all locations' fills
+        told = carried / place.flow_kb_s if carried and place.flow_kb_s else LANES
         lanes = member.weight if place.weighted else told
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
