--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -296,29 +296,29 @@
         self.phase[ident] = self.loop.chance()
 
     def barred(self, get, cache, source):
-        """The rule that a forward would break, or None."""
+        """The rule that a forward would break and at which member, or None."""
         now, ds = self.loop.now, get.ds
         if get.closed or now >= get.due or get.sent >= self.allowance.forwards:
-            return "answer"
+            return "answer", cache
         if get.out is not None and not self.allowance.overlap:
-            return "effect"
+            return "effect", cache
         if get.ran_at is not None and ds.repeats != Repeats.IDEMPOTENT:
             member = self.members[cache.id][0]
             group = {Scope.ALL: True, Scope.ZONE: member.zone == get.ran_in[0],
                      Scope.CELL: (member.zone, member.cell) == get.ran_in}[ds.scope]
             if ds.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
-                return "effect"
-        for ident in dict.fromkeys((cache.id, source.id)):
-            if ident not in self.members or self.members[ident][0].standing != Standing.READY:
-                return "drain"  # the grace is not used: the list is late enough as it is
-            if not self.spared(ident, get.work):
-                return "cold"
+                return "effect", cache
+        for actor in dict.fromkeys((cache, source)):
+            if actor.id not in self.members or self.members[actor.id][0].standing != Standing.READY:
+                return "drain", actor  # the grace is not used: the list is late enough as it is
+            if not self.spared(actor.id, get.work):
+                return "cold", actor
         return None
 
     def forward(self, get, cache, source):
-        rule = self.barred(get, cache, source)
-        if rule:
-            self.loop.put(self.door, "barred", get, cache, source, rule)
+        barred = self.barred(get, cache, source)
+        if barred:
+            self.loop.put(self.door, "barred", get, *barred)
             return
         for ident in dict.fromkeys((cache.id, source.id)):
             if ident in self.starts:
@@ -443,11 +443,13 @@
             get.at = member
             self.loop.put(self.gate, "forward", get, member, member)
 
-    def barred(self, get, cache, source, rule):
+    def barred(self, get, rule, member):
         if rule in ("answer", "effect"):
             self.give_up(get)
-        else:
-            self.declined(get, cache if get.direct else source)
+            return
+        if member is get.at and get.filling:  # a warming cache is the one that has enough, not the source
+            get.filling = False
+        self.declined(get, member)
 
     def left_for(self, get, cache, source):
         self.flights[get.out] = (get, cache, source, self.loop.now)
