--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -27,6 +27,7 @@
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
+LOST = 0.5  # and this after one that is lost: a front of many sees few of the fetches that jam an origin
 LEAST_FETCHES = 4  # least window of all fronts together; a front's part below 1 is taken by chance
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
@@ -483,7 +484,8 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
             elif note.verdict in STUCK and source.ease == 1 and not source.missed:
-                self.window = max(self.least, self.window * YIELD)
+                kept = YIELD if note.verdict == Verdict.RETURNED else LOST
+                self.window = max(self.least, self.window * kept)
                 if self.origin and self.window < 1:
                     self.loop.put(self.origin, "suspected")
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
