--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -22,8 +22,6 @@
 ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
-PARENT_ROOM = 8  # fills of this front at a parent of untold size; 12 jams the last one left
-PRESSED = 1.4  # multiple of its room that a cache may hold when all are full; 1.25 to 1.5 are alike
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
@@ -102,9 +100,9 @@
         self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.at = 0, 0, None, None
-        self.closed = self.filling = self.direct = self.pressed = self.stale = self.held = self.early = False
+        self.closed = self.filling = self.direct = self.stale = self.held = self.early = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
-        self.passed, self.full = set(), set()
+        self.passed = set()
 
 
 class Shelf(Actor):
@@ -150,7 +148,7 @@
         super().__init__(loop)
         self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
-        self.member, self.sharing, self.lanes, self.told, self.share = None, 1, LANES, False, 1.0
+        self.member, self.sharing, self.lanes, self.share = None, 1, LANES, 1.0
         self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
         self.missed, self.strikes, self.doubt_since = 0, 0, None
 
@@ -159,15 +157,14 @@
             self.warm_at = max(self.warm_at, member.started + self.warming)
         if self.member is None or member.started > self.member.started:
             self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
-        self.member, self.sharing, self.lanes, self.told = member, sharing, lanes, weighted
-        self.share = lanes if weighted else 1.0
+        self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
 
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
-        least = PARENT_ROOM if self.upper and not self.told else LEAST_ROOM
-        room = max(least, ROOM * self.lanes / self.sharing) * self.ease * (PRESSED if get.pressed else 1)
+        room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
+        room *= 1 if get.ds.uncacheable else self.ease  # what can go nowhere else is not turned away for fills
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
-            self.loop.put(self.door, "declined", get, self, not self.missed)
+            self.loop.put(self.door, "declined", get, self)
         else:
             # A look is one forward more: too dear for a warming cache, or where many connections break.
             sourced = self.loop.now < self.warm_at or self.loss > FRAIL
@@ -219,8 +216,7 @@
         paced = self.missed == 1 or self.loop.now - self.asked > PACE
         if self.probing and waiting and paced and self.probe_at is None \
                 and self.member.standing == Standing.READY:
-            self.probe_at, self.suspect = self.loop.now, False
-            self.asked = self.loop.now
+            self.probe_at, self.asked, self.suspect = self.loop.now, self.loop.now, False
             self.loop.orders.append(Probe(self.id))
 
     def probed(self, report):
@@ -345,9 +341,6 @@
             get.ds.repeats == Repeats.TOKENED and get.ds.scope == Scope.ALL)
         self.loop.orders.append(Shed(get.id, come_back) if harmless else Errored(get.id))
 
-    def withdraw(self, get):
-        if self.allowance.withdraw and get.out:
-            self.loop.orders.append(Withdraw(*get.out))
 
 
 class Door(Actor):
@@ -394,13 +387,10 @@
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
         line = get.above if above else get.walk
-        left = [m for m in line if m not in get.passed and m not in get.full]
-        if not left and get.full and not get.pressed:
-            get.pressed, get.full = True, set()
-            left = [m for m in line if m not in get.passed]
+        left = next((m for m in line if m not in get.passed), None)
         spare = get.filling and self.may_fetch()
         if left:
-            self.loop.put(left[0], "offer", get)
+            self.loop.put(left, "offer", get)
         elif spare and self.origin not in {None, *line} | get.passed:
             get.passed.add(self.origin)  # no parent is up, or none that is has room
             self.loop.put(self.origin, "offer", get)
@@ -421,16 +411,16 @@
         to a parent, where the link has room. Else the GET is given up."""
         if get.filling and (get.early or get.ds.grace and not get.stale):
             get.stale, get.early = not get.early, False
-            get.filling, get.pressed, get.full, get.passed = False, False, set(), set()
+            get.filling, get.passed = False, set()
             self.step(get)
         elif self.allowance.direct and self.origin and not (get.filling or get.direct or get.ds.uncacheable):
-            get.direct, get.pressed, get.full = True, False, set()
+            get.direct = True
             self.step(get)
         else:
             self.give_up(get)
 
-    def declined(self, get, member, full=False):
-        (get.full if full else get.passed).add(member)
+    def declined(self, get, member):
+        get.passed.add(member)
         self.step(get)
 
     def accepted(self, get, member, sourced):
@@ -475,8 +465,9 @@
         strained = note.verdict == Verdict.FULL or None
         late = not in_time if note.verdict == Verdict.RETURNED else strained
         self.loop.put(cache, "ended", flight, note.verdict, True, late if source is cache else None)
-        if source is not cache:
-            self.loop.put(source, "ended", flight, note.verdict, False, get.held and strained or None)
+        if source is not cache:  # late fills strain a source once its own report has: else the fault may lie above
+            strained = late if get.held and strained or source.ease < 1 and not strained else None
+            self.loop.put(source, "ended", flight, note.verdict, False, strained)
         get.out = None
         self.fills.discard(flight)
         if flight in self.fetches:
@@ -499,7 +490,6 @@
         self.again(get, cache, source, note)
 
     def again(self, get, cache, source, note):
-        get.pressed, get.full = False, set()
         if note.verdict == Verdict.MISS and get.held:
             self.fall_back(get)
             return
@@ -520,14 +510,18 @@
     def recall(self, member):
         for get, cache, source, _ in list(self.flights.values()):
             if member in (cache, source) and get.ds.repeats == Repeats.IDEMPOTENT and not get.closed:
-                self.loop.put(self.gate, "withdraw", get)
+                self.withdraw(get)
+
+    def withdraw(self, get):
+        if self.allowance.withdraw and get.out:
+            self.loop.orders.append(Withdraw(*get.out))
 
     def left(self, note):
         get = self.open.pop(note.id, None)
         if get:
             get.closed = True
             if get.ds.repeats == Repeats.IDEMPOTENT and isinstance(note, Left):  # a stream that began goes on
-                self.loop.put(self.gate, "withdraw", get)
+                self.withdraw(get)
 
 
 class Front:
