--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -19,7 +19,7 @@
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
 TOPS = (0.85, 0.95)  # the same where sizes are untold: a count alone is weak, and what it keeps outlives its demand
-ROOM = 1.8  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
+ROOM = 2.1  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
