--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -20,6 +20,7 @@
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
 TOPS = (0.85, 0.95)  # the same where sizes are untold: a count alone is weak, and what it keeps outlives its demand
 ROOM = 2.1  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
+SLOW = 0.5  # a cache eased below this is itself what makes fills late: they say nothing of the origin
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
@@ -382,7 +383,7 @@
         if get.closed:
             return
         above = get.filling or get.direct
-        room = self.fill_room * (LIGHT if get.work < get.ds.objective / 2 else 1)
+        room = self.fill_room * (LIGHT if get.own < get.ds.objective / 2 else 1)
         if above and not get.ds.uncacheable and len(self.fills) >= room:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
@@ -474,7 +475,7 @@
             self.fetches.remove(flight)
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
-            elif note.verdict in STUCK and source.ease == 1 and not source.missed:
+            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > SLOW:
                 kept = YIELD if note.verdict == Verdict.RETURNED else LOST
                 self.window = max(self.least, self.window * kept)
                 if self.origin and self.window < 1:
