--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -24,6 +24,7 @@
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
+HEAVY = 0.5  # and for those whose own sending time is over the latency objective
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
 LOST = 0.1  # and this after one that is lost: a front of many sees few of the fetches that jam an origin
@@ -383,7 +384,8 @@
         if get.closed:
             return
         above = get.filling or get.direct
-        room = self.fill_room * (LIGHT if get.own < get.ds.objective / 2 else 1)
+        room = self.fill_room * (
+            LIGHT if get.own < get.ds.objective / 2 else HEAVY if get.own > get.ds.objective else 1)
         if above and not get.ds.uncacheable and len(self.fills) >= room:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
