--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -105,6 +105,7 @@
         self.closed = self.filling = self.direct = self.stale = self.held = self.early = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
         self.passed = set()
+        self.claim = LIGHT if own < ds.objective / 2 else HEAVY if get.size_kb and own > ds.objective else 1
 
 
 class Shelf(Actor):
@@ -164,7 +165,7 @@
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
         room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
-        room *= 1 if get.ds.uncacheable else self.ease  # what can go nowhere else is not turned away for fills
+        room *= 1 if get.ds.uncacheable else self.ease * min(1, get.claim)  # what can go nowhere else is not turned away for fills
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
@@ -384,8 +385,7 @@
         if get.closed:
             return
         above = get.filling or get.direct
-        room = self.fill_room * (
-            LIGHT if get.own < get.ds.objective / 2 else HEAVY if get.own > get.ds.objective else 1)
+        room = self.fill_room * get.claim
         if above and not get.ds.uncacheable and len(self.fills) >= room:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
