--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -40,7 +40,6 @@
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 cost a busy day 0.24
 SPREAD = 2  # standard deviations left free where fronts' single forwards may fall together by chance
 COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
-EARLY, EARLIER = 0.1, 0.2  # share of GETs that take a copy for aged by that part of its fresh time too soon
 TICK = 50_000
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
 STUCK = (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED, Verdict.FULL)
@@ -102,7 +101,7 @@
         self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.at = 0, 0, None, None
-        self.closed = self.filling = self.direct = self.stale = self.held = self.early = False
+        self.closed = self.filling = self.direct = self.stale = self.held = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
         self.passed = set()
         self.claim = LIGHT if own < ds.objective / 2 else HEAVY if get.size_kb and own > ds.objective else 1
@@ -264,7 +263,6 @@
     def oldest(self, get):
         """The oldest copy that will do: the tighter of freshness and purges; 0 (any) where neither is."""
         limit = get.ds.fresh + (get.ds.grace if get.stale else 0) if get.ds.fresh else 0
-        limit -= int(limit * EARLIER) if get.early else 0
         for name in ((get.name[0], 0), (None, get.group)):
             if name in self.purges:
                 since = max(1, self.loop.now - self.purges[name] - 2)
@@ -369,7 +367,6 @@
         own = int(note.size_kb / self.flow_kb_s * 1_000_000) if note.size_kb and self.flow_kb_s else work
         self.work[note.ds] += (own - work) // 32
         get = self.open[note.id] = OpenGet(note, ds, self.loop.now + note.patience, work, own)
-        get.early = ds.fresh > 0 and self.loop.chance() < EARLY
         self.loop.put(self.shelf, "count", get)
 
     def ranked(self, get, rank):
@@ -412,9 +409,8 @@
     def fall_back(self, get):
         """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
         to a parent, where the link has room. Else the GET is given up."""
-        if get.filling and (get.early or get.ds.grace and not get.stale):
-            get.stale, get.early = not get.early, False
-            get.filling, get.passed = False, set()
+        if get.filling and get.ds.grace and not get.stale:
+            get.stale, get.filling, get.passed = True, False, set()
             self.step(get)
         elif self.allowance.direct and self.origin and not (get.filling or get.direct or get.ds.uncacheable):
             get.direct = True
