--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -34,7 +34,6 @@
 PACE = 1_000_000  # between probes of a member not newly silent: many fronts' probes add up
 DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back; 1 condemns pauses
 SATED = 0.95  # load that a parent reports above which its room shrinks
-FRAIL = 0.1  # share of broken connections above which a cache gets no looks
 STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 cost a busy day 0.24
@@ -148,7 +147,7 @@
 
     def __init__(self, loop, door, gate, ident, probing, upper, warming):
         super().__init__(loop)
-        self.upper, self.warming, self.warm_at, self.loss, self.ease = upper, warming, 0, 0.0, 1.0
+        self.upper, self.warming, self.warm_at, self.ease = upper, warming, 0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.member, self.sharing, self.lanes, self.share = None, 1, LANES, 1.0
         self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
@@ -168,9 +167,8 @@
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
-            # A look is one forward more: too dear for a warming cache, or where many connections break.
-            sourced = self.loop.now < self.warm_at or self.loss > FRAIL
-            self.loop.put(self.door, "accepted", get, self, sourced)
+            # A look is one forward more: too dear for a warming cache.
+            self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
     def took(self, flight):
         if not self.out:
@@ -184,7 +182,6 @@
         broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
         if verdict == Verdict.FULL and not mine:  # down, sated, or its own fetches stick: ask
             self.suspected()
-        self.loss += (broken - self.loss) / 16
         if broken:
             self.strikes += 1
             if self.strikes >= STRIKES:
