--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -18,9 +18,8 @@
 
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
-TOPS = (0.85, 0.95)  # the same where sizes are untold: a count alone is weak, and what it keeps outlives its demand
+TOPS = (0.85, 0.95)  # the same where sizes are untold: what a count alone keeps outlives its demand
 ROOM = 2.1  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
-SLOW = 0.5  # a cache eased below this is itself what makes fills late: they say nothing of the origin
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
@@ -28,6 +27,7 @@
 LIGHT = 1.5  # multiple of that for GETs of little sending time
 GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
 LOST = 0.1  # and this after one that is lost: a front of many sees few of the fetches that jam an origin
+DOUBLING = 3_000_000  # in which a window below 1 opens to twice its width
 LEAST_FETCHES = 4  # least window of all fronts together; a front's part below 1 is taken by chance
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
@@ -54,8 +54,7 @@
 
 def hash_order(name, members):
     """Weighted rendezvous: the members by falling score for `name`, the same at every front."""
-    obj, part = name
-    key = mixed(obj * 64 + part + 1)
+    key = mixed(name[0] * 64 + name[1] + 1)
     return sorted(members, key=lambda m: (m.share / log((mixed(key ^ m.salt) + 1.5) / (MIX + 2.0)), m.id))
 
 
@@ -163,7 +162,8 @@
     def offer(self, get):
         """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
         room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
-        room *= 1 if get.ds.uncacheable else self.ease * min(1, get.claim)  # what can go nowhere else is not turned away for fills
+        if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
+            room *= self.ease * min(1, get.claim)
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
@@ -180,8 +180,7 @@
         if strained is not None:
             self.eased(strained)
         broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
-        if verdict == Verdict.FULL and not mine:  # down, sated, or its own fetches stick: ask
-            self.suspected()
+        self.suspect |= verdict == Verdict.FULL and not mine  # down, sated, or its own fetches stick: ask
         if broken:
             self.strikes += 1
             if self.strikes >= STRIKES:
@@ -189,9 +188,6 @@
         elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
             self.alive()
 
-    def suspected(self):
-        self.suspect = True
-
     def eased(self, strained):
         """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
         self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
@@ -211,11 +207,10 @@
             self.loop.put(self.door, "recall", self)
 
     def tick(self):
-        waiting = self.missed or self.suspect or self.out and self.loop.now - self.heard > QUIET
-        paced = self.missed == 1 or self.loop.now - self.asked > PACE
-        if self.probing and waiting and paced and self.probe_at is None \
-                and self.member.standing == Standing.READY:
-            self.probe_at, self.asked, self.suspect = self.loop.now, self.loop.now, False
+        now, able = self.loop.now, self.probing and self.member.standing == Standing.READY
+        waiting = self.missed or self.suspect or self.out and now - self.heard > QUIET
+        if able and waiting and self.probe_at is None and (self.missed == 1 or now - self.asked > PACE):
+            self.probe_at, self.asked, self.suspect = now, now, False
             self.loop.orders.append(Probe(self.id))
 
     def probed(self, report):
@@ -223,8 +218,6 @@
         if report.verdict == Verdict.RETURNED:
             self.eased(report.load.get("util", 0) > SATED)
             self.alive()
-            if self.upper and not self.warming and self.ease == 1:
-                self.loop.put(self.door, "origin_well")
         elif report.verdict == Verdict.FULL:  # proves neither life nor silence, but strain
             self.eased(True)
         elif sent is not None and self.heard <= sent:
@@ -234,10 +227,9 @@
 class Gate(Actor):
     """Every forward and every final answer passes here; the five rules are enforced here and nowhere else."""
 
-    def __init__(self, loop, door, allowance, cache_warmup, parent_warmup, grace):
+    def __init__(self, loop, door, allowance, warmups, grace):
         super().__init__(loop)
-        self.door, self.allowance, self.grace = door, allowance, grace
-        self.warmups = {False: cache_warmup, True: parent_warmup}
+        self.door, self.allowance, self.warmups, self.grace = door, allowance, warmups, grace
         self.members, self.purges, self.ledgers, self.starts, self.phase = {}, {}, {}, {}, {}
 
     def listed(self, member, sharing, lanes, upper):
@@ -267,7 +259,7 @@
         return limit
 
     def spared(self, ident, work):
-        """Rule 4: whether this front's part of what a warming member can still take allows for `work` more."""
+        """Rule 4: whether this front's part of what a warming member can still take has room for `work`."""
         if ident not in self.starts:
             return True
         _, sharing, lanes, upper = self.members[ident]
@@ -277,15 +269,14 @@
             return True
         able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
         whole = MARGIN * warmup.factor * able * warmup.window
-        part = whole / sharing
-        if part < work:  # less than one forward: one in several windows, the first at a moment by chance
-            many = whole / work
+        many = whole / work
+        if many < sharing:  # each less than one forward: one in several windows, the first by chance
             every = warmup.window * sharing / max(many / 3, many - SPREAD * many ** 0.5)
             since = self.loop.now - ledger[-1][0] if ledger else age - every * (self.phase[ident] - 1)
             return since >= every
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
-        return part - sum(work for _, work in ledger) >= work
+        return whole / sharing - sum(spent for _, spent in ledger) >= work
 
     def started(self, ident, when):
         self.starts[ident] = max(when, self.starts.get(ident, when))
@@ -340,7 +331,6 @@
         self.loop.orders.append(Shed(get.id, come_back) if harmless else Errored(get.id))
 
 
-
 class Door(Actor):
     """Keeps the open GETs and takes each from step to step."""
 
@@ -349,11 +339,9 @@
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = FILLS * link / footprint.flow_kb_s / footprint.fronts_in_zone if link else 1 << 30
-        self.window, self.fetches = self.fill_room, set()
-        self.least = min(1, LEAST_FETCHES / footprint.fronts)
-        self.shelf = self.gate = None
-        self.open, self.flights, self.fills = {}, {}, set()
-        self.caches, self.parents, self.origin = [], [], None
+        self.looked, self.window, self.least = 0, self.fill_room, min(1, LEAST_FETCHES / footprint.fronts)
+        self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
+        self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
 
     def members(self, caches, parents, origin):
@@ -379,30 +367,25 @@
         if get.closed:
             return
         above = get.filling or get.direct
-        room = self.fill_room * get.claim
-        if above and not get.ds.uncacheable and len(self.fills) >= room:
+        if above and not get.ds.uncacheable and len(self.fills) >= self.fill_room * get.claim:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
             return
         line = get.above if above else get.walk
         left = next((m for m in line if m not in get.passed), None)
-        spare = get.filling and self.may_fetch()
         if left:
             self.loop.put(left, "offer", get)
-        elif spare and self.origin not in {None, *line} | get.passed:
+        elif get.filling and self.origin not in {None, *line} | get.passed and self.may_fetch():
             get.passed.add(self.origin)  # no parent is up, or none that is has room
             self.loop.put(self.origin, "offer", get)
         else:
             self.fall_back(get)
 
     def may_fetch(self):
+        if self.window < 1:  # a narrowed window opens again by itself, so that now and then a fetch tells
+            self.window = min(1, self.window * 2 ** ((self.loop.now - self.looked) / DOUBLING))
+        self.looked = self.loop.now
         return len(self.fetches) < self.window and (self.window >= 1 or self.loop.chance() < self.window)
 
-    def origin_well(self):
-        """The origin answers probes and is not sated: fetches may be tried again, though few came back."""
-        if self.window < 1:
-            self.window *= 2
-            self.loop.put(self.origin, "suspected")
-
     def fall_back(self, get):
         """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
         to a parent, where the link has room. Else the GET is given up."""
@@ -427,26 +410,21 @@
             self.loop.put(self.gate, "forward", get, get.at, member)
         elif get.direct:
             self.loop.put(self.gate, "forward", get, member, member if get.held else self.origin)
-        elif sourced or get.ds.uncacheable and member is not self.origin:
-            get.at, get.filling = member, True
-            self.step(get)
         else:
-            get.at = member
-            self.loop.put(self.gate, "forward", get, member, member)
+            get.at, get.filling = member, sourced or get.ds.uncacheable and member is not self.origin
+            self.loop.put(*(self, "step", get) if get.filling else (self.gate, "forward", get, member, member))
 
     def barred(self, get, rule, member):
+        get.filling = get.filling and member is not get.at  # a warming cache may have enough, not the source
         if rule in ("answer", "effect"):
             self.give_up(get)
-            return
-        if member is get.at and get.filling:  # a warming cache is the one that has enough, not the source
-            get.filling = False
-        self.declined(get, member)
+        else:
+            self.declined(get, member)
 
     def left_for(self, get, cache, source):
-        self.flights[get.out] = (get, cache, source, self.loop.now)
-        self.loop.put(cache, "took", get.out)
-        if source is not cache:
-            self.loop.put(source, "took", get.out)
+        self.flights[get.out] = (get, cache, source)
+        for member in dict.fromkeys((cache, source)):
+            self.loop.put(member, "took", get.out)
         if source is not cache or get.direct:
             self.fills.add(get.out)
             if not get.held:
@@ -456,12 +434,12 @@
         flight = (note.id, note.forward)
         if flight not in self.flights:
             return
-        get, cache, source, _ = self.flights.pop(flight)
+        get, cache, source = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
         strained = note.verdict == Verdict.FULL or None
         late = not in_time if note.verdict == Verdict.RETURNED else strained
         self.loop.put(cache, "ended", flight, note.verdict, True, late if source is cache else None)
-        if source is not cache:  # late fills strain a source once its own report has: else the fault may lie above
+        if source is not cache:  # a late fill strains its source once its own report has: else who knows where
             strained = late if get.held and strained or source.ease < 1 and not strained else None
             self.loop.put(source, "ended", flight, note.verdict, False, strained)
         get.out = None
@@ -470,11 +448,9 @@
             self.fetches.remove(flight)
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
-            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > SLOW:
-                kept = YIELD if note.verdict == Verdict.RETURNED else LOST
-                self.window = max(self.least, self.window * kept)
-                if self.origin and self.window < 1:
-                    self.loop.put(self.origin, "suspected")
+            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5:
+                self.window *= YIELD if note.verdict == Verdict.RETURNED else LOST
+                self.window = max(self.least, self.window)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
@@ -504,7 +480,7 @@
         self.loop.put(self.gate, "final", get, int(wait))
 
     def recall(self, member):
-        for get, cache, source, _ in list(self.flights.values()):
+        for get, cache, source in list(self.flights.values()):
             if member in (cache, source) and get.ds.repeats == Repeats.IDEMPOTENT and not get.closed:
                 self.withdraw(get)
 
@@ -527,7 +503,7 @@
         self.loop, self.footprint, self.allowance = Loop(seed), footprint, allowance
         self.warmups = {False: cache_warmup, True: parent_warmup}
         self.door = Door(self.loop, services, allowance, footprint)
-        self.gate = self.door.gate = Gate(self.loop, self.door, allowance, cache_warmup, parent_warmup, grace)
+        self.gate = self.door.gate = Gate(self.loop, self.door, allowance, self.warmups, grace)
         self.shelf = self.door.shelf = Shelf(self.loop, self.door)
         self.caches, self.next_tick, self.armed, self.inbox = {}, 0, None, deque()
         self.desks = {Get: (self.door, "arrived"), Outcome: (self.door, "ended"), Left: (self.door, "left"),
@@ -562,36 +538,34 @@
         if note.listing == Listing.UNAVAILABLE:
             return
         place = self.footprint  # caches elsewhere are none of this front's business
-        members = {m.cache: m for m in note.members if m.zone == place.zone or m.cache in self.caches
-                   or m.kind in (place.parent_kind, place.origin_kind)}
-        if note.listing != Listing.DELTA:
-            for ident, cache in self.caches.items():
-                if ident not in members:
-                    members[ident] = cache.member._replace(standing=Standing.GONE)
+        upper = (place.parent_kind, place.origin_kind)
+        gone = {} if note.listing == Listing.DELTA else {
+            ident: cache.member._replace(standing=Standing.GONE) for ident, cache in self.caches.items()}
+        members = gone | {m.cache: m for m in note.members
+                          if m.zone == place.zone or m.cache in self.caches or m.kind in upper}
+        known = {i: cache.member for i, cache in self.caches.items()} | members
+        parents = sum(member.kind == place.parent_kind for member in known.values())
         for member in members.values():
-            self.enlist(member)
+            self.enlist(member, parents)
         ready = [c for c in self.caches.values() if c.member.standing == Standing.READY]
         self.loop.put(self.door, "members",
-                      [c for c in ready if c.member.zone == place.zone
-                       and c.member.kind not in (place.parent_kind, place.origin_kind)],
+                      [c for c in ready if c.member.zone == place.zone and c.member.kind not in upper],
                       [c for c in ready if c.member.kind == place.parent_kind],
                       next((c for c in ready if c.member.kind == place.origin_kind), None))
 
-    def enlist(self, member):
+    def enlist(self, member, parents):
         place = self.footprint
         upper = member.kind in (place.parent_kind, place.origin_kind)
         warming = 0 if member.kind == place.origin_kind else self.warmups[upper].span
         member = member if warming else member._replace(started=0)  # the origin is never cold
         sharing = place.fronts if upper else place.fronts_in_zone
-        parents = sum(c.member.kind == place.parent_kind for c in self.caches.values()) or 1
-        carried = sum(place.link_kb_s) / parents if upper else 0  # the parents carry all locations' fills
+        carried = sum(place.link_kb_s) / (parents or 1) if upper else 0  # they carry all locations' fills
         told = carried / place.flow_kb_s if carried and place.flow_kb_s else LANES
         lanes = member.weight if place.weighted else told
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
                                               self.allowance.probing, upper, warming)
         cache = self.caches[member.cache]
-        cache.member = cache.member or member
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
         self.loop.put(self.gate, "listed", member, sharing, lanes, upper)
         self.loop.run()
