--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -19,25 +19,18 @@
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
 TOPS = (0.85, 0.95)  # the same where sizes are untold: what a count alone keeps outlives its demand
-ROOM = 2.1  # transfers a cache may hold per lane: less spreads copies, more sends late; 1.6 to 2 are alike
+ROOM, LEAST_ROOM = 2.1, 2  # transfers a member may hold per lane, and of one front at least: more are late
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
-LEAST_ROOM = 2  # of GETs, where the share of a member among many fronts is less; its ease brings it below
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
-HEAVY = 0.5  # and for those whose own sending time is over the latency objective
-LIGHT = 1.5  # multiple of that for GETs of little sending time
-GROW, YIELD = 5, 0.85  # a window gains GROW / window by a fill in time, keeps YIELD after a late one
-LOST = 0.1  # and this after one that is lost: a front of many sees few of the fetches that jam an origin
-DOUBLING = 3_000_000  # in which a window below 1 opens to twice its width
-LEAST_FETCHES = 4  # least window of all fronts together; a front's part below 1 is taken by chance
+LIGHT, HEAVY = 1.5, 0.5  # times that for GETs under half their latency objective in size, and over it
+GROW, YIELD, LOST = 5, 0.85, 0.1  # a window gains GROW / window by a fetch in time, keeps these after others
+LEAST_FETCHES, DOUBLING = 4, 3_000_000  # least window of all fronts; time in which one below 1 doubles
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
-QUIET = 200_000  # silence for which a member that owes an answer is not probed; less costs probes
-PACE = 1_000_000  # between probes of a member not newly silent: many fronts' probes add up
-DOUBT_AFTER = 2  # probes in a row without an answer before its forwards are called back; 1 condemns pauses
-SATED = 0.95  # load that a parent reports above which its room shrinks
-STRIKES = 3  # broken connections in a row, nothing good between, that put a member in doubt; 1 sheds far more
+QUIET, PACE = 200_000, 1_000_000  # silence with an answer owed before a probe, and between probes that answer
+DOUBT_AFTER, STRIKES = 2, 3  # probes unanswered in a row before a recall, connections broken before doubt
+SATED = 0.95  # load that a member reports above which its room shrinks
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
-MARGIN = 0.8  # share of the cold budget that is spent: 0.6 sheds more, 1.0 cost a busy day 0.24
-SPREAD = 2  # standard deviations left free where fronts' single forwards may fall together by chance
+MARGIN, SPREAD = 0.8, 2  # share of the cold budget spent; deviations left free where forwards fall by chance
 COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
 TICK = 50_000
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
@@ -98,10 +91,9 @@
     def __init__(self, get, ds, due, work, own):
         self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
-        self.rank, self.sent, self.out, self.at = 0, 0, None, None
+        self.rank, self.sent, self.out, self.at, self.passed = 0, 0, None, None, set()
         self.closed = self.filling = self.direct = self.stale = self.held = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
-        self.passed = set()
         self.claim = LIGHT if own < ds.objective / 2 else HEAVY if get.size_kb and own > ds.objective else 1
 
 
@@ -148,9 +140,8 @@
         super().__init__(loop)
         self.upper, self.warming, self.warm_at, self.ease = upper, warming, 0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
-        self.member, self.sharing, self.lanes, self.share = None, 1, LANES, 1.0
         self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
-        self.missed, self.strikes, self.doubt_since = 0, 0, None
+        self.member, self.missed, self.strikes, self.doubt_since = None, 0, 0, None
 
     def listed(self, member, sharing, lanes, weighted):
         if member.started:
@@ -160,14 +151,13 @@
         self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
 
     def offer(self, get):
-        """Take the GET, as its cache or as the source of its fill, unless in doubt or full."""
+        """Take the GET, as cache or source, unless in doubt or full; warming, spare the forward of a look."""
         room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease * min(1, get.claim)
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
-            # A look is one forward more: too dear for a warming cache.
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
     def took(self, flight):
@@ -272,8 +262,7 @@
         many = whole / work
         if many < sharing:  # each less than one forward: one in several windows, the first by chance
             every = warmup.window * sharing / max(many / 3, many - SPREAD * many ** 0.5)
-            since = self.loop.now - ledger[-1][0] if ledger else age - every * (self.phase[ident] - 1)
-            return since >= every
+            return self.loop.now - ledger[-1][0] >= every if ledger else age >= every * self.phase[ident]
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
         return whole / sharing - sum(spent for _, spent in ledger) >= work
@@ -291,9 +280,8 @@
         if get.out is not None and not self.allowance.overlap:
             return "effect", cache
         if get.ran_at is not None and ds.repeats != Repeats.IDEMPOTENT:
-            member = self.members[cache.id][0]
-            group = {Scope.ALL: True, Scope.ZONE: member.zone == get.ran_in[0],
-                     Scope.CELL: (member.zone, member.cell) == get.ran_in}[ds.scope]
+            there = (self.members[cache.id][0].zone, self.members[cache.id][0].cell)
+            group = there[:ds.scope] == get.ran_in[:ds.scope]  # Scope counts how much of it must be the same
             if ds.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect", cache
         for actor in dict.fromkeys((cache, source)):
@@ -304,8 +292,7 @@
         return None
 
     def forward(self, get, cache, source):
-        barred = self.barred(get, cache, source)
-        if barred:
+        if barred := self.barred(get, cache, source):
             self.loop.put(self.door, "barred", get, *barred)
             return
         for ident in dict.fromkeys((cache.id, source.id)):
@@ -364,8 +351,6 @@
 
     def step(self, get):
         """Offer the GET to the next in hash order: first a look at a cache, then a parent to fill from."""
-        if get.closed:
-            return
         above = get.filling or get.direct
         if above and not get.ds.uncacheable and len(self.fills) >= self.fill_room * get.claim:
             self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
@@ -404,15 +389,15 @@
 
     def accepted(self, get, member, sourced):
         # Where fills do not come back, wherever above they stick: beyond the window ask for held copies only.
-        above = (get.filling or get.direct) and member is not self.origin
-        get.held = above and not self.may_fetch()
+        get.held = (get.filling or get.direct) and member is not self.origin and not self.may_fetch()
         if get.filling:
             self.loop.put(self.gate, "forward", get, get.at, member)
         elif get.direct:
             self.loop.put(self.gate, "forward", get, member, member if get.held else self.origin)
         else:
             get.at, get.filling = member, sourced or get.ds.uncacheable and member is not self.origin
-            self.loop.put(*(self, "step", get) if get.filling else (self.gate, "forward", get, member, member))
+            following = (self, "step", get) if get.filling else (self.gate, "forward", get, member, member)
+            self.loop.put(*following)
 
     def barred(self, get, rule, member):
         get.filling = get.filling and member is not get.at  # a warming cache may have enough, not the source
@@ -439,7 +424,7 @@
         strained = note.verdict == Verdict.FULL or None
         late = not in_time if note.verdict == Verdict.RETURNED else strained
         self.loop.put(cache, "ended", flight, note.verdict, True, late if source is cache else None)
-        if source is not cache:  # a late fill strains its source once its own report has: else who knows where
+        if source is not cache:  # a late fill strains its source only once its own report has
             strained = late if get.held and strained or source.ease < 1 and not strained else None
             self.loop.put(source, "ended", flight, note.verdict, False, strained)
         get.out = None
@@ -465,19 +450,16 @@
         if note.verdict == Verdict.MISS and get.held:
             self.fall_back(get)
             return
-        if note.verdict == Verdict.MISS and source is cache:
-            get.filling = True
-        else:
-            # A broken connection to the cache says nothing of the source.
+        get.filling = note.verdict == Verdict.MISS and source is cache
+        if not get.filling:  # a broken connection to the cache says nothing of the source
             get.passed.update((cache,) if note.verdict in BROKEN else (cache, source))
-            get.filling = False
         self.step(get)
 
     def give_up(self, get):
         """What is given up is answered at once, with a time to come back where that is heard."""
         self.open.pop(get.id, None)
-        wait = self.allowance.come_back * COME_BACK * (0.5 + self.loop.chance())
-        self.loop.put(self.gate, "final", get, int(wait))
+        wait = int(self.allowance.come_back * COME_BACK * (0.5 + self.loop.chance()))
+        self.loop.put(self.gate, "final", get, wait)
 
     def recall(self, member):
         for get, cache, source in list(self.flights.values()):
@@ -517,8 +499,7 @@
             if isinstance(note, Due):
                 self.armed = None
             elif type(note) in self.desks:
-                actor, name = self.desks[type(note)]
-                self.loop.put(actor, name, note)
+                self.loop.put(*self.desks[type(note)], note)
                 self.loop.run()
         if now >= self.next_tick:
             self.next_tick = now + TICK
@@ -559,9 +540,8 @@
         warming = 0 if member.kind == place.origin_kind else self.warmups[upper].span
         member = member if warming else member._replace(started=0)  # the origin is never cold
         sharing = place.fronts if upper else place.fronts_in_zone
-        carried = sum(place.link_kb_s) / (parents or 1) if upper else 0  # they carry all locations' fills
-        told = carried / place.flow_kb_s if carried and place.flow_kb_s else LANES
-        lanes = member.weight if place.weighted else told
+        carried = sum(place.link_kb_s) / (parents or 1) if upper and place.flow_kb_s else 0  # by all parents
+        lanes = member.weight if place.weighted else carried / place.flow_kb_s if carried else LANES
         if member.cache not in self.caches:
             self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
                                               self.allowance.probing, upper, warming)
