--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -154,7 +154,7 @@
         """Take the GET, as cache or source, unless in doubt or full; warming, spare the forward of a look."""
         room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
-            room *= self.ease * min(1, get.claim)
+            room *= self.ease ** (1 / get.claim)
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
@@ -260,9 +260,10 @@
         able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
         whole = MARGIN * warmup.factor * able * warmup.window
         many = whole / work
-        if many < sharing:  # each less than one forward: one in several windows, the first by chance
+        if many < sharing:  # each less than one forward: one in several windows, in turns laid by chance
             every = warmup.window * sharing / max(many / 3, many - SPREAD * many ** 0.5)
-            return self.loop.now - ledger[-1][0] >= every if ledger else age >= every * self.phase[ident]
+            turn = (age / every + self.phase[ident]) % 1 * every < warmup.window
+            return turn and (not ledger or self.loop.now - ledger[-1][0] >= warmup.window)
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
         return whole / sharing - sum(spent for _, spent in ledger) >= work
