Cold turns drawn window by window; stories for each failure met at size

A front whose part of a cold budget is below one forward sends one in its turn. Kept credit let all fronts send at once in an onrush (story: 1.2 times the budget), turns by a span that shrinks as the member warms came too often.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -260,10 +260,10 @@
         able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
         whole = MARGIN * warmup.factor * able * warmup.window
         many = whole / work
-        if many < sharing:  # each less than one forward: one in several windows, in turns laid by chance
-            every = warmup.window * sharing / max(many / 3, many - SPREAD * many ** 0.5)
-            turn = (age / every + self.phase[ident]) % 1 * every < warmup.window
-            return turn and (not ledger or self.loop.now - ledger[-1][0] >= warmup.window)
+        if many < sharing:  # each less than one forward: one, in some windows, in turns laid by chance
+            slot, fronts = age // warmup.window, max(many / 3, many - SPREAD * many ** 0.5)
+            turn = (self.phase[ident] + slot * 0.618) % 1 * sharing < fronts
+            return turn and (not ledger or (ledger[-1][0] - self.starts[ident]) // warmup.window < slot)
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
         return whole / sharing - sum(spent for _, spent in ledger) >= work
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -318,7 +318,7 @@
         times = []
         for obj in range(400):
             host.wait(25_000)
-            for forward in forwards(host.get(obj)):
+            for forward in forwards(host.get(1000 * seed + obj)):
                 times += [host.now] * (forward.cache == 1)
                 host.end(forward, V.RETURNED, closed=True, took=600_000)
         return times
