--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -261,9 +261,9 @@
         whole = MARGIN * warmup.factor * able * warmup.window
         many = whole / work
         if many < sharing:  # each less than one forward: one, in some windows, in turns laid by chance
-            slot, fronts = age // warmup.window, max(many / 3, many - SPREAD * many ** 0.5)
-            turn = (self.phase[ident] + slot * 0.618) % 1 * sharing < fronts
-            return turn and (not ledger or (ledger[-1][0] - self.starts[ident]) // warmup.window < slot)
+            slot = int(age / warmup.window + self.phase[ident] * 1e6)  # fronts' slots do not begin at once
+            turn = (self.phase[ident] + slot * 0.618) % 1 * sharing < max(many / 3, many - SPREAD * many ** 0.5)
+            return turn and (not ledger or self.loop.now - ledger[-1][0] >= warmup.window)
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
         return whole / sharing - sum(spent for _, spent in ledger) >= work
