--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -402,7 +402,7 @@
 
     def barred(self, get, rule, member):
         get.filling = get.filling and member is not get.at  # a warming cache may have enough, not the source
-        if rule in ("answer", "effect"):
+        if rule in ("answer", "effect") or get.direct and member is self.origin:
             self.give_up(get)
         else:
             self.declined(get, member)
