--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -262,7 +262,7 @@
         many = whole / work
         if many < sharing:  # each less than one forward: one, in some windows, in turns laid by chance
             slot = int(age / warmup.window + self.phase[ident] * 1e6)  # fronts' slots do not begin at once
-            due = (self.phase[ident] + slot * 0.618) % 1 * sharing < max(many / 3, many - SPREAD * many ** 0.5)
+            due = (self.phase[ident] + slot * 0.618) % 1 * sharing < max(many / 3, many - SPREAD * many**0.5)
             return due and (not ledger or self.loop.now - ledger[-1][0] >= warmup.window)
         while ledger and ledger[0][0] < self.loop.now - warmup.window:
             ledger.popleft()
@@ -326,7 +326,7 @@
         super().__init__(loop)
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
-        self.fill_room = max(1, FILLS * link / footprint.flow_kb_s / footprint.fronts_in_zone) if link else 1e9
+        self.fill_room = max(1, FILLS * link / self.flow_kb_s / footprint.fronts_in_zone) if link else 1e9
         self.looked, self.window, self.least = 0, self.fill_room, min(1, LEAST_FETCHES / footprint.fronts)
         self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
         self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
