--- a/tests/stories.py
+++ b/tests/stories.py
@@ -373,8 +373,7 @@
 
 def test_a_write_is_not_turned_away_where_the_origin_is_eased_for_fills():
     host = FakeHost(services=(service(uncacheable=True, repeats=c.Repeats.NON_IDEMPOTENT),), fronts=200)
-    for _ in range(12):
-        host.probe_report(21, util=1.0)
+    host.hear(*[c.ProbeReport(21, V.RETURNED, 1000, {"util": 1.0})] * 12)
     assert forwards(host.get()) and forwards(host.get())
 
 
@@ -384,7 +383,29 @@
     host.end(fill, V.FULL, 1)
     assert host.wait(SECOND // 10).count(c.Probe(fill.source)) == 1
     host.probe_report(fill.source)
-    assert c.Probe(fill.source) not in host.wait(SECOND // 2)
+    (again,) = host.end(host.get()[0], V.MISS)
+    assert again.source == fill.source and c.Probe(fill.source) not in host.wait(SECOND // 2)
+
+
+def test_a_cache_that_turns_probes_away_is_taken_by_chance_once_its_room_is_under_one():
+    host, looks = FakeHost(fleet=FLEET[:1] + FLEET[3:]), 0
+    host.hear(*[c.ProbeReport(1, V.FULL, 1000, {})] * 12)
+    for obj in range(40):
+        for forward in forwards(host.get(obj)):
+            looks += forward.cache == 1
+            host.end(forward, V.RETURNED, closed=True, took=4 * SECOND)
+    assert 0 < looks < 20
+
+
+def test_late_fills_strain_a_parent_only_once_its_own_report_has():
+    host = FakeHost(fleet=FLEET[:3] + FLEET[4:])
+    parent, eases = host.front.caches[12], []
+    for obj in range(2):
+        (fill,) = host.end(host.get(obj)[0], V.MISS)
+        host.end(fill, V.RETURNED, 1, closed=True, took=4 * SECOND)
+        eases.append(parent.ease)
+        host.probe_report(12, util=1.0)
+    assert eases[0] == 1 and eases[1] < 0.6
 
 
 def test_odd_rosters_end_in_answers_and_caches_elsewhere_are_left_alone():
