--- a/tests/stories.py
+++ b/tests/stories.py
@@ -390,6 +390,7 @@
 def test_a_cache_that_turns_probes_away_is_taken_by_chance_once_its_room_is_under_one():
     host, looks = FakeHost(fleet=FLEET[:1] + FLEET[3:]), 0
     host.hear(*[c.ProbeReport(1, V.FULL, 1000, {})] * 12)
+    assert host.front.caches[1].ease < 0.1
     for obj in range(40):
         for forward in forwards(host.get(obj)):
             looks += forward.cache == 1
