--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -19,7 +19,7 @@
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
 TOPS = (0.85, 0.95)  # the same where sizes are untold: what a count alone keeps outlives its demand
-ROOM, LEAST_ROOM = 2.1, 2  # transfers a member may hold per lane, and of one front at least: more are late
+ROOM, LEAST_ROOM = 2.1, 2  # transfers a member may hold per lane, of one front at least, at parents one more
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT, HEAVY = 1.5, 0.7  # times that for GETs under half their latency objective in size, and over it
@@ -152,7 +152,7 @@
 
     def offer(self, get):
         """Take the GET, as cache or source, unless in doubt or full; warming, spare the forward of a look."""
-        room = max(LEAST_ROOM, ROOM * self.lanes / self.sharing)
+        room = max(LEAST_ROOM + self.upper, ROOM * self.lanes / self.sharing)
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease ** (1 / get.claim)
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
