--- /dev/null
+++ b/limepath/__main__.py
@@ -0,0 +1,75 @@
+"""Start one front: `ROUTER_CONFIG` names its configuration."""
+
+import gc
+import os
+import signal
+import sys
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall
+
+from limepath.choice import Front
+from limepath.front import opening
+from limepath.front.caches import Caches
+from limepath.front.changelog import BadEvent, ChangeLog
+from limepath.front.clients import Clients
+from limepath.front.log import Log
+from limepath.front.turn import Turn
+
+
+def build(told):
+    """Put the parts together; give the log, the clients and a Deferred that fires once these can connect."""
+    limits = told.limits
+    log = Log(told.name, limits.log_lines, limits.log_span)
+    turn = Turn(reactor, Front(seed=told.seed, **told.arguments), log)
+    clients = Clients(reactor, turn, limits, log, told.services)
+    caches = clients.caches = Caches(reactor, turn, clients, limits, log, b"INFO" if told.reports else b"NOOP")
+    turn.joined(clients, caches)
+    changes = ChangeLog(reactor, turn, caches, limits, log, told.settings, told.seed)
+    try:
+        changes.known(told.known)
+    except BadEvent as flaw:
+        raise opening.BadConfiguration(f"known.results: {flaw}") from None
+    turn.run()
+    clients.gone = Deferred()
+    clients.gone.addCallback(lambda _: reactor.stop())
+
+    def sweep():
+        for part in (clients, caches, changes):
+            part.sweep()
+
+    def ready(_):
+        changes.follow(*told.changelog)
+        LoopingCall(sweep).start(1, now=False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: reactor.callFromThread(clients.leave))
+        gc.freeze()
+        log.say("ready", f"{len(changes.entries)} members, listening on {told.listen[0]}:{told.listen[1]}")
+
+    return clients.listen(TCP4ServerEndpoint(reactor, told.listen[1], interface=told.listen[0])).addCallback(ready)
+
+
+def main():
+    flawed = []
+
+    def fail(failure):
+        failure.trap(CannotListenError)
+        flawed.append(f"listen: {failure.value.socketError}")
+        reactor.callWhenRunning(reactor.stop)
+
+    try:
+        build(opening.read(os.environ)).addErrback(fail)
+    except opening.BadConfiguration as flaw:
+        print(f"limepath: configuration: {flaw}", file=sys.stderr)
+        return 2
+    reactor.run(installSignalHandlers=False)
+    for flaw in flawed:
+        print(f"limepath: configuration: {flaw}", file=sys.stderr)
+    return 2 if flawed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/limepath/front/changelog.py
@@ -0,0 +1,253 @@
+"""The change log: its events from the configuration and from its stream, to notes and addresses."""
+
+import json
+from hashlib import blake2b
+from zlib import crc32
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+
+from limepath import contract as c
+from limepath.front.turn import clock, unix_clock
+
+STANDINGS = {"in_service": c.Standing.READY, "terminating": c.Standing.DRAINING,
+             "terminated": c.Standing.GONE}
+
+
+class BadEvent(Exception):
+    """An event that cannot be used; nothing of it is applied."""
+
+
+def ident_of(name):
+    """The member's number, the same at every front and start.
+
+    >>> ident_of("s-00c41f7a") == ident_of("s-00c41f7a") != ident_of("s-00c41f7b")
+    True
+    """
+    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+def address_of(text):
+    """
+    >>> address_of("127.1.0.9:8080")
+    ('127.1.0.9', 8080)
+    """
+    host, colon, port = text.rpartition(":")
+    if not (host and colon and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"address {text!r}")
+    return host, int(port)
+
+
+class Entry:
+    """One line of the list: the module's member, and what the network code needs beside it."""
+
+    __slots__ = ("member", "name", "address", "since")
+
+    def __init__(self, told, zones, kinds, known):
+        self.name, self.address = told["id"], address_of(told["host_port"])
+        self.since = int(told.get("up_since_ms") or 0)
+        ident, old = ident_of(self.name), known.get(self.name)
+        if old and old.since == self.since:
+            started = old.member.started  # on the same clock as before, to the microsecond
+        else:
+            started = max(1, clock() - (unix_clock() - self.since * 1000)) if self.since else 0
+        self.member = c.Member(STANDINGS[told["phase"]], ident, started, int(told.get("cell") or 0),
+                               zones.index(told["locality"]), kinds.index(told["flavor"]),
+                               float(told.get("size") or 1))
+
+
+class EventReader:
+    """Server-sent events out of a stream split anywhere.
+
+    >>> reader = EventReader(100)
+    >>> stream = b": hi\\n\\nid: 4\\ndata: {\\ndata: }\\n\\nid:5\\r\\ndata:x\\r\\n\\r\\n"
+    >>> [event for i in range(len(stream)) for event in reader.feed(stream[i:i + 1])]
+    [('4', '{\\n}'), ('5', 'x')]
+    """
+
+    def __init__(self, longest):
+        self.longest, self.rest, self.id, self.data = longest, b"", "", []
+
+    def feed(self, data):
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > self.longest:
+            raise BadEvent("over-long line")
+        events = []
+        for raw in lines:
+            line = raw.rstrip(b"\r").decode("utf-8", "replace")
+            if not line:
+                if self.data:
+                    events.append((self.id, "\n".join(self.data)))
+                self.data = []
+                continue
+            name, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "id":
+                self.id = value
+            elif name == "data":
+                self.data.append(value)
+        return events
+
+
+class Chunks:
+    """Undoes the chunked transfer coding.
+
+    >>> chunks = Chunks()
+    >>> b"".join(chunks.feed(bytes((b,))) for b in b"3\\r\\nabc\\r\\n2;x\\r\\nde\\r\\n0\\r\\n\\r\\n")
+    b'abcde'
+    """
+
+    def __init__(self):
+        self.rest, self.left = b"", 0
+
+    def feed(self, data):
+        self.rest += data
+        out = []
+        while self.rest:
+            if self.left > 2:
+                piece = self.rest[:self.left - 2]
+                out.append(piece)
+                self.left -= len(piece)
+                self.rest = self.rest[len(piece):]
+            elif self.left:
+                piece = self.rest[:self.left]
+                self.left -= len(piece)
+                self.rest = self.rest[len(piece):]
+            else:
+                line, end, rest = self.rest.partition(b"\r\n")
+                if not end:
+                    break
+                try:
+                    self.left = int(line.split(b";")[0], 16) + 2
+                except ValueError:
+                    raise BadEvent("malformed chunk") from None
+                self.rest = rest
+        return b"".join(out)
+
+
+class Stream(Protocol):
+    """One call of the change log."""
+
+    def __init__(self, feed):
+        self.feed, self.head, self.chunks = feed, b"", None
+        self.reader, self.body, self.heard = EventReader(feed.limits.event), False, clock()
+
+    def connectionMade(self):
+        self.transport.writeSequence((
+            b"GET /changes HTTP/1.1\r\nHost: ", self.feed.host.encode(),
+            b"\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n" % self.feed.last))
+
+    def dataReceived(self, data):
+        self.heard = clock()
+        try:
+            if not self.body:
+                self.head += data
+                head, end, data = self.head.partition(b"\r\n\r\n")
+                if not end:
+                    if len(self.head) > self.feed.limits.head:
+                        raise BadEvent("over-long head")
+                    return
+                status = head.split(b"\r\n")[0].split(b" ")
+                if len(status) < 2 or status[1] != b"200":
+                    raise BadEvent(f"answered {head[:40]!r}")
+                self.body = True
+                if b"transfer-encoding: chunked" in head.lower():
+                    self.chunks = Chunks()
+            if self.chunks:
+                data = self.chunks.feed(data)
+            for number, text in self.reader.feed(data):
+                self.feed.pauses = 0
+                self.feed.event(number, text)
+        except BadEvent as flaw:
+            self.feed.log.say("changelog", f"{flaw}; called anew")
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason):
+        self.feed.lost(self)
+
+
+class ChangeLog:
+    """Follows the change log from the last event that is known."""
+
+    def __init__(self, reactor, turn, caches, limits, log, settings, seed):
+        self.reactor, self.turn, self.caches, self.limits, self.log = reactor, turn, caches, limits, log
+        self.zones, self.kinds, self.seed = list(settings["areas"]), list(settings["models"]), seed
+        self.entries, self.last, self.pauses, self.calls, self.stream = {}, 0, 0, 0, None
+
+    def known(self, known):
+        """Take in the events of the start."""
+        for told in known["results"]:
+            self.take(told)
+        self.last = max(self.last, known["seq"])
+
+    def event(self, number, text):
+        try:
+            told = json.loads(text)
+            if not isinstance(told, dict) or not isinstance(told.get("seq"), int):
+                raise BadEvent("event without a number")
+            if told["seq"] > self.last:
+                self.take(told)
+                self.last = told["seq"]
+        except (BadEvent, ValueError) as flaw:
+            self.log.say("changelog", f"event {number}: {flaw}; skipped")
+
+    def take(self, told):
+        try:
+            if "fleet" in told:
+                self.fleet(told["fleet"])
+            elif "invalidate" in told:
+                self.invalidated(told["invalidate"])
+        except (KeyError, ValueError, TypeError, AttributeError) as flaw:
+            raise BadEvent(f"{type(flaw).__name__}: {flaw}") from None
+
+    def fleet(self, told):
+        entries = [Entry(line, self.zones, self.kinds, self.entries) for line in told["members"]]
+        whole = told.get("complete", False)
+        if whole:
+            named = {entry.name for entry in entries}
+            for name in [name for name in self.entries if name not in named]:
+                gone = self.entries.pop(name)
+                self.caches.listed(gone.member.cache, name, gone.address, gone.since, c.Standing.GONE)
+        for entry in entries:
+            self.entries[entry.name] = entry
+            self.caches.listed(entry.member.cache, entry.name, entry.address, entry.since,
+                               entry.member.standing)
+        listing = c.Listing.FULL if whole else c.Listing.DELTA
+        self.turn.gather(c.Roster(listing, int(told.get("revision", 0)),
+                                  tuple(entry.member for entry in entries)))
+
+    def invalidated(self, told):
+        age = max(0, unix_clock() - int(told["time"]) * 1000)
+        if "object" in told:
+            self.turn.gather(c.Purge(0, age, int(told["object"], 16)))
+        else:
+            self.turn.gather(c.Purge(int(told["bucket"]), age, 0))
+
+    def follow(self, host, port):
+        self.host, self.port = host, port
+        self.call()
+
+    def call(self):
+        endpoint = TCP4ClientEndpoint(self.reactor, self.host, self.port, timeout=self.limits.connect / 1e6)
+        coming = endpoint.connect(Factory.forProtocol(lambda: Stream(self)))
+        coming.addCallbacks(self.came_up, lambda failure: self.again(failure.getErrorMessage()))
+
+    def came_up(self, stream):
+        self.stream = stream
+
+    def lost(self, stream):
+        self.stream = None
+        self.again("the stream ended")
+
+    def again(self, why):
+        """Call again after a pause that doubles, give or take half."""
+        self.log.say("changelog", f"{why}; calls again after event {self.last}")
+        pause = min(self.limits.feed_longest_pause, self.limits.feed_pause << min(10, self.pauses))
+        self.pauses, self.calls = self.pauses + 1, self.calls + 1
+        share = 0.5 + crc32(b"%d:%d" % (self.seed, self.calls)) / 2 ** 32
+        self.reactor.callLater(pause * share / 1e6, self.call)
+
+    def sweep(self):
+        if self.stream and clock() - self.stream.heard > self.limits.feed_silence:
+            self.log.say("changelog", "silent")
+            self.stream.transport.abortConnection()
--- /dev/null
+++ b/limepath/front/clients.py
@@ -0,0 +1,317 @@
+"""Clients: their GETs in, one final answer to each out."""
+
+from itertools import count
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, Protocol
+from zope.interface import implementer
+
+from limepath import contract as c
+from limepath.front.turn import clock
+
+REASONS = {200: b"OK", 304: b"Not Modified", 400: b"Bad Request", 404: b"Not Found",
+           405: b"Method Not Allowed", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
+           504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
+PATH = b"/invoke/"
+HEALTH = b"/_health"
+HEX = frozenset(b"0123456789abcdef")
+
+
+class Flaw(Exception):
+    """What a client sent cannot be taken: the status that says so, and why."""
+
+    def __init__(self, status, why):
+        super().__init__(why)
+        self.status = status
+
+
+def read_head(buffer, longest, most):
+    """Parse a head where it lies: (method, target, fields, its length), or None while it is not whole.
+
+    >>> whole = b"GET /a?block=1 HTTP/1.1\\r\\nHost: x\\r\\nX-Txn:  9b\\r\\n\\r\\n"
+    >>> read_head(bytearray(whole), 100, 9)
+    (b'GET', b'/a?block=1', {b'host': b'x', b'x-txn': b'9b'}, 49)
+    >>> {read_head(bytearray(whole[:i]), 100, 9) for i in range(len(whole))}
+    {None}
+    >>> def status(head):
+    ...     try:
+    ...         return read_head(bytearray(head), 60, 2)
+    ...     except Flaw as flaw:
+    ...         return flaw.status
+    >>> status(b"GET / HTTP/1.1\\r\\na: " + b"x" * 60), status(b"GET / HTTP/1.1\\r\\na:\\r\\nb:\\r\\nc:\\r\\n\\r\\n")
+    (431, 431)
+    >>> status(b"GET /\\r\\n\\r\\n"), status(b"GET / HTTP/2.0\\r\\n\\r\\n"), status(b"GET / HTTP/1.1\\r\\na b\\r\\n\\r\\n")
+    (400, 505, 400)
+    >>> status(b"GET / HTTP/1.1\\r\\na: 1\\r\\nA: 2\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
+    (400, 400)
+    """
+    end = buffer.find(b"\r\n\r\n", 0, longest)
+    if end < 0:
+        if len(buffer) >= longest:
+            raise Flaw(431, "over-long head")
+        return None
+    lines = bytes(buffer[:end]).split(b"\r\n")
+    words = lines[0].split(b" ")
+    if len(words) != 3 or not words[0].isalpha() or not words[1]:
+        raise Flaw(400, "malformed first line")
+    if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+        raise Flaw(505 if words[2].startswith(b"HTTP/") else 400, "another version of HTTP")
+    if len(lines) - 1 > most:
+        raise Flaw(431, "too many fields")
+    fields = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(b":")
+        name = name.lower()
+        if not colon or not name or name.strip() != name or b" " in name:
+            raise Flaw(400, "malformed field")
+        if name in fields:
+            raise Flaw(400, "twofold field")
+        fields[name] = value.strip()
+    return words[0], words[1], fields, end + 4
+
+
+def whole_number(text, most, what):
+    if not text.isdigit() or len(text) > 12 or int(text) > most:
+        raise Flaw(400, what)
+    return int(text)
+
+
+class OpenGet:
+    """One GET as the client worded it, and what has become of it."""
+
+    __slots__ = ("id", "connection", "txn", "service", "object", "part", "have", "body", "note", "due", "sent",
+                 "flights", "closed", "timer")
+
+    def __init__(self, ident, connection, method, target, fields, body, services):
+        path, mark, query = target.partition(b"?")
+        service, slash, obj = path[len(PATH):].partition(b"/")
+        if not path.startswith(PATH) or not slash or service not in services:
+            raise Flaw(404, "no such target")
+        ds, writes = services[service]
+        if method != (b"PUT" if writes else b"GET"):
+            raise Flaw(405, "not this method here")
+        part = None
+        if mark:
+            name, _, part = query.partition(b"=")
+            if name != b"block":
+                raise Flaw(400, "query")
+        txn, have = fields.get(b"x-txn", b""), fields.get(b"if-none-match", b"")
+        if len(txn) != 16 or not HEX.issuperset(txn.lower()):
+            raise Flaw(400, "X-Txn")
+        if not obj or len(obj) > 16 or not HEX.issuperset(obj.lower()):
+            raise Flaw(404, "no such object")
+        if have and (have[:1] != b'"' or have[-1:] != b'"' or len(have) < 3 or set(have) & set(b", =\t")):
+            have = b""  # no tag that could be one of ours: the whole answer serves as well
+        patience = whole_number(fields.get(b"x-ttl-ms", b""), 3_600_000, "X-Ttl-Ms") * 1000
+        group = whole_number(fields.get(b"x-family", b""), 255, "X-Family")
+        number = whole_number(part, 1 << 24, "block") if part is not None else 0
+        self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
+        self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
+        self.sent, self.flights, self.closed, self.timer = 0, {}, False, None
+        self.note = c.Get(ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes)
+
+
+@implementer(IPushProducer)
+class ClientConnection(Protocol):
+    """One client's connection: one GET at a time."""
+
+    def __init__(self, clients):
+        self.clients, self.buffer, self.get = clients, bytearray(), None
+        self.head, self.last, self.stuck, self.moved = None, False, False, clock()
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.clients.connections.add(self)
+        self.clients.counted()
+
+    def pauseProducing(self):
+        self.stuck, self.moved = True, clock()
+        self.transport.pauseProducing()
+
+    def resumeProducing(self):
+        self.stuck, self.moved = False, clock()
+        self.transport.resumeProducing()
+
+    def stopProducing(self):
+        self.stuck = False
+
+    def dataReceived(self, data):
+        if self.get is not None or self.last:
+            self.last = True  # it does not wait for its answer: that one is given, then the connection ends
+            return
+        if not self.buffer:
+            self.moved = clock()
+        self.buffer += data
+        try:
+            self.read()
+        except Flaw as flaw:
+            self.clients.log.say("client", f"{flaw.status}: {flaw}")
+            self.last = True
+            self.write(flaw.status)
+
+    def read(self):
+        limits = self.clients.limits
+        if self.head is None:
+            self.head = read_head(self.buffer, limits.head, limits.fields)
+            if self.head is None:
+                return
+        method, target, fields, length = self.head
+        if b"transfer-encoding" in fields:
+            raise Flaw(501, "transfer coding")
+        size = whole_number(fields.get(b"content-length", b"0"), 1 << 40, "Content-Length")
+        if size > limits.body:
+            raise Flaw(413, "body too large")
+        if len(self.buffer) < length + size:
+            return
+        if len(self.buffer) > length + size:
+            raise Flaw(400, "pipelined bytes")
+        body = bytes(self.buffer[length:])
+        self.buffer, self.head, self.moved = bytearray(), None, clock()
+        self.last |= fields.get(b"connection", b"").lower() == b"close"
+        if target == HEALTH and method == b"GET":
+            self.write(503 if self.clients.leaving else 200)
+        else:
+            self.clients.arrived(self, method, target, fields, body)
+
+    def write(self, status, fields=b"", body=b""):
+        """Write one whole answer, head and body in one gathered write."""
+        self.get, self.moved = None, clock()
+        self.last |= self.clients.leaving
+        length = b"" if status == 304 else b"Content-Length: %d\r\n" % len(body)
+        head = b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (status, REASONS[status], length, fields,
+                                                  b"Connection: close\r\n" if self.last else b"")
+        self.transport.writeSequence((head, body) if body else (head,))
+        if self.last:
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason):
+        self.clients.connections.discard(self)
+        self.clients.counted()
+        if self.get is not None:
+            self.clients.left(self.get)
+            self.get = None
+
+
+class Clients:
+    """All connections of clients and all GETs that are owed an answer or have a forward out."""
+
+    def __init__(self, reactor, turn, limits, log, services):
+        self.reactor, self.turn, self.limits, self.log, self.services = reactor, turn, limits, log, services
+        self.connections, self.open, self.ids = set(), {}, count(1)
+        self.leaving, self.port, self.gone = False, None, None
+
+    def listen(self, endpoint):
+        """Give a Deferred that fires once clients can connect."""
+        return endpoint.listen(Factory.forProtocol(lambda: ClientConnection(self))).addCallback(self.listening)
+
+    def listening(self, port):
+        self.port = port
+
+    def counted(self):
+        """Accept no more connections than planned; at the limit close what has been idle longest."""
+        over = len(self.connections) - self.limits.viewers
+        if over > 0:
+            idle = [one for one in self.connections if one.get is None]
+            self.log.say("descriptors", f"{len(self.connections)} client connections, {len(idle)} of them idle")
+            for one in sorted(idle, key=lambda one: one.moved)[:over] or [next(iter(self.connections))][:0]:
+                one.transport.loseConnection()
+
+    def arrived(self, connection, method, target, fields, body):
+        get = OpenGet(next(self.ids), connection, method, target, fields, body, self.services)
+        if len(self.open) >= self.limits.open_gets:
+            self.log.say("open", f"{len(self.open)} GETs open, one more shed")
+            connection.write(503)
+            return
+        self.open[get.id], connection.get = get, get
+        get.timer = self.reactor.callLater(get.note.patience / 1e6, self.over, get)
+        self.turn.gather(get.note)
+
+    def over(self, get):
+        """The GET's time is over: what is out has timed out; the module answers, else this does, soon after."""
+        get.timer = None
+        for flight in list(get.flights.values()):
+            self.caches.timed_out(flight)
+        if not get.closed:
+            get.timer = self.reactor.callLater(self.limits.backstop / 1e6, self.forgotten, get)
+
+    def forgotten(self, get):
+        get.timer = None
+        self.log.say("backstop", f"a GET of {get.service.decode()} had no answer in time; errored")
+        self.turn.gather(c.Left(get.id))
+        self.answer(get, 504)
+
+    def left(self, get):
+        get.closed, get.connection = True, None
+        self.turn.gather(c.Left(get.id))
+        self.settled(get)
+
+    def returned(self, get, same, tag, body):
+        fields = b'ETag: "%b"\r\n' % tag
+        self.answer(get, 304, fields) if same else self.answer(get, 200, fields, body)
+
+    def shed(self, order):
+        if get := self.open.get(order.id):
+            wait = -(-order.come_back // 1000)
+            self.answer(get, 503, b"X-Throttle-Ms: %d\r\n" % wait if wait else b"")
+
+    def errored(self, order):
+        if get := self.open.get(order.id):
+            self.answer(get, 502)
+
+    def answer(self, get, status, fields=b"", body=b""):
+        """The one final answer."""
+        if get.closed:
+            return
+        get.closed, connection = True, get.connection
+        get.connection = None
+        connection.write(status, fields, body)
+        self.settled(get)
+
+    def settled(self, get):
+        """A closed GET without forwards is done with."""
+        if get.flights:
+            return
+        if get.timer is not None:
+            get.timer.cancel()
+            get.timer = None
+        self.open.pop(get.id, None)
+        self.leave_if_done()
+
+    def withdraw(self, order, caches):
+        get = self.open.get(order.id)
+        flight = get and get.flights.get(order.forward)
+        if flight:
+            caches.withdraw(flight)
+
+    def sweep(self):
+        """Close what is idle, half sent or not taken for long."""
+        now, limits = clock(), self.limits
+        for one in list(self.connections):
+            if one.get is None:
+                spent = now - one.moved
+                if (one.buffer or one.stuck) and spent > limits.slow:
+                    one.transport.abortConnection()
+                elif spent > limits.viewer_idle:
+                    one.transport.loseConnection()
+
+    def leave(self):
+        """Take GETs for the time in which they still come, answer all; the Deferred `gone` fires after that."""
+        if not self.leaving:
+            self.leaving = True
+            self.log.say("leaving", f"{len(self.open)} GETs open")
+            self.reactor.callLater(self.limits.leaving / 1e6, self.close_up)
+
+    def close_up(self):
+        self.port.stopListening()
+        for one in list(self.connections):
+            if one.get is None:
+                one.transport.loseConnection()
+        self.port = None
+        self.leave_if_done()
+
+    def leave_if_done(self):
+        if self.leaving and self.port is None and not self.open and not self.gone.called:
+            self.reactor.callLater(0.05, self.gone.callback, None)  # for the last answers to be taken
+            self.port = False
--- /dev/null
+++ b/limepath/front/limits.py
@@ -0,0 +1,46 @@
+"""Limits of the network code: sizes, counts and times, filled once at start and handed down."""
+
+from typing import NamedTuple
+
+KEPT_BACK = 64  # descriptors for the reactor, the log, the change log, the listener and what is just closing
+
+
+class Limits(NamedTuple):
+    """Times are whole microseconds, sizes bytes."""
+
+    viewers: int  # connections of clients
+    cache_connections: int  # to one cache, parent or origin
+    streams: int  # forwards out on one connection
+    open_gets: int
+    head: int = 8192
+    fields: int = 64  # header fields of a GET
+    body: int = 48_000  # of a PUT
+    answer: int = 240_000
+    line: int = 4096  # of a cache's answer
+    event: int = 4_000_000  # of the change log
+    connect: int = 400_000
+    cache_idle: int = 24_000_000
+    probe: int = 250_000
+    backstop: int = 25_000  # after a GET's time is over, until the front errors it by itself
+    viewer_idle: int = 60_000_000
+    slow: int = 5_000_000  # for a head and body to come in, or an answer to be taken
+    feed_silence: int = 3_500_000
+    feed_pause: int = 100_000  # the first before the change log is called again; they double
+    feed_longest_pause: int = 2_000_000
+    leaving: int = 700_000  # for which new GETs are taken after SIGTERM
+    log_lines: int = 5  # of one kind
+    log_span: int = 10_000_000
+
+
+def planned(sockets, streams, members, **told):
+    """Share the descriptors out: clients four tenths, the rest among the members.
+
+    >>> limits = planned(1024, 32, 20)
+    >>> limits.viewers, limits.cache_connections
+    (409, 8)
+    >>> planned(100, 1, 40).cache_connections
+    1
+    """
+    viewers = max(1, sockets * 4 // 10)
+    each = (sockets - viewers - KEPT_BACK) // max(1, 2 * members)
+    return Limits(viewers, max(1, min(8, each)), streams, **told)
--- /dev/null
+++ b/limepath/front/turn.py
@@ -0,0 +1,63 @@
+"""The loop between sockets and module: notes gathered in one pass of the reactor, one `handle`, then orders."""
+
+import time
+import traceback
+
+from limepath import contract as c
+
+
+def clock():
+    """The front's clock, in whole microseconds; it does not follow steps of the system's."""
+    return time.monotonic_ns() // 1000
+
+
+def unix_clock():
+    return time.time_ns() // 1000
+
+
+class Turn:
+    def __init__(self, reactor, front, log):
+        self.reactor, self.front, self.log = reactor, front, log
+        self.notes, self.called, self.desks = [], False, {}
+        self.carriers = {
+            c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
+            c.Report: lambda order: log.say("module", order.text),
+        }
+
+    def joined(self, clients, caches):
+        self.clients = clients
+        self.carriers |= {c.Forward: lambda order: caches.forward(order, clients.open.get(order.id)),
+                          c.Withdraw: lambda order: clients.withdraw(order, caches),
+                          c.Probe: caches.probe, c.CloseIdle: caches.close_idle,
+                          c.Shed: clients.shed, c.Errored: clients.errored}
+
+    def gather(self, *notes):
+        """Keep notes until all that this pass of the reactor has ready is read."""
+        self.notes += notes
+        if not self.called:
+            self.called = True
+            self.reactor.callLater(0, self.run)
+
+    def run(self):
+        notes, self.notes, self.called = self.notes, [], False
+        try:
+            orders = self.front.handle(clock(), notes)
+        except Exception as flaw:  # whatever it is, the GETs concerned are answered and the front lives on
+            self.faulted("handle", flaw)
+            for note in notes:
+                if isinstance(note, (c.Get, c.Outcome)):
+                    self.clients.errored(note)
+            self.gather(c.Due(0))
+            return
+        for order in orders:
+            try:
+                self.carriers.get(type(order), self.unknown)(order)
+            except Exception as flaw:
+                self.faulted(type(order).__name__, flaw)
+
+    def unknown(self, order):
+        self.log.say("order", f"no way to carry out {type(order).__name__} here")
+
+    def faulted(self, where, flaw):
+        at = traceback.extract_tb(flaw.__traceback__)[-1]
+        self.log.say("fault", f"{where}: {type(flaw).__name__}: {flaw} ({at.name}, line {at.lineno})")
