--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -205,8 +205,8 @@
             return
         if isinstance(flight, Probing) != (word in PROBE_WORDS or word == b"WAIT" and tag[:1] == b"p"):
             raise Unreadable(f"{word!r} is no answer to that")
-        if word == b"KEEP" and not flight.get.have or word == b"DONE" and b"rev" not in fields:
-            raise Unreadable(f"{word!r} without its tag")
+        if word == b"KEEP" and not flight.get.have:
+            raise Unreadable("KEEP without a copy to keep")
         del self.out[tag]
         self.peer.caches.ended(flight, VERDICTS[word], word, fields, body)
         self.peer.send_waiting()
@@ -379,7 +379,7 @@
         get, order = flight.get, flight.order
         get.flights.pop(flight.number, None)
         if verdict == c.Verdict.RETURNED:
-            self.clients.returned(get, word == b"KEEP", fields[b"rev"], body)
+            self.clients.returned(get, word == b"KEEP", fields.get(b"rev"), body)
         self.turn.gather(c.Outcome(order.id, flight.number, verdict, order.cache, clock() - flight.at, 0,
                                    get.closed, c.Hint.NONE, load))
         if get.closed:
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -248,7 +248,7 @@
         self.settled(get)
 
     def returned(self, get, same, tag, body):
-        fields = b'ETag: "%b"\r\n' % tag
+        fields = b'ETag: "%b"\r\n' % tag if tag else b""  # the answer to a PUT has none
         self.answer(get, 304, fields) if same else self.answer(get, 200, fields, body)
 
     def shed(self, order):
