--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -16,7 +16,8 @@
 VERDICTS = {b"DONE": c.Verdict.RETURNED, b"KEEP": c.Verdict.RETURNED, b"LACK": c.Verdict.MISS,
             b"WAIT": c.Verdict.FULL, b"BROKE": c.Verdict.ERRORED, b"PAST": c.Verdict.MOOT,
             b"FIT": c.Verdict.RETURNED, b"UNFIT": c.Verdict.FULL}
-PROBE_WORDS = (b"FIT", b"UNFIT", b"WAIT")
+PROBE_WORDS = (b"FIT", b"UNFIT", b"WAIT")  # a probe, too, may find no room
+FORWARD_WORDS = (b"DONE", b"KEEP", b"LACK", b"WAIT", b"BROKE", b"PAST")
 HOW = (("join", "join"), ("held", "held_only"), ("nocopy", "no_copy_above"), ("renew", "renew"))
 
 
@@ -203,7 +204,7 @@
         if flight is None:
             self.spent.discard(tag)  # late: it was given up
             return
-        if isinstance(flight, Probing) != (word in PROBE_WORDS or word == b"WAIT" and tag[:1] == b"p"):
+        if word not in (PROBE_WORDS if isinstance(flight, Probing) else FORWARD_WORDS):
             raise Unreadable(f"{word!r} is no answer to that")
         if word == b"KEEP" and not flight.get.have:
             raise Unreadable("KEEP without a copy to keep")
