--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -6,10 +6,10 @@
 import sys
 
 from twisted.internet import reactor
-from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
+from twisted.logger import globalLogPublisher
 
 from limepath.choice import Front
 from limepath.front import opening
@@ -24,7 +24,9 @@
     """Put the parts together; give the log, the clients and a Deferred that fires once these can connect."""
     limits = told.limits
     log = Log(told.name, limits.log_lines, limits.log_span)
-    turn = Turn(reactor, Front(seed=told.seed, **told.arguments), log)
+    globalLogPublisher.addObserver(lambda event: "log_failure" in event and log.say(
+        "fault", f"{event['log_failure'].type.__name__}: {event['log_failure'].getErrorMessage()}"))
+    turn = Turn(reactor, Front(seed=told.seed, **told.arguments), limits, log)
     clients = Clients(reactor, turn, limits, log, told.services)
     caches = clients.caches = Caches(reactor, turn, clients, limits, log, b"INFO" if told.reports else b"NOOP")
     turn.joined(clients, caches)
@@ -34,7 +36,6 @@
     except BadEvent as flaw:
         raise opening.BadConfiguration(f"known.results: {flaw}") from None
     turn.run()
-    clients.gone = Deferred()
     clients.gone.addCallback(lambda _: reactor.stop())
 
     def sweep():
@@ -49,7 +50,8 @@
         gc.freeze()
         log.say("ready", f"{len(changes.entries)} members, listening on {told.listen[0]}:{told.listen[1]}")
 
-    return clients.listen(TCP4ServerEndpoint(reactor, told.listen[1], interface=told.listen[0])).addCallback(ready)
+    host, port = told.listen
+    return clients.listen(TCP4ServerEndpoint(reactor, port, limits.backlog, host)).addCallback(ready)
 
 
 def main():
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -168,7 +168,7 @@
 
     def close_if_done(self):
         if self.retired and not self.out and self.up:
-            self.transport.loseConnection()
+            self.transport.abortConnection() if self.full else self.transport.loseConnection()
 
     def dataReceived(self, data):
         self.heard = clock()
@@ -236,7 +236,7 @@
         fit = [connection for connection in self.connections if connection.takes(flight.tag)]
         if not fit:
             self.waiting.append(flight)
-            flight.timer = self.caches.reactor.callLater(self.limits.connect / 1e6, self.overdue, flight)
+            flight.timer = self.caches.reactor.callLater(self.limits.wait / 1e6, self.overdue, flight)
             self.connect()
             return
         if flight.timer is not None:
@@ -261,7 +261,7 @@
             if any(connection.takes(flight.tag) for connection in self.connections):
                 self.send(flight)
             else:
-                left = max(0, flight.at + self.limits.connect - clock()) / 1e6
+                left = max(0, flight.at + self.limits.wait - clock()) / 1e6
                 flight.timer = self.caches.reactor.callLater(left, self.overdue, flight)
                 self.waiting.append(flight)
 
@@ -269,7 +269,7 @@
         streams = self.limits.streams
         if self.coming * streams >= len(self.waiting):
             return
-        if self.coming + len(self.connections) >= self.limits.cache_connections:
+        if self.coming + len(self.connections) >= self.limits.cache_connections or not self.caches.spare():
             return
         self.coming += 1
         connection = CacheConnection(self)
@@ -314,6 +314,16 @@
         self.reactor, self.turn, self.clients, self.limits, self.log = reactor, turn, clients, limits, log
         self.probe_word, self.peers, self.names, self.tags = probe_word, {}, {}, count(1)
 
+    def spare(self):
+        """Whether there is a descriptor for one more connection; else the longest idle one makes room."""
+        held = [one for peer in self.peers.values() for one in peer.connections]
+        if len(held) + sum(peer.coming for peer in self.peers.values()) < self.limits.all_cache_connections:
+            return True
+        self.log.say("descriptors", f"{len(held)} connections to caches")
+        if idle := [one for one in held if not one.out and not one.retired]:
+            min(idle, key=lambda one: one.heard).retire()
+        return False
+
     def listed(self, ident, name, address, since, standing):
         if ident not in self.peers:
             self.peers[ident], self.names[ident] = Peer(self, ident, name), name.encode()
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -133,6 +133,7 @@
         self.reader, self.body, self.heard = EventReader(feed.limits.event), False, clock()
 
     def connectionMade(self):
+        self.feed.stream = self
         self.transport.writeSequence((
             b"GET /changes HTTP/1.1\r\nHost: ", self.feed.host.encode(),
             b"\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n" % self.feed.last))
@@ -156,8 +157,8 @@
             if self.chunks:
                 data = self.chunks.feed(data)
             for number, text in self.reader.feed(data):
-                self.feed.pauses = 0
                 self.feed.event(number, text)
+                self.feed.pauses = 0
         except BadEvent as flaw:
             self.feed.log.say("changelog", f"{flaw}; called anew")
             self.transport.abortConnection()
@@ -173,6 +174,7 @@
         self.reactor, self.turn, self.caches, self.limits, self.log = reactor, turn, caches, limits, log
         self.zones, self.kinds, self.seed = list(settings["areas"]), list(settings["models"]), seed
         self.entries, self.last, self.pauses, self.calls, self.stream = {}, 0, 0, 0, None
+        self.doubted = None
 
     def known(self, known):
         """Take in the events of the start."""
@@ -181,15 +183,25 @@
         self.last = max(self.last, known["seq"])
 
     def event(self, number, text):
+        """Take the next event in. A bad one, or one after a gap, has the log called anew; met again it is
+        skipped, or the gap taken for real: a lost event may be a drain or a purge."""
+        told = None
         try:
             told = json.loads(text)
-            if not isinstance(told, dict) or not isinstance(told.get("seq"), int):
-                raise BadEvent("event without a number")
-            if told["seq"] > self.last:
-                self.take(told)
-                self.last = told["seq"]
+            if not isinstance(told, dict) or type(told.get("seq")) is not int:
+                raise BadEvent("no numbered event")
+            if told["seq"] <= self.last:
+                return
+            if told["seq"] > self.last + 1 and self.doubted != number:
+                raise BadEvent(f"comes after {self.last}")
+            self.take(told)
+            self.last, self.doubted = told["seq"], None
         except (BadEvent, ValueError) as flaw:
+            if self.doubted != number:
+                self.doubted = number
+                raise BadEvent(f"event {number}: {flaw}") from None
             self.log.say("changelog", f"event {number}: {flaw}; skipped")
+            self.last = max(self.last, int(number) if number.isdigit() else 0)
 
     def take(self, told):
         try:
@@ -230,10 +242,7 @@
     def call(self):
         endpoint = TCP4ClientEndpoint(self.reactor, self.host, self.port, timeout=self.limits.connect / 1e6)
         coming = endpoint.connect(Factory.forProtocol(lambda: Stream(self)))
-        coming.addCallbacks(self.came_up, lambda failure: self.again(failure.getErrorMessage()))
-
-    def came_up(self, stream):
-        self.stream = stream
+        coming.addErrback(lambda failure: self.again(failure.getErrorMessage()))
 
     def lost(self, stream):
         self.stream = None
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 
+from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
@@ -10,7 +11,7 @@
 from limepath.front.turn import clock
 
 REASONS = {200: b"OK", 304: b"Not Modified", 400: b"Bad Request", 404: b"Not Found",
-           405: b"Method Not Allowed", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           405: b"Method Not Allowed", 411: b"Length Required", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
            501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
            504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 PATH = b"/invoke/"
@@ -31,7 +32,7 @@
 
     >>> whole = b"GET /a?block=1 HTTP/1.1\\r\\nHost: x\\r\\nX-Txn:  9b\\r\\n\\r\\n"
     >>> read_head(bytearray(whole), 100, 9)
-    (b'GET', b'/a?block=1', {b'host': b'x', b'x-txn': b'9b'}, 49)
+    (b'GET', b'/a?block=1', {b'host': b'x', b'x-txn': b'9b'}, 48)
     >>> {read_head(bytearray(whole[:i]), 100, 9) for i in range(len(whole))}
     {None}
     >>> def status(head):
@@ -55,7 +56,7 @@
     words = lines[0].split(b" ")
     if len(words) != 3 or not words[0].isalpha() or not words[1]:
         raise Flaw(400, "malformed first line")
-    if words[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+    if words[2] != b"HTTP/1.1":
         raise Flaw(505 if words[2].startswith(b"HTTP/") else 400, "another version of HTTP")
     if len(lines) - 1 > most:
         raise Flaw(431, "too many fields")
@@ -72,7 +73,7 @@
 
 
 def whole_number(text, most, what):
-    if not text.isdigit() or len(text) > 12 or int(text) > most:
+    if not text.isdigit() or len(text) > 15 or int(text) > most:
         raise Flaw(400, what)
     return int(text)
 
@@ -101,7 +102,7 @@
             raise Flaw(400, "X-Txn")
         if not obj or len(obj) > 16 or not HEX.issuperset(obj.lower()):
             raise Flaw(404, "no such object")
-        if have and (have[:1] != b'"' or have[-1:] != b'"' or len(have) < 3 or set(have) & set(b", =\t")):
+        if not (have[:1] == have[-1:] == b'"' and have[1:-1].isalnum()):
             have = b""  # no tag that could be one of ours: the whole answer serves as well
         patience = whole_number(fields.get(b"x-ttl-ms", b""), 3_600_000, "X-Ttl-Ms") * 1000
         group = whole_number(fields.get(b"x-family", b""), 255, "X-Family")
@@ -149,7 +150,7 @@
         except Flaw as flaw:
             self.clients.log.say("client", f"{flaw.status}: {flaw}")
             self.last = True
-            self.write(flaw.status)
+            self.write(flaw.status, linger=True)
 
     def read(self):
         limits = self.clients.limits
@@ -160,9 +161,13 @@
         method, target, fields, length = self.head
         if b"transfer-encoding" in fields:
             raise Flaw(501, "transfer coding")
-        size = whole_number(fields.get(b"content-length", b"0"), 1 << 40, "Content-Length")
+        if method == b"PUT" and b"content-length" not in fields:
+            raise Flaw(411, "no Content-Length")
+        size = whole_number(fields.get(b"content-length", b"0"), 10 ** 15, "Content-Length")
         if size > limits.body:
             raise Flaw(413, "body too large")
+        if size and method != b"PUT":
+            raise Flaw(400, "a body where none belongs")
         if len(self.buffer) < length + size:
             return
         if len(self.buffer) > length + size:
@@ -175,7 +180,7 @@
         else:
             self.clients.arrived(self, method, target, fields, body)
 
-    def write(self, status, fields=b"", body=b""):
+    def write(self, status, fields=b"", body=b"", linger=False):
         """Write one whole answer, head and body in one gathered write."""
         self.get, self.moved = None, clock()
         self.last |= self.clients.leaving
@@ -183,12 +188,21 @@
         head = b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (status, REASONS[status], length, fields,
                                                   b"Connection: close\r\n" if self.last else b"")
         self.transport.writeSequence((head, body) if body else (head,))
-        if self.last:
-            self.transport.loseConnection()
+        if linger:  # what the client still sends is read, else its end would drop the answer on the way
+            self.transport.unregisterProducer()
+            self.transport.loseWriteConnection()
+        elif self.last:
+            self.finish()
+
+    def finish(self):
+        """Close once all is written; a producer that stays registered would keep the connection."""
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
 
     def connectionLost(self, reason):
         self.clients.connections.discard(self)
         self.clients.counted()
+        self.clients.leave_if_done()
         if self.get is not None:
             self.clients.left(self.get)
             self.get = None
@@ -200,7 +214,8 @@
     def __init__(self, reactor, turn, limits, log, services):
         self.reactor, self.turn, self.limits, self.log, self.services = reactor, turn, limits, log, services
         self.connections, self.open, self.ids = set(), {}, count(1)
-        self.leaving, self.port, self.gone = False, None, None
+        self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
+        self.last_call = None
 
     def listen(self, endpoint):
         """Give a Deferred that fires once clients can connect."""
@@ -215,8 +230,11 @@
         if over > 0:
             idle = [one for one in self.connections if one.get is None]
             self.log.say("descriptors", f"{len(self.connections)} client connections, {len(idle)} of them idle")
-            for one in sorted(idle, key=lambda one: one.moved)[:over] or [next(iter(self.connections))][:0]:
-                one.transport.loseConnection()
+            for one in sorted(idle, key=lambda one: one.moved)[:over]:
+                one.finish()
+        if self.port and (over > 0) != self.full:
+            self.full = over > 0
+            self.port.stopReading() if self.full else self.port.startReading()
 
     def arrived(self, connection, method, target, fields, body):
         get = OpenGet(next(self.ids), connection, method, target, fields, body, self.services)
@@ -291,10 +309,9 @@
         for one in list(self.connections):
             if one.get is None:
                 spent = now - one.moved
-                if (one.buffer or one.stuck) and spent > limits.slow:
+                if spent > (limits.stuck if one.stuck else limits.slow if one.buffer or one.last
+                            else limits.viewer_idle):
                     one.transport.abortConnection()
-                elif spent > limits.viewer_idle:
-                    one.transport.loseConnection()
 
     def leave(self):
         """Take GETs for the time in which they still come, answer all; the Deferred `gone` fires after that."""
@@ -305,13 +322,17 @@
 
     def close_up(self):
         self.port.stopListening()
+        self.port = None
         for one in list(self.connections):
             if one.get is None:
-                one.transport.loseConnection()
-        self.port = None
+                one.finish()
         self.leave_if_done()
 
     def leave_if_done(self):
+        """All answered and all connections closed, or not taken for long: the front may end."""
         if self.leaving and self.port is None and not self.open and not self.gone.called:
-            self.reactor.callLater(0.05, self.gone.callback, None)  # for the last answers to be taken
-            self.port = False
+            if not self.connections:
+                self.gone.callback(None)
+            elif not self.last_call:
+                self.last_call = self.reactor.callLater(
+                    self.limits.slow / 1e6, lambda: self.gone.called or self.gone.callback(None))
--- a/limepath/front/limits.py
+++ b/limepath/front/limits.py
@@ -9,9 +9,10 @@
     """Times are whole microseconds, sizes bytes."""
 
     viewers: int  # connections of clients
-    cache_connections: int  # to one cache, parent or origin
+    all_cache_connections: int
     streams: int  # forwards out on one connection
     open_gets: int
+    cache_connections: int = 8  # to one cache, parent or origin
     head: int = 8192
     fields: int = 64  # header fields of a GET
     body: int = 48_000  # of a PUT
@@ -19,11 +20,15 @@
     line: int = 4096  # of a cache's answer
     event: int = 4_000_000  # of the change log
     connect: int = 400_000
+    wait: int = 300_000  # of a forward for a connection
     cache_idle: int = 24_000_000
     probe: int = 250_000
     backstop: int = 25_000  # after a GET's time is over, until the front errors it by itself
     viewer_idle: int = 60_000_000
-    slow: int = 5_000_000  # for a head and body to come in, or an answer to be taken
+    slow: int = 5_000_000  # for a head and body to come in, or for a close
+    stuck: int = 30_000_000  # for an answer to be taken
+    backlog: int = 1024  # connections that the system accepts ahead of the front
+    fault_pause: int = 50_000
     feed_silence: int = 3_500_000
     feed_pause: int = 100_000  # the first before the change log is called again; they double
     feed_longest_pause: int = 2_000_000
@@ -32,15 +37,12 @@
     log_span: int = 10_000_000
 
 
-def planned(sockets, streams, members, **told):
+def planned(sockets, streams, **told):
     """Share the descriptors out: clients four tenths, the rest among the members.
 
-    >>> limits = planned(1024, 32, 20)
-    >>> limits.viewers, limits.cache_connections
-    (409, 8)
-    >>> planned(100, 1, 40).cache_connections
-    1
+    >>> limits = planned(1024, 32, open_gets=20_000)
+    >>> limits.viewers, limits.all_cache_connections
+    (409, 551)
     """
     viewers = max(1, sockets * 4 // 10)
-    each = (sockets - viewers - KEPT_BACK) // max(1, 2 * members)
-    return Limits(viewers, max(1, min(8, each)), streams, **told)
+    return Limits(viewers, max(8, sockets - viewers - KEPT_BACK), streams, **told)
--- a/limepath/front/opening.py
+++ b/limepath/front/opening.py
@@ -8,6 +8,22 @@
 from limepath.front.limits import Limits, planned
 
 NAME, LISTEN, CONFIG = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
+NUMBER = (int, float)
+NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list, "safety": dict},
+          "safety.": dict.fromkeys(("cold-share", "cold", "overload-factor", "tip-after", "answer-slack",
+                                    "drain-grace"), NUMBER),
+          "classes[].": {"name": str, "aim": NUMBER, "deadline": NUMBER, "idempotency": str}}
+OPTIONAL = {"": {"family-info": dict, "limits": dict, "stats": dict},
+            "classes[].": {"aim-stretch": NUMBER, "worth": NUMBER, "late-worth": NUMBER, "key-scope": str,
+                           "repeat-window": NUMBER},
+            "family-info.": dict.fromkeys(
+                ("hub-of", "pipe-kb-per-s", "zone-balancers", "max-age", "class-grace", "class-stale-worth",
+                 "never-kept", "segmented"), list) | dict.fromkeys(
+                ("mid-kind", "master-kind", "one-flow-kb-per-s", "heed-within", "gone-everywhere", "parent-floor",
+                 "parent-cold", "upper-fall-multiple"), NUMBER),
+            "limits.": dict.fromkeys(("max-attempts", "max-retry-after", "max-open", "streams-per-conn",
+                                      "connect-timeout", "conn-idle"), NUMBER),
+            "stats.": {"fields": list}}
 
 
 class BadConfiguration(Exception):
@@ -32,10 +48,33 @@
     if value is None:
         raise BadConfiguration(f"{where}{key}: missing")
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise BadConfiguration(f"{where}{key}: {value!r} is no {kind.__name__}")
+        name = "number" if kind is NUMBER else kind.__name__
+        raise BadConfiguration(f"{where}{key}: {str(value)[:60]!r} is no {name}")
     return value
 
 
+def check(told, section):
+    where = "settings." + section
+    for key, kind in NEEDED.get(section, {}).items():
+        part(told, key, kind, where=where)
+    for key, kind in OPTIONAL.get(section, {}).items():
+        if key in told:
+            part(told, key, kind, where=where)
+
+
+def check_settings(settings):
+    """Name the faulty key of the settings, as far as the front reads them."""
+    check(settings, "")
+    for key in ("safety", "family-info", "limits", "stats"):
+        check(settings.get(key, {}), key + ".")
+    for entry in settings["classes"]:
+        if not isinstance(entry, dict):
+            raise BadConfiguration("settings.classes: an entry is no object")
+        check(entry, "classes[].")
+    if not 0 <= settings["az"] < len(settings["areas"]):
+        raise BadConfiguration("settings.az: no place in settings.areas")
+
+
 def address(told, key, default=None):
     text = part(told, key, str, default)
     try:
@@ -71,23 +110,22 @@
     known = part(told, "known", dict, {"seq": 0, "results": []})
     part(known, "seq", int, where="known.")
     part(known, "results", list, where="known.")
+    check_settings(settings)
     try:
         arguments = opening_values.start_of(settings)
         services = {entry["name"].encode(): (i, arguments["services"][i].uncacheable)
                     for i, entry in enumerate(settings["classes"])}
-        for key in ("areas", "models"):
-            part(settings, key, list, where="settings.")
     except KeyError as flaw:
-        raise BadConfiguration(f"settings: key {flaw} missing, or its value unknown") from None
+        raise BadConfiguration(f"settings: {flaw} is an unknown value") from None
     except (TypeError, ValueError, AttributeError, IndexError) as flaw:
         raise BadConfiguration(f"settings: {flaw}") from None
     sockets = part(part(told, "limits", dict, {}), "sockets", int, 1024, "limits.")
     allowed = settings.get("limits", {})
     us = opening_values.us
-    members = max((len(event["fleet"]["members"]) for event in known["results"] if "fleet" in event), default=20)
-    limits = planned(sockets, allowed.get("streams-per-conn", 1), members,
+    connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
+    limits = planned(sockets, allowed.get("streams-per-conn", 1),
                      open_gets=allowed.get("max-open", 20_000),
-                     connect=us(allowed.get("connect-timeout", 400_000_000)),
+                     connect=connect, wait=min(connect, grace.drain, grace.purge or connect),
                      cache_idle=us(allowed.get("conn-idle", 30_000_000_000)) * 8 // 10)
     return Opening(environ.get(NAME) or part(told, "name", str, "front"),
                    address(told, "listen", environ.get(LISTEN)), seed, address(told, "changelog"), known,
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -16,9 +16,9 @@
 
 
 class Turn:
-    def __init__(self, reactor, front, log):
-        self.reactor, self.front, self.log = reactor, front, log
-        self.notes, self.called, self.desks = [], False, {}
+    def __init__(self, reactor, front, limits, log):
+        self.reactor, self.front, self.limits, self.log = reactor, front, limits, log
+        self.notes, self.called = [], False
         self.carriers = {
             c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
             c.Report: lambda order: log.say("module", order.text),
@@ -47,7 +47,9 @@
             for note in notes:
                 if isinstance(note, (c.Get, c.Outcome)):
                     self.clients.errored(note)
-            self.gather(c.Due(0))
+            told = [note for note in notes if isinstance(note, (c.Roster, c.Purge))]
+            if len(told) < len(notes):  # drains and purges must not be lost with the rest; twice is harmless
+                self.reactor.callLater(self.limits.fault_pause / 1e6, self.gather, *told, c.Due(0))
             return
         for order in orders:
             try:
--- /dev/null
+++ b/tests/front_stories.py
@@ -0,0 +1,344 @@
+"""Stories of the real front: the program is started and spoken to on loopback sockets."""
+
+
+import time
+
+from twisted.internet.task import Clock
+
+from limepath import contract as c
+from limepath.front.caches import Caches
+from limepath.front.clients import Clients
+from limepath.front.limits import planned
+from limepath.front.log import Log
+from limepath.front.opening import opening_of
+from limepath.front.turn import Turn
+from tests.stand_ins import (BOUND, MS, SETTINGS, Site, Viewer, address, configuration, free_address, listening,
+                             started)
+
+NOW = "rev=4be0c1927d55a6f3,since=1764576000123"
+OBJECT = bytes(range(256)) * 40
+
+
+def test_a_get_is_returned_whole_and_unchanged():
+    with Site() as site:
+        viewer = site.viewer().send()
+        asked = site.cache.next()
+        assert asked.id == "9b1f03aa5c7e2d41" and asked.body == b""
+        budget = int(asked.fields.pop("budget"))
+        assert 0 < budget <= 5000
+        assert asked.fields == {"queue": "video", "path": "7f3a9c21e0b4d655", "blk": "3", "store": "1"}
+        asked.answer("DONE", NOW, OBJECT)
+        status, fields, body = viewer.answer()
+        assert (status, fields["etag"], body) == (200, '"4be0c1927d55a6f3"', OBJECT)
+        viewer.send(target="/invoke/video/00000000000000aa", txn="00000000000000ff")  # the same connection
+        asked = site.cache.next()
+        assert "blk" not in asked.fields
+        asked.answer("DONE", NOW)
+        assert viewer.answer()[::2] == (200, b"")
+
+
+def test_a_miss_is_filled_and_a_full_cache_is_passed():
+    with Site() as site:
+        viewer = site.viewer().send()
+        site.cache.next().answer("LACK")
+        fill = site.cache.next()
+        assert fill.fields["up"] == "p-1"
+        fill.answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+        viewer.send()
+        site.cache.next().answer("WAIT")  # once taken for no answer to a forward, which ended its connection
+        direct = site.parent.next()
+        assert direct.fields["up"] == "o-1"
+        direct.answer("DONE", NOW, b"y")
+        assert viewer.answer()[::2] == (200, b"y") and site.cache.connected == 1
+
+
+def test_a_client_keeps_its_copy():
+    with Site() as site:
+        viewer = site.viewer().send(If_None_Match='"4be0c1927d55a6f3"')
+        asked = site.cache.next()
+        assert asked.fields["inm"] == "4be0c1927d55a6f3"
+        asked.answer("KEEP", NOW)
+        assert viewer.answer()[0] == 304
+        viewer.send(If_None_Match='"a,b=c"', txn="00000000000000ff")  # would spoil the fields of a forward
+        asked = site.cache.next()
+        assert "inm" not in asked.fields
+        asked.answer("KEEP", NOW)  # nothing that could be kept: unreadable, so the next forward is a new one
+        site.parent.next().answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+
+
+def test_a_put_has_its_effect_once():
+    with Site() as site:
+        viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine" * 12_000)
+        asked = site.origin.next()
+        assert asked.body == b"mine" * 12_000 and "up" not in asked.fields
+        asked.answer("DONE")  # bears no tag
+        assert viewer.answer()[0] == 200
+        viewer.send("/invoke/tarea/0000000000000001", b"again")
+        site.origin.next().hang_up()
+        assert viewer.answer()[0] == 502
+        viewer.send("/invoke/tarea/0000000000000001", b"third")
+        assert site.origin.next().body == b"third"  # nothing came in between
+
+
+def test_what_was_not_taken_is_shed_with_a_time_to_come_back():
+    with Site() as site:
+        viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine")
+        site.origin.next().answer("WAIT")
+        status, fields, _ = viewer.answer()
+        assert status == 503 and 50 <= int(fields["x-throttle-ms"]) <= 150
+
+
+def test_a_viewer_that_leaves_is_given_up_at_the_cache():
+    with Site() as site:
+        viewer = site.viewer().send()
+        asked = site.cache.next()
+        viewer.close()
+        assert site.cache.next("QUIT").id == asked.id
+        viewer = site.viewer().send()  # the same id: a late answer must not be taken for this one's
+        again = site.cache.next()
+        asked.answer("DONE", NOW, b"late")
+        again.answer("DONE", NOW, b"new")
+        assert viewer.answer()[::2] == (200, b"new") and site.cache.connected == 2
+
+
+def test_drains_and_purges_are_obeyed():
+    with Site(("s-1", "s-2")) as site:
+        assert site.log.called() == 1
+        viewer = site.viewer()
+        site.log.tell(2, fleet={"revision": 2, "complete": False, "members": [
+            site.caches[0].entry("terminating")]})
+        site.log.tell(3, invalidate={"bucket": 17, "time": int(time.time() * 1000) - 100})
+        site.log.tell(4, invalidate={"object": "00000000000000aa", "time": int(time.time() * 1000) - 4000})
+        site.log.tell(4, invalidate={"bucket": 17, "time": 0})  # a repeated number does nothing
+        for number in range(1000):  # until the purges are seen, at the longest
+            viewer.send(f"/invoke/video/{number:016x}", txn=f"{number:016x}")
+            asked = site.caches[1].asked.get(timeout=BOUND) if site.caches[0].asked.empty() else None
+            if asked:
+                asked.answer("DONE", NOW)
+                if 100 <= int(asked.fields.get("cap", 0)) < 4000:
+                    break
+            else:
+                site.caches[0].next().answer("DONE", NOW)
+            viewer.answer()
+        viewer.answer()
+        for number in range(40):
+            viewer.send(f"/invoke/video/{number:016x}", txn=f"{number:016x}")
+            site.caches[1].next().answer("DONE", NOW)
+            assert viewer.answer()[0] == 200
+        assert site.caches[0].asked.empty()
+        viewer.send("/invoke/video/00000000000000aa", X_Family=3)
+        assert 4000 <= int(site.caches[1].next().fields["cap"]) < 6000
+
+
+def test_the_change_log_is_called_anew_after_a_break_a_gap_and_a_bad_event():
+    with Site() as site:
+        assert site.log.called() == 1
+        site.log.hang_up()
+        assert site.log.called() == 1
+        site.log.tell(2, invalidate={"object": "00000000000000aa", "time": int(time.time() * 1000)})
+        site.log.tell(4, invalidate={"bucket": 3, "time": int(time.time() * 1000)})  # 3 is missing
+        assert site.log.called() == 2
+        site.log.tell(3, invalidate={"bucket": 17, "time": int(time.time() * 1000)})
+        site.log.raw(4, '{"seq":4,"fleet":{"members":[{"id":"s-9"}]}}')
+        assert site.log.called() == 3
+        site.log.raw(4, '{"seq":4,"fleet":{"members":[{"id":"s-9"}]}}')  # bad for good: skipped
+        site.log.tell(5, invalidate={"bucket": 17, "time": int(time.time() * 1000)})
+        site.log.raw(6, "no event")
+        assert site.log.called() == 5
+        assert site.viewer().raw("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0] == 200
+
+
+def test_a_silent_change_log_is_called_anew():
+    with Site() as site:
+        assert [site.log.called(), site.log.called()] == [1, 1]
+
+
+def test_a_cache_that_breaks_is_stepped_past_and_one_that_is_down_proves_that_nothing_ran():
+    with Site() as site:
+        viewer = site.viewer().send()
+        site.cache.next().hang_up()
+        site.parent.next().answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+        site.origin.stop()
+        assert viewer.send("/invoke/tarea/0000000000000001", b"mine").answer()[0] == 503
+
+
+def test_a_cache_that_cannot_be_read_loses_its_connection():
+    for junk in (b"what\r\n", b"x DONE - 999999999\r\n", b"y" * 5000):
+        with Site() as site:
+            viewer = site.viewer().send()
+            site.cache.next().connection.sendall(b"0000000000000000 LACK - 0\r\n\r\n" + junk)
+            site.parent.next().answer("DONE", NOW, b"x")
+            assert viewer.answer()[::2] == (200, b"x")
+
+
+def test_a_silent_cache_costs_its_get_no_second_answer():
+    with Site() as site:
+        site.cache.deaf = site.parent.deaf = True
+        viewer = site.viewer().send(ttl=300)
+        asked = site.cache.next()
+        assert viewer.answer()[0] == 503
+        assert site.cache.next("QUIT").id == asked.id
+        asked.answer("DONE", NOW, b"late")
+        viewer.send("/invoke/tarea/0000000000000001", b"mine", ttl=300)
+        site.origin.next()
+        assert viewer.answer()[0] == 502  # it may have run
+
+
+def test_a_purge_overtakes_no_forward_that_waits_for_its_connection():
+    told = SETTINGS | {"family-info": SETTINGS["family-info"] | {"heed-within": 200 * MS}}
+    assert opening_of(configuration(free_address(), settings=told), {}).limits.wait == 200_000
+
+
+def test_after_sigterm_all_is_answered_and_the_front_ends_well():
+    with Site() as site:
+        open_one, late, idle = site.viewer().send(), site.viewer(), site.viewer()
+        asked = site.cache.next()
+        site.terminate()
+        while (health := site.viewer().raw("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer())[0] == 200:
+            pass
+        assert health[1]["connection"] == "close"
+        late.send(txn="00000000000000ff")
+        site.cache.next().answer("DONE", NOW, b"late")
+        assert late.answer()[1]["connection"] == "close" and late.ended()
+        assert idle.ended() and site.process.poll() is None
+        asked.answer("DONE", NOW, OBJECT)
+        assert open_one.answer()[2] == OBJECT and open_one.ended()
+        assert site.process.wait(BOUND) == 0
+
+
+def test_a_large_last_answer_reaches_a_slow_client_whole():
+    with Site() as site:  # a producer left registered kept this connection open for ever
+        viewer = site.viewer().send(Connection="close")
+        site.cache.next().answer("DONE", NOW, b"z" * 240_000)
+        assert viewer.answer()[2] == b"z" * 240_000 and viewer.ended()
+
+
+def test_bad_input_is_answered_and_harms_nobody():
+    head = "GET /invoke/video/7f3a HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 900\r\nX-Family: 1\r\n"
+    put = head.replace("GET", "PUT").replace("video", "tarea")
+    cases = {
+        "GET /\r\n\r\n": 400, "\x16\x03\x01\r\n\r\n": 400, "GET / HTTP/1.1\r\nA: " + "x" * 9000: 431,
+        head + "X-Txn: 1\r\n\r\n": 400, head + "Content-Length: 3\r\n\r\nabc": 400, head + "\r\nGET": 400,
+        head.replace("video", "other") + "\r\n": 404, head.replace("7f3a", "zz") + "\r\n": 404,
+        head.replace("GET", "DELETE") + "\r\n": 405, put.replace("tarea", "video") + "Content-Length: 0\r\n\r\n": 405,
+        put + "\r\n": 411, put + "Content-Length: 48001\r\n\r\n" + "x" * 48_001: 413,
+        put + "Content-Length: -1\r\n\r\n": 400, put + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 501,
+        head.replace("41\r", "4\r") + "\r\n": 400, head.replace("900", "soon") + "\r\n": 400,
+        head.replace("ly: 1", "ly: 256") + "\r\n": 400, head.replace("7f3a", "7f3a?part=1") + "\r\n": 400,
+        head.replace("HTTP/1.1", "HTTP/2.0") + "\r\n": 505,
+    }
+    with Site() as site:
+        other, half = site.viewer().send(txn="00000000000000ff"), site.viewer().raw(head)
+        for text, status in cases.items():
+            viewer = site.viewer().raw(text)
+            answer = viewer.answer()
+            assert answer[0] == status and answer[1]["connection"] == "close", (text[:80], answer)
+            assert viewer.ended()
+        asked = site.cache.next()
+        assert asked.id == "00000000000000ff" and site.cache.asked.empty() and site.origin.asked.empty()
+        asked.answer("DONE", NOW, b"x")
+        assert other.answer()[::2] == (200, b"x")
+        half.raw("\r\n")  # the rest of a head may come late
+        site.cache.next().answer("DONE", NOW, b"y")
+        assert half.answer()[::2] == (200, b"y")
+
+
+def test_bytes_behind_an_open_get_end_its_connection_after_the_answer():
+    with Site() as site:
+        viewer = site.viewer().send()
+        asked = site.cache.next()
+        viewer.send(txn="00000000000000ff")
+        other = site.viewer().send("/invoke/video/1", txn="00000000000000fe")
+        site.cache.next().answer("DONE", NOW)
+        assert other.answer()[0] == 200  # by now the front has read what came behind the open GET
+        asked.answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+        assert viewer.ended()
+        assert site.cache.asked.empty()
+
+
+def test_too_many_connections_close_the_idle_ones_and_open_gets_live():
+    with Site(limits={"sockets": 100}) as site:
+        busy = site.viewer().send()
+        asked = site.cache.next()
+        crowd = [site.viewer() for _ in range(60)]
+        assert crowd[0].ended()
+        asked.answer("DONE", NOW, b"x")
+        assert busy.answer()[2] == b"x"
+
+
+def test_bad_configuration_is_one_plain_line_that_names_the_key():
+    whole = configuration(free_address())
+    taken = listening()
+    less = {key: value for key, value in SETTINGS.items() if key != "safety"}
+    fleet = {"seq": 1, "fleet": {"complete": True, "members": [{"id": "s-1", "host_port": "nowhere"}]}}
+    cases = [("{", "ROUTER_CONFIG"), ("[]", "ROUTER_CONFIG"), (whole | {"listen": "8080"}, "listen"),
+             (whole | {"listen": address(taken)}, "listen"), (whole | {"seed": 7}, "seed"),
+             (whole | {"seed": "xyz"}, "seed"), (whole | {"changelog": None}, "changelog"),
+             (whole | {"limits": {"sockets": "many"}}, "limits.sockets"), (whole | {"settings": less}, "safety"),
+             (whole | {"settings": SETTINGS | {"models": 3}}, "models"),
+             (whole | {"settings": SETTINGS | {"az": "sur"}}, "az"),
+             (whole | {"settings": SETTINGS | {"classes": [{"name": "video", "deadline": 1, "aim": "soon",
+                                                            "idempotency": "free"}]}}, "aim"),
+             (whole | {"known": {"seq": 1, "results": [fleet]}}, "known.results"),
+             (whole | {"known": {"results": []}}, "known.seq")]
+    processes = [(started(told), key) for told, key in cases]
+    for process, key in processes:
+        _, said = process.communicate(timeout=BOUND)
+        assert process.returncode == 2 and key in said and said.count("\n") == 1, (key, said)
+    taken.close()
+
+
+class BrokenFront:
+    """Fails whenever a GET comes; remembers what else it was told."""
+
+    def __init__(self):
+        self.told = []
+
+    def handle(self, now, notes):
+        if any(isinstance(note, c.Get) for note in notes):
+            raise ZeroDivisionError("by a GET")
+        self.told += notes
+        return []
+
+
+class FakeConnection:
+    def __init__(self):
+        self.answers = []
+
+    def write(self, status, *_):
+        self.answers.append(status)
+
+
+def test_a_fault_of_the_module_errors_its_gets_and_loses_no_purge():
+    clock, front, limits = Clock(), BrokenFront(), planned(1024, 32, open_gets=9)
+    log = Log("n1", 0, 1)
+    turn = Turn(clock, front, limits, log)
+    clients, connection = Clients(clock, turn, limits, log, {b"video": (0, False)}), FakeConnection()
+    turn.joined(clients, Caches(clock, turn, clients, limits, log, b"INFO"))
+    clients.arrived(connection, b"GET", b"/invoke/video/1",
+                    {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+    purge = c.Purge(1, 0, 0)
+    turn.gather(purge)
+    clock.advance(0)
+    assert connection.answers == [502] and not clients.open
+    clock.advance(1)
+    assert purge in front.told
+
+
+def test_a_get_that_the_module_forgets_is_errored_after_its_time():
+    clock, front, limits = Clock(), BrokenFront(), planned(1024, 32, open_gets=9)
+    front.handle = lambda now, notes: []
+    log, connection = Log("n1", 0, 1), FakeConnection()
+    turn = Turn(clock, front, limits, log)
+    clients = Clients(clock, turn, limits, log, {b"video": (0, False)})
+    turn.joined(clients, Caches(clock, turn, clients, limits, log, b"INFO"))
+    clients.arrived(connection, b"GET", b"/invoke/video/1",
+                    {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+    clock.advance(0.9)
+    assert connection.answers == []
+    clock.advance(0.045)
+    assert connection.answers == [504]
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,244 @@
+"""Stand-ins for all that a real front speaks to: caches, the change log and clients, on loopback sockets."""
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+BOUND = 60  # seconds that anything may take before a story has failed
+MS = 1_000_000
+SETTINGS = {
+    "az": 0, "replicas-of-me": 1, "areas": ["sur", "hub"], "models": ["box", "parent", "origin"],
+    "classes": [{"name": "video", "aim": 600 * MS, "deadline": 5000 * MS, "idempotency": "free"},
+                {"name": "tarea", "aim": 800 * MS, "deadline": 3000 * MS, "idempotency": "single_shot"}],
+    "family-info": {"mid-kind": 1, "master-kind": 2, "never-kept": [False, True], "direct": True,
+                    "heed-within": 300 * MS, "gone-everywhere": 6000 * MS, "one-flow-kb-per-s": 1000.0,
+                    "pipe-kb-per-s": [9000.0, 0.0]},
+    "limits": {"max-attempts": 6, "cancel": True, "probing": True, "retry-after": True,
+               "max-retry-after": 1000 * MS, "streams-per-conn": 32, "connect-timeout": 400 * MS,
+               "conn-idle": 30_000 * MS, "max-open": 1000},
+    "stats": {"fields": ["rif", "busy"], "source": "probe"},
+    "safety": {"cold-share": 0.2, "cold": 10_000 * MS, "overload-factor": 2, "tip-after": 1000 * MS,
+               "answer-slack": 8 * MS, "drain-grace": 500 * MS},
+}
+
+
+def listening():
+    return socket.create_server(("127.0.0.1", 0))
+
+
+def address(listener):
+    return "127.0.0.1:%d" % listener.getsockname()[1]
+
+
+def accepting(listener, serve):
+    """Hand each connection that comes to `serve`, in a thread of its own."""
+    def run():
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(connection,), daemon=True).start()
+
+    threading.Thread(target=run, daemon=True).start()
+
+
+class Asked:
+    """One command that a cache got."""
+
+    def __init__(self, connection, words, body):
+        self.connection, self.word, self.id, self.body = connection, words[0], words[1], body
+        told = words[2] if len(words) > 2 else "-"
+        self.fields = dict(field.split("=") for field in told.split(",")) if told != "-" else {}
+
+    def answer(self, word, fields="-", body=b""):
+        self.connection.sendall(b"%s %s %s %d\r\n%s\r\n" % (
+            self.id.encode(), word.encode(), fields.encode(), len(body), body))
+
+    def hang_up(self):
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class StandInCache:
+    """Keeps the commands that come for the story to answer; answers probes by itself unless deaf."""
+
+    def __init__(self, name, kind, zone):
+        self.name, self.kind, self.zone = name, kind, zone
+        self.listener, self.asked, self.deaf, self.connected = listening(), queue.Queue(), False, 0
+        accepting(self.listener, self.serve)
+
+    def entry(self, phase="in_service", **changes):
+        return {"id": self.name, "host_port": address(self.listener), "locality": self.zone,
+                "flavor": self.kind, "cell": 0, "phase": phase, "size": 6, "up_since_ms": 0} | changes
+
+    def serve(self, connection):
+        self.connected += 1
+        stream = connection.makefile("rb")
+        try:
+            while line := stream.readline():
+                words = line.decode().split()
+                body = stream.read(int(words[3]) + 2)[:-2] if words[0] == "ASK" else b""
+                asked = Asked(connection, words, body)
+                if words[0] not in ("INFO", "NOOP"):
+                    self.asked.put(asked)
+                elif not self.deaf:
+                    asked.answer("FIT", "use=inflight:1;util:0.1")
+        except OSError:
+            pass
+
+    def stop(self):
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def next(self, word="ASK"):
+        asked = self.asked.get(timeout=BOUND)
+        assert asked.word == word, (asked.word, asked.fields)
+        return asked
+
+
+class StandInChangeLog:
+    """Keeps the calls that come; tells events on the newest."""
+
+    def __init__(self):
+        self.listener, self.calls, self.stream = listening(), queue.Queue(), None
+        accepting(self.listener, self.serve)
+
+    def serve(self, connection):
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += connection.recv(4096)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
+        self.stream = connection
+        (last,) = [line.split(b":")[1] for line in head.split(b"\r\n") if line.startswith(b"Last-Event-ID")]
+        self.calls.put(int(last))
+
+    def called(self):
+        return self.calls.get(timeout=BOUND)
+
+    def tell(self, seq, **told):
+        self.raw(seq, json.dumps({"seq": seq} | told))
+
+    def raw(self, seq, text):
+        self.stream.sendall(b"id: %d\ndata: %s\n\n" % (seq, text.encode()))
+
+    def hang_up(self):
+        self.stream.shutdown(socket.SHUT_RDWR)
+        self.stream.close()
+
+
+class Viewer:
+    """One client's connection."""
+
+    def __init__(self, where):
+        host, port = where.split(":")
+        self.socket = socket.create_connection((host, int(port)), timeout=BOUND)
+        self.stream = self.socket.makefile("rb")
+
+    def send(self, target="/invoke/video/7f3a9c21e0b4d655?block=3", body=None, txn="9b1f03aa5c7e2d41", ttl=5000,
+             **fields):
+        told = {"Host": "app.svc", "X-Txn": txn, "X-Ttl-Ms": ttl, "X-Family": 17} | {
+            name.replace("_", "-"): value for name, value in fields.items()}
+        if body is not None:
+            told["Content-Length"] = len(body)
+        self.raw("%s %s HTTP/1.1\r\n%s\r\n" % ("GET" if body is None else "PUT", target, "".join(
+            f"{name}: {value}\r\n" for name, value in told.items())), body or b"")
+        return self
+
+    def raw(self, head, body=b""):
+        self.socket.sendall(head.encode() + body)
+        return self
+
+    def answer(self):
+        """Give (status, fields, body) of one whole answer."""
+        line = self.stream.readline()
+        if not line:
+            return None
+        fields = {}
+        while (field := self.stream.readline()) != b"\r\n":
+            name, _, value = field.decode().partition(":")
+            fields[name.lower()] = value.strip()
+        status, size = int(line.split()[1]), int(fields.get("content-length", 0))
+        body = self.stream.read(size)
+        assert len(body) == size, "a short body"
+        return status, fields, body
+
+    def ended(self):
+        try:
+            return self.stream.read() == b""
+        except ConnectionResetError:
+            return True
+
+    def close(self):
+        self.stream.close()
+        self.socket.close()
+
+
+def free_address():
+    with listening() as listener:
+        return address(listener)
+
+
+def configuration(where, **changes):
+    return {"name": "n1", "listen": where, "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "changelog": "127.0.0.1:9",
+            "known": {"seq": 0, "results": []}, "settings": SETTINGS} | changes
+
+
+def started(told):
+    """Start the program with this configuration (text or an object); give the process."""
+    file = tempfile.NamedTemporaryFile("w", suffix=".json")
+    file.write(told if isinstance(told, str) else json.dumps(told))
+    file.flush()
+    process = subprocess.Popen([sys.executable, "-m", "limepath"], stderr=subprocess.PIPE, text=True,
+                               env=os.environ | {"ROUTER_CONFIG": file.name})
+    process.file = file
+    return process
+
+
+class Site:
+    """A front started as `run` starts it, with a cache, a parent, the origin and a change log around it."""
+
+    def __init__(self, caches=("s-1",), **changes):
+        self.caches = [StandInCache(name, "box", "sur") for name in caches]
+        self.cache = self.caches[0]
+        self.parent, self.origin = StandInCache("p-1", "parent", "hub"), StandInCache("o-1", "origin", "hub")
+        self.members, self.log = [*self.caches, self.parent, self.origin], StandInChangeLog()
+        fleet = {"revision": 1, "complete": True, "members": [member.entry() for member in self.members]}
+        self.where = free_address()
+        self.process = started(configuration(
+            self.where, changelog=address(self.log.listener),
+            known={"seq": 1, "results": [{"seq": 1, "fleet": fleet}]}, **changes))
+        self.said = []
+        threading.Thread(target=lambda: self.said.extend(self.process.stderr), daemon=True).start()
+
+    def __enter__(self):
+        end = time.monotonic() + BOUND
+        while time.monotonic() < end and self.process.poll() is None:
+            try:
+                viewer = self.viewer()
+                assert viewer.raw("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0] == 200
+                viewer.close()
+                return self
+            except ConnectionRefusedError:
+                time.sleep(0.02)
+        raise AssertionError(f"the front did not start: {self.said}")
+
+    def viewer(self):
+        return Viewer(self.where)
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def __exit__(self, *_):
+        self.process.kill()
+        self.process.wait()
+        self.process.stderr.close()
+        for member in (*self.members, self.log):
+            member.listener.close()
