A connection gone silent ends once another of its peer is answered; feed silence noticed sooner

Seen in a story: forwards on a cut-off connection hung to the end of their GETs' time while a probe on another connection was answered, so the module's recall never came. At fault: the network code kept such a connection.

--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -44,7 +44,7 @@
 
     def ready(_):
         changes.follow(*told.changelog)
-        LoopingCall(sweep).start(1, now=False)
+        LoopingCall(sweep).start(limits.sweep / 1e6, now=False)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: reactor.callFromThread(clients.leave))
         gc.freeze()
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -126,7 +126,7 @@
     def __init__(self, peer):
         self.peer, self.out, self.spent = peer, {}, set()
         self.buffer, self.answer = bytearray(), None
-        self.up = self.full = self.retired = False
+        self.up = self.full = self.retired = self.silent = False
         self.heard = clock()
 
     def connectionMade(self):
@@ -146,19 +146,21 @@
 
     def takes(self, tag):
         """Whether one more may go out here; an id given up here could be mistaken for its next forward."""
-        return (self.up and not self.full and not self.retired and tag not in self.out
+        return (self.up and not (self.full or self.retired or self.silent) and tag not in self.out
                 and tag not in self.spent and len(self.out) < self.peer.limits.streams)
 
     def send(self, flight, *pieces):
         self.out[flight.tag], flight.connection = flight, self
         self.transport.writeSequence(pieces)
 
-    def give_up(self, flight):
-        """Tell the cache that nobody waits; where it has been silent since, nothing more is sent here."""
+    def give_up(self, flight, unanswered=False):
+        """Tell the cache that nobody waits. Where it has been silent since, nothing more is sent here until
+        it speaks again."""
         del self.out[flight.tag]
         if isinstance(flight, Flight):
             self.spent.add(flight.tag)
             self.transport.write(b"QUIT %b\r\n" % flight.tag)
+        self.silent |= unanswered and self.heard < flight.at
         self.retired |= len(self.spent) > 1000
         self.close_if_done()
 
@@ -167,11 +169,16 @@
         self.close_if_done()
 
     def close_if_done(self):
-        if self.retired and not self.out and self.up:
-            self.transport.abortConnection() if self.full else self.transport.loseConnection()
+        if (self.retired or self.silent) and not self.out and self.up:
+            self.transport.abortConnection() if self.full or self.silent else self.transport.loseConnection()
+
+    def dead(self, heard):
+        """Another connection has been answered for a while, this one has not spoken: what is out has broken."""
+        if self.silent and self.heard == heard:
+            self.transport.abortConnection()
 
     def dataReceived(self, data):
-        self.heard = clock()
+        self.heard, self.silent = clock(), False
         self.buffer += data
         at, whole = 0, len(self.buffer)
         try:
@@ -209,6 +216,8 @@
         if word == b"KEEP" and not flight.get.have:
             raise Unreadable("KEEP without a copy to keep")
         del self.out[tag]
+        if isinstance(flight, Probing):
+            self.peer.answered_probe()
         self.peer.caches.ended(flight, VERDICTS[word], word, fields, body)
         self.peer.send_waiting()
         self.close_if_done()
@@ -292,6 +301,11 @@
         for flight in waiting:
             self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
 
+    def answered_probe(self):
+        for connection in self.connections:
+            if connection.silent:
+                self.caches.reactor.callLater(self.limits.probe / 1e6, connection.dead, connection.heard)
+
     def overdue(self, flight):
         flight.timer = None
         self.waiting.remove(flight)
@@ -364,17 +378,12 @@
                 peer.waiting.remove(flight)
             verdict = c.Verdict.MOOT
         else:
-            connection.give_up(flight)
-            if verdict == c.Verdict.TIMED_OUT and connection.heard < flight.at:
-                connection.retire()
+            connection.give_up(flight, verdict == c.Verdict.TIMED_OUT)
         self.ended(flight, verdict)
 
     def unanswered(self, probing):
         probing.timer = None
-        connection = probing.connection
-        connection.give_up(probing)
-        if connection.heard < probing.at:
-            connection.retire()
+        probing.connection.give_up(probing, unanswered=True)
         self.ended(probing, c.Verdict.TIMED_OUT)
 
     def ended(self, flight, verdict, word=b"", fields=None, body=b""):
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -16,6 +16,8 @@
            504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 PATH = b"/invoke/"
 HEALTH = b"/_health"
+READ = frozenset((b"host", b"connection", b"content-length", b"transfer-encoding", b"x-txn", b"x-ttl-ms",
+                  b"x-family", b"if-none-match"))
 HEX = frozenset(b"0123456789abcdef")
 
 
@@ -44,7 +46,7 @@
     (431, 431)
     >>> status(b"GET /\\r\\n\\r\\n"), status(b"GET / HTTP/2.0\\r\\n\\r\\n"), status(b"GET / HTTP/1.1\\r\\na b\\r\\n\\r\\n")
     (400, 505, 400)
-    >>> status(b"GET / HTTP/1.1\\r\\na: 1\\r\\nA: 2\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
+    >>> status(b"GET / HTTP/1.1\\r\\nhost: 1\\r\\nHost: 2\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
     (400, 400)
     """
     end = buffer.find(b"\r\n\r\n", 0, longest)
@@ -68,7 +70,8 @@
             raise Flaw(400, "malformed field")
         if name in fields:
             raise Flaw(400, "twofold field")
-        fields[name] = value.strip()
+        if name in READ:
+            fields[name] = value.strip()
     return words[0], words[1], fields, end + 4
 
 
@@ -174,7 +177,7 @@
             raise Flaw(400, "pipelined bytes")
         body = bytes(self.buffer[length:])
         self.buffer, self.head, self.moved = bytearray(), None, clock()
-        self.last |= fields.get(b"connection", b"").lower() == b"close"
+        self.last |= b"close" in fields.get(b"connection", b"").lower()
         if target == HEALTH and method == b"GET":
             self.write(503 if self.clients.leaving else 200)
         else:
@@ -230,7 +233,7 @@
         if over > 0:
             idle = [one for one in self.connections if one.get is None]
             self.log.say("descriptors", f"{len(self.connections)} client connections, {len(idle)} of them idle")
-            for one in sorted(idle, key=lambda one: one.moved)[:over]:
+            for one in sorted(idle, key=lambda one: (len(one.buffer), one.moved))[:over]:
                 one.finish()
         if self.port and (over > 0) != self.full:
             self.full = over > 0
--- a/limepath/front/limits.py
+++ b/limepath/front/limits.py
@@ -25,13 +25,14 @@
     probe: int = 250_000
     backstop: int = 25_000  # after a GET's time is over, until the front errors it by itself
     viewer_idle: int = 60_000_000
-    slow: int = 5_000_000  # for a head and body to come in, or for a close
+    slow: int = 10_000_000  # for a head and body to come in, or for a close
     stuck: int = 30_000_000  # for an answer to be taken
     backlog: int = 1024  # connections that the system accepts ahead of the front
     fault_pause: int = 50_000
-    feed_silence: int = 3_500_000
+    feed_silence: int = 2_500_000
     feed_pause: int = 100_000  # the first before the change log is called again; they double
-    feed_longest_pause: int = 2_000_000
+    feed_longest_pause: int = 1_000_000
+    sweep: int = 500_000  # between looks at what is idle or silent
     leaving: int = 700_000  # for which new GETs are taken after SIGTERM
     log_lines: int = 5  # of one kind
     log_span: int = 10_000_000
--- a/tests/front_stories.py
+++ b/tests/front_stories.py
@@ -187,6 +187,14 @@
         assert viewer.answer()[0] == 502  # it may have run
 
 
+def test_a_connection_gone_silent_breaks_once_another_is_answered():
+    with Site() as site:
+        viewer = site.viewer().send(ttl=BOUND * 1000)
+        site.cache.cut_off.add(site.cache.next().connection)  # a probe on another will be answered
+        site.parent.next().answer("DONE", NOW, b"x")  # long before the GET's time is over
+        assert viewer.answer()[::2] == (200, b"x")
+
+
 def test_a_purge_overtakes_no_forward_that_waits_for_its_connection():
     told = SETTINGS | {"family-info": SETTINGS["family-info"] | {"heed-within": 200 * MS}}
     assert opening_of(configuration(free_address(), settings=told), {}).limits.wait == 200_000
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -72,6 +72,7 @@
     def __init__(self, name, kind, zone):
         self.name, self.kind, self.zone = name, kind, zone
         self.listener, self.asked, self.deaf, self.connected = listening(), queue.Queue(), False, 0
+        self.cut_off = set()
         accepting(self.listener, self.serve)
 
     def entry(self, phase="in_service", **changes):
@@ -88,7 +89,7 @@
                 asked = Asked(connection, words, body)
                 if words[0] not in ("INFO", "NOOP"):
                     self.asked.put(asked)
-                elif not self.deaf:
+                elif not (self.deaf or connection in self.cut_off):
                     asked.answer("FIT", "use=inflight:1;util:0.1")
         except OSError:
             pass
