--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -28,7 +28,8 @@
         "fault", f"{event['log_failure'].type.__name__}: {event['log_failure'].getErrorMessage()}"))
     turn = Turn(reactor, Front(seed=told.seed, **told.arguments), limits, log)
     clients = Clients(reactor, turn, limits, log, told.services)
-    caches = clients.caches = Caches(reactor, turn, clients, limits, log, b"INFO" if told.reports else b"NOOP")
+    probe_word = b"INFO" if told.reports else b"NOOP"
+    caches = clients.caches = Caches(reactor, turn, clients, limits, log, probe_word)
     turn.joined(clients, caches)
     changes = ChangeLog(reactor, turn, caches, limits, log, told.settings, told.seed)
     try:
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -32,7 +32,8 @@
     (b'9b1f', b'DONE', {b'rev': b'4be0', b'since': b'1764576000123'}, 5)
     >>> read_answer(b"9b1f LACK - 0", 10)
     (b'9b1f', b'LACK', {}, 0)
-    >>> for line in (b"x", b"x MAYBE - 0", b"x DONE - eleven", b"x DONE - 11", b"x DONE rev 1", b"x DONE - -1"):
+    >>> for line in (b"x", b"x MAYBE - 0", b"x DONE - eleven", b"x DONE - 11", b"x DONE rev 1",
+    ...              b"x DONE - -1"):
     ...     try:
     ...         read_answer(line, 10)
     ...     except Unreadable as flaw:
@@ -173,7 +174,7 @@
             self.transport.abortConnection() if self.full or self.silent else self.transport.loseConnection()
 
     def dead(self, heard):
-        """Another connection has been answered for a while, this one has not spoken: what is out has broken."""
+        """Another connection was answered a while ago, this one has not spoken: what is out has broken."""
         if self.silent and self.heard == heard:
             self.transport.abortConnection()
 
@@ -245,33 +246,25 @@
         fit = [connection for connection in self.connections if connection.takes(flight.tag)]
         if not fit:
             self.waiting.append(flight)
-            flight.timer = self.caches.reactor.callLater(self.limits.wait / 1e6, self.overdue, flight)
+            self.caches.time(flight, self.limits.wait, self.overdue)
             self.connect()
             return
-        if flight.timer is not None:
-            flight.timer.cancel()
-            flight.timer = None
         connection = min(fit, key=lambda one: len(one.out))
         if isinstance(flight, Probing):
             connection.send(flight, self.caches.probe_word + b" %b\r\n" % flight.tag)
-            flight.timer = self.caches.reactor.callLater(self.limits.probe / 1e6, self.caches.unanswered, flight)
+            self.caches.time(flight, self.limits.probe, self.caches.unanswered)
         else:
             connection.send(flight, flight.words(self.caches.names), flight.get.body, b"\r\n")
             if flight.limit < flight.get.due:
-                flight.timer = self.caches.reactor.callLater((flight.limit - clock()) / 1e6,
-                                                             self.caches.timed_out, flight)
+                self.caches.time(flight, flight.limit - clock(), self.caches.timed_out)
 
     def send_waiting(self):
         for _ in range(len(self.waiting)):
             flight = self.waiting.popleft()
-            if flight.timer is not None:
-                flight.timer.cancel()
-                flight.timer = None
             if any(connection.takes(flight.tag) for connection in self.connections):
+                self.caches.still(flight)
                 self.send(flight)
             else:
-                left = max(0, flight.at + self.limits.wait - clock()) / 1e6
-                flight.timer = self.caches.reactor.callLater(left, self.overdue, flight)
                 self.waiting.append(flight)
 
     def connect(self):
@@ -307,7 +300,6 @@
                 self.caches.reactor.callLater(self.limits.probe / 1e6, connection.dead, connection.heard)
 
     def overdue(self, flight):
-        flight.timer = None
         self.waiting.remove(flight)
         self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
 
@@ -328,6 +320,13 @@
         self.reactor, self.turn, self.clients, self.limits, self.log = reactor, turn, clients, limits, log
         self.probe_word, self.peers, self.names, self.tags = probe_word, {}, {}, count(1)
 
+    def time(self, flight, span, then):
+        flight.timer = self.reactor.callLater(max(0, span) / 1e6, then, flight)
+
+    def still(self, flight):
+        if flight.timer and flight.timer.active():
+            flight.timer.cancel()
+
     def spare(self):
         """Whether there is a descriptor for one more connection; else the longest idle one makes room."""
         held = [one for peer in self.peers.values() for one in peer.connections]
@@ -367,7 +366,6 @@
         self.stop(flight, c.Verdict.CANCELLED)
 
     def timed_out(self, flight):
-        flight.timer = None
         self.stop(flight, c.Verdict.TIMED_OUT)
 
     def stop(self, flight, verdict):
@@ -382,15 +380,12 @@
         self.ended(flight, verdict)
 
     def unanswered(self, probing):
-        probing.timer = None
         probing.connection.give_up(probing, unanswered=True)
         self.ended(probing, c.Verdict.TIMED_OUT)
 
     def ended(self, flight, verdict, word=b"", fields=None, body=b""):
         """Every forward and probe ends here, once."""
-        if flight.timer is not None:
-            flight.timer.cancel()
-            flight.timer = None
+        self.still(flight)
         fields = fields or {}
         load = read_load(fields[b"use"]) if b"use" in fields else {}
         if isinstance(flight, Probing):
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -86,6 +86,8 @@
                 self.id = value
             elif name == "data":
                 self.data.append(value)
+                if sum(map(len, self.data)) > self.longest:
+                    raise BadEvent("over-long event")
         return events
 
 
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -11,13 +11,14 @@
 from limepath.front.turn import clock
 
 REASONS = {200: b"OK", 304: b"Not Modified", 400: b"Bad Request", 404: b"Not Found",
-           405: b"Method Not Allowed", 411: b"Length Required", 413: b"Content Too Large", 431: b"Request Header Fields Too Large",
+           405: b"Method Not Allowed", 411: b"Length Required", 413: b"Content Too Large",
+           431: b"Request Header Fields Too Large",
            501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
            504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
 PATH = b"/invoke/"
 HEALTH = b"/_health"
 READ = frozenset((b"host", b"connection", b"content-length", b"transfer-encoding", b"x-txn", b"x-ttl-ms",
-                  b"x-family", b"if-none-match"))
+                  b"x-family", b"if-none-match", b"expect"))
 HEX = frozenset(b"0123456789abcdef")
 
 
@@ -42,12 +43,16 @@
     ...         return read_head(bytearray(head), 60, 2)
     ...     except Flaw as flaw:
     ...         return flaw.status
-    >>> status(b"GET / HTTP/1.1\\r\\na: " + b"x" * 60), status(b"GET / HTTP/1.1\\r\\na:\\r\\nb:\\r\\nc:\\r\\n\\r\\n")
-    (431, 431)
-    >>> status(b"GET /\\r\\n\\r\\n"), status(b"GET / HTTP/2.0\\r\\n\\r\\n"), status(b"GET / HTTP/1.1\\r\\na b\\r\\n\\r\\n")
-    (400, 505, 400)
-    >>> status(b"GET / HTTP/1.1\\r\\nhost: 1\\r\\nHost: 2\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
+    >>> status(b"GET / HTTP/1.1\\r\\na: " + b"x" * 60)
+    431
+    >>> status(b"GET / HTTP/1.1\\r\\na:\\r\\nb:\\r\\nc:\\r\\n\\r\\n")
+    431
+    >>> status(b"GET /\\r\\n\\r\\n"), status(b"GET / HTTP/2.0\\r\\n\\r\\n")
+    (400, 505)
+    >>> status(b"GET / HTTP/1.1\\r\\na b\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
     (400, 400)
+    >>> status(b"GET / HTTP/1.1\\r\\nhost: 1\\r\\nHost: 2\\r\\n\\r\\n")
+    400
     """
     end = buffer.find(b"\r\n\r\n", 0, longest)
     if end < 0:
@@ -84,8 +89,8 @@
 class OpenGet:
     """One GET as the client worded it, and what has become of it."""
 
-    __slots__ = ("id", "connection", "txn", "service", "object", "part", "have", "body", "note", "due", "sent",
-                 "flights", "closed", "timer")
+    __slots__ = ("id", "connection", "txn", "service", "object", "part", "have", "body", "note", "due",
+                 "sent", "flights", "closed", "timer")
 
     def __init__(self, ident, connection, method, target, fields, body, services):
         path, mark, query = target.partition(b"?")
@@ -172,6 +177,9 @@
         if size and method != b"PUT":
             raise Flaw(400, "a body where none belongs")
         if len(self.buffer) < length + size:
+            if b"expect" in fields:
+                del fields[b"expect"]
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             return
         if len(self.buffer) > length + size:
             raise Flaw(400, "pipelined bytes")
@@ -222,7 +230,8 @@
 
     def listen(self, endpoint):
         """Give a Deferred that fires once clients can connect."""
-        return endpoint.listen(Factory.forProtocol(lambda: ClientConnection(self))).addCallback(self.listening)
+        listening = endpoint.listen(Factory.forProtocol(lambda: ClientConnection(self)))
+        return listening.addCallback(self.listening)
 
     def listening(self, port):
         self.port = port
@@ -232,7 +241,7 @@
         over = len(self.connections) - self.limits.viewers
         if over > 0:
             idle = [one for one in self.connections if one.get is None]
-            self.log.say("descriptors", f"{len(self.connections)} client connections, {len(idle)} of them idle")
+            self.log.say("descriptors", f"{len(self.connections)} client connections, {len(idle)} idle")
             for one in sorted(idle, key=lambda one: (len(one.buffer), one.moved))[:over]:
                 one.finish()
         if self.port and (over > 0) != self.full:
@@ -250,7 +259,7 @@
         self.turn.gather(get.note)
 
     def over(self, get):
-        """The GET's time is over: what is out has timed out; the module answers, else this does, soon after."""
+        """The GET's time is over: what is out has timed out; the module answers, else this does soon."""
         get.timer = None
         for flight in list(get.flights.values()):
             self.caches.timed_out(flight)
@@ -317,7 +326,7 @@
                     one.transport.abortConnection()
 
     def leave(self):
-        """Take GETs for the time in which they still come, answer all; the Deferred `gone` fires after that."""
+        """Take GETs for the time in which they still come and answer all; then the Deferred `gone` fires."""
         if not self.leaving:
             self.leaving = True
             self.log.say("leaving", f"{len(self.open)} GETs open")
--- a/limepath/front/limits.py
+++ b/limepath/front/limits.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+FOOTING = 40  # megabytes that the program takes by itself, with room
 KEPT_BACK = 64  # descriptors for the reactor, the log, the change log, the listener and what is just closing
 
 
@@ -33,17 +34,22 @@
     feed_pause: int = 100_000  # the first before the change log is called again; they double
     feed_longest_pause: int = 1_000_000
     sweep: int = 500_000  # between looks at what is idle or silent
-    leaving: int = 700_000  # for which new GETs are taken after SIGTERM
+    leaving: int = 900_000  # after SIGTERM; new GETs come for 600 ms of it, the rest is for a busy core
     log_lines: int = 5  # of one kind
     log_span: int = 10_000_000
 
 
-def planned(sockets, streams, **told):
-    """Share the descriptors out: clients four tenths, the rest among the members.
+def planned(sockets, memory_mb, streams, **told):
+    """Share the descriptors out: clients four tenths, if the memory can hold a whole answer and a body for
+    each, the rest among the members.
 
-    >>> limits = planned(1024, 32, open_gets=20_000)
+    >>> limits = planned(1024, 192, 32, open_gets=20_000)
     >>> limits.viewers, limits.all_cache_connections
     (409, 551)
+    >>> planned(1024, 96, 32, open_gets=20_000).viewers
+    194
     """
-    viewers = max(1, sockets * 4 // 10)
+    whole = Limits._field_defaults["answer"] + Limits._field_defaults["body"]
+    held = max(64, (memory_mb - FOOTING) * 1_000_000 // whole)
+    viewers = max(1, min(sockets * 4 // 10, held))
     return Limits(viewers, max(8, sockets - viewers - KEPT_BACK), streams, **told)
--- a/limepath/front/opening.py
+++ b/limepath/front/opening.py
@@ -9,7 +9,8 @@
 
 NAME, LISTEN, CONFIG = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
 NUMBER = (int, float)
-NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list, "safety": dict},
+NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list,
+               "safety": dict},
           "safety.": dict.fromkeys(("cold-share", "cold", "overload-factor", "tip-after", "answer-slack",
                                     "drain-grace"), NUMBER),
           "classes[].": {"name": str, "aim": NUMBER, "deadline": NUMBER, "idempotency": str}}
@@ -19,8 +20,8 @@
             "family-info.": dict.fromkeys(
                 ("hub-of", "pipe-kb-per-s", "zone-balancers", "max-age", "class-grace", "class-stale-worth",
                  "never-kept", "segmented"), list) | dict.fromkeys(
-                ("mid-kind", "master-kind", "one-flow-kb-per-s", "heed-within", "gone-everywhere", "parent-floor",
-                 "parent-cold", "upper-fall-multiple"), NUMBER),
+                ("mid-kind", "master-kind", "one-flow-kb-per-s", "heed-within", "gone-everywhere",
+                 "parent-floor", "parent-cold", "upper-fall-multiple"), NUMBER),
             "limits.": dict.fromkeys(("max-attempts", "max-retry-after", "max-open", "streams-per-conn",
                                       "connect-timeout", "conn-idle"), NUMBER),
             "stats.": {"fields": list}}
@@ -119,11 +120,13 @@
         raise BadConfiguration(f"settings: {flaw} is an unknown value") from None
     except (TypeError, ValueError, AttributeError, IndexError) as flaw:
         raise BadConfiguration(f"settings: {flaw}") from None
-    sockets = part(part(told, "limits", dict, {}), "sockets", int, 1024, "limits.")
+    machine = part(told, "limits", dict, {})
+    sockets = part(machine, "sockets", int, 1024, "limits.")
+    memory_mb = part(machine, "memory_mb", int, 192, "limits.")
     allowed = settings.get("limits", {})
     us = opening_values.us
     connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
-    limits = planned(sockets, allowed.get("streams-per-conn", 1),
+    limits = planned(sockets, memory_mb, allowed.get("streams-per-conn", 1),
                      open_gets=allowed.get("max-open", 20_000),
                      connect=connect, wait=min(connect, grace.drain, grace.purge or connect),
                      cache_idle=us(allowed.get("conn-idle", 30_000_000_000)) * 8 // 10)
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -1,4 +1,4 @@
-"""The loop between sockets and module: notes gathered in one pass of the reactor, one `handle`, then orders."""
+"""The loop between sockets and module: the notes of one pass of the reactor, one `handle`, then orders."""
 
 import time
 import traceback
@@ -21,6 +21,7 @@
         self.notes, self.called = [], False
         self.carriers = {
             c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
+            c.Subscribe: self.followed, c.AskRoster: self.followed,
             c.Report: lambda order: log.say("module", order.text),
         }
 
@@ -57,6 +58,9 @@
             except Exception as flaw:
                 self.faulted(type(order).__name__, flaw)
 
+    def followed(self, order):
+        """The change log is followed always."""
+
     def unknown(self, order):
         self.log.say("order", f"no way to carry out {type(order).__name__} here")
 
--- a/tests/front_stories.py
+++ b/tests/front_stories.py
@@ -12,7 +12,7 @@
 from limepath.front.log import Log
 from limepath.front.opening import opening_of
 from limepath.front.turn import Turn
-from tests.stand_ins import (BOUND, MS, SETTINGS, Site, Viewer, address, configuration, free_address, listening,
+from tests.stand_ins import (BOUND, MS, SETTINGS, Site, address, configuration, free_address, listening,
                              started)
 
 NOW = "rev=4be0c1927d55a6f3,since=1764576000123"
@@ -82,6 +82,18 @@
         assert site.origin.next().body == b"third"  # nothing came in between
 
 
+def test_a_client_that_waits_for_a_word_before_its_body_gets_it():
+    with Site() as site:
+        viewer = site.viewer().raw(
+            "PUT /invoke/tarea/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 900\r\nX-Family: 1\r\n"
+            "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+        assert viewer.answer()[0] == 100
+        viewer.raw("mine")
+        asked = site.origin.next()
+        asked.answer("DONE")
+        assert asked.body == b"mine" and viewer.answer()[0] == 200
+
+
 def test_what_was_not_taken_is_shed_with_a_time_to_come_back():
     with Site() as site:
         viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine")
@@ -195,6 +207,17 @@
         assert viewer.answer()[::2] == (200, b"x")
 
 
+def test_a_connection_that_never_comes_up_proves_that_nothing_ran():
+    with Site() as site:
+        site.cache.crowd()
+        viewer = site.viewer().send(ttl=100)  # shorter than the wait for a connection
+        assert viewer.answer()[0] == 503
+        viewer.send(txn="00000000000000ff")
+        site.parent.next().answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+        assert not [line for line in site.said if "fault" in line], site.said
+
+
 def test_a_purge_overtakes_no_forward_that_waits_for_its_connection():
     told = SETTINGS | {"family-info": SETTINGS["family-info"] | {"heed-within": 200 * MS}}
     assert opening_of(configuration(free_address(), settings=told), {}).limits.wait == 200_000
@@ -225,13 +248,15 @@
 
 
 def test_bad_input_is_answered_and_harms_nobody():
-    head = "GET /invoke/video/7f3a HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 900\r\nX-Family: 1\r\n"
+    head = ("GET /invoke/video/7f3a HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\n"
+            "X-Ttl-Ms: 900\r\nX-Family: 1\r\n")
     put = head.replace("GET", "PUT").replace("video", "tarea")
     cases = {
         "GET /\r\n\r\n": 400, "\x16\x03\x01\r\n\r\n": 400, "GET / HTTP/1.1\r\nA: " + "x" * 9000: 431,
         head + "X-Txn: 1\r\n\r\n": 400, head + "Content-Length: 3\r\n\r\nabc": 400, head + "\r\nGET": 400,
         head.replace("video", "other") + "\r\n": 404, head.replace("7f3a", "zz") + "\r\n": 404,
-        head.replace("GET", "DELETE") + "\r\n": 405, put.replace("tarea", "video") + "Content-Length: 0\r\n\r\n": 405,
+        head.replace("GET", "DELETE") + "\r\n": 405,
+        put.replace("tarea", "video") + "Content-Length: 0\r\n\r\n": 405,
         put + "\r\n": 411, put + "Content-Length: 48001\r\n\r\n" + "x" * 48_001: 413,
         put + "Content-Length: -1\r\n\r\n": 400, put + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 501,
         head.replace("41\r", "4\r") + "\r\n": 400, head.replace("900", "soon") + "\r\n": 400,
@@ -286,7 +311,8 @@
     cases = [("{", "ROUTER_CONFIG"), ("[]", "ROUTER_CONFIG"), (whole | {"listen": "8080"}, "listen"),
              (whole | {"listen": address(taken)}, "listen"), (whole | {"seed": 7}, "seed"),
              (whole | {"seed": "xyz"}, "seed"), (whole | {"changelog": None}, "changelog"),
-             (whole | {"limits": {"sockets": "many"}}, "limits.sockets"), (whole | {"settings": less}, "safety"),
+             (whole | {"limits": {"sockets": "many"}}, "limits.sockets"),
+             (whole | {"settings": less}, "safety"),
              (whole | {"settings": SETTINGS | {"models": 3}}, "models"),
              (whole | {"settings": SETTINGS | {"az": "sur"}}, "az"),
              (whole | {"settings": SETTINGS | {"classes": [{"name": "video", "deadline": 1, "aim": "soon",
@@ -322,7 +348,7 @@
 
 
 def test_a_fault_of_the_module_errors_its_gets_and_loses_no_purge():
-    clock, front, limits = Clock(), BrokenFront(), planned(1024, 32, open_gets=9)
+    clock, front, limits = Clock(), BrokenFront(), planned(1024, 192, 32, open_gets=9)
     log = Log("n1", 0, 1)
     turn = Turn(clock, front, limits, log)
     clients, connection = Clients(clock, turn, limits, log, {b"video": (0, False)}), FakeConnection()
@@ -338,7 +364,7 @@
 
 
 def test_a_get_that_the_module_forgets_is_errored_after_its_time():
-    clock, front, limits = Clock(), BrokenFront(), planned(1024, 32, open_gets=9)
+    clock, front, limits = Clock(), BrokenFront(), planned(1024, 192, 32, open_gets=9)
     front.handle = lambda now, notes: []
     log, connection = Log("n1", 0, 1), FakeConnection()
     turn = Turn(clock, front, limits, log)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -38,14 +38,15 @@
 
 
 def accepting(listener, serve):
-    """Hand each connection that comes to `serve`, in a thread of its own."""
+    """Hand each connection that comes to `serve`, until that says to accept no more."""
     def run():
         while True:
             try:
                 connection, _ = listener.accept()
             except OSError:
                 return
-            threading.Thread(target=serve, args=(connection,), daemon=True).start()
+            if serve(connection):
+                return
 
     threading.Thread(target=run, daemon=True).start()
 
@@ -72,7 +73,8 @@
     def __init__(self, name, kind, zone):
         self.name, self.kind, self.zone = name, kind, zone
         self.listener, self.asked, self.deaf, self.connected = listening(), queue.Queue(), False, 0
-        self.cut_off = set()
+        self.cut_off, self.crowding, self.crowded = set(), [], False
+        self.accepted_last = threading.Event()
         accepting(self.listener, self.serve)
 
     def entry(self, phase="in_service", **changes):
@@ -80,7 +82,13 @@
                 "flavor": self.kind, "cell": 0, "phase": phase, "size": 6, "up_since_ms": 0} | changes
 
     def serve(self, connection):
+        if self.crowded:
+            self.accepted_last.set()
+            return True
         self.connected += 1
+        threading.Thread(target=self.read, args=(connection,), daemon=True).start()
+
+    def read(self, connection):
         stream = connection.makefile("rb")
         try:
             while line := stream.readline():
@@ -98,6 +106,21 @@
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def crowd(self):
+        """Stop accepting and fill the queue of the listener, so that no connection comes up any more."""
+        self.crowded = True
+        self.crowding.append(socket.create_connection(self.listener.getsockname()))  # the last accepted
+        self.accepted_last.wait(BOUND)
+        self.listener.listen(0)
+        while True:
+            one = socket.socket()
+            one.settimeout(0.3)
+            self.crowding.append(one)
+            try:
+                one.connect(self.listener.getsockname())
+            except TimeoutError:
+                return
+
     def next(self, word="ASK"):
         asked = self.asked.get(timeout=BOUND)
         assert asked.word == word, (asked.word, asked.fields)
@@ -142,8 +165,8 @@
         self.socket = socket.create_connection((host, int(port)), timeout=BOUND)
         self.stream = self.socket.makefile("rb")
 
-    def send(self, target="/invoke/video/7f3a9c21e0b4d655?block=3", body=None, txn="9b1f03aa5c7e2d41", ttl=5000,
-             **fields):
+    def send(self, target="/invoke/video/7f3a9c21e0b4d655?block=3", body=None, txn="9b1f03aa5c7e2d41",
+             ttl=5000, **fields):
         told = {"Host": "app.svc", "X-Txn": txn, "X-Ttl-Ms": ttl, "X-Family": 17} | {
             name.replace("_", "-"): value for name, value in fields.items()}
         if body is not None:
