--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -9,7 +9,7 @@
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import LoopingCall
-from twisted.logger import globalLogPublisher
+from twisted.logger import globalLogBeginner
 
 from limepath.choice import Front
 from limepath.front import opening
@@ -24,8 +24,7 @@
     """Put the parts together; give the log, the clients and a Deferred that fires once these can connect."""
     limits = told.limits
     log = Log(told.name, limits.log_lines, limits.log_span)
-    globalLogPublisher.addObserver(lambda event: "log_failure" in event and log.say(
-        "fault", f"{event['log_failure'].type.__name__}: {event['log_failure'].getErrorMessage()}"))
+    globalLogBeginner.beginLoggingTo([log.observe], discardBuffer=True, redirectStandardIO=False)
     turn = Turn(reactor, Front(seed=told.seed, **told.arguments), limits, log)
     clients = Clients(reactor, turn, limits, log, told.services)
     probe_word = b"INFO" if told.reports else b"NOOP"
@@ -41,7 +40,10 @@
 
     def sweep():
         for part in (clients, caches, changes):
-            part.sweep()
+            try:
+                part.sweep()
+            except Exception as flaw:  # whatever it is, the others' turn comes, and this one's again
+                log.fault("sweep", flaw)
 
     def ready(_):
         changes.follow(*told.changelog)
--- a/limepath/front/log.py
+++ b/limepath/front/log.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+import traceback
 
 
 class Log:
@@ -22,6 +23,16 @@
             held += 1
         self.kinds[kind] = since, said, held
 
+    def observe(self, event):
+        """Take what Twisted caught: an exception in one connection or timer, which it has ended."""
+        if failure := event.get("log_failure"):
+            self.fault(event.get("log_namespace", "twisted"), failure.value)
+
+    def fault(self, where, flaw):
+        frames = traceback.extract_tb(flaw.__traceback__)
+        at = f" ({frames[-1].name}, line {frames[-1].lineno})" if frames else ""
+        self.say("fault", f"{where}: {type(flaw).__name__}: {flaw}{at}")
+
     def write(self, kind, text):
         try:
             print(f"limepath {self.name}: {kind}: {text}", file=sys.stderr, flush=True)
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -1,7 +1,6 @@
 """The loop between sockets and module: the notes of one pass of the reactor, one `handle`, then orders."""
 
 import time
-import traceback
 
 from limepath import contract as c
 
@@ -18,7 +17,7 @@
 class Turn:
     def __init__(self, reactor, front, limits, log):
         self.reactor, self.front, self.limits, self.log = reactor, front, limits, log
-        self.notes, self.called = [], False
+        self.notes, self.called, self.retold = [], False, set()
         self.carriers = {
             c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
             c.Subscribe: self.followed, c.AskRoster: self.followed,
@@ -44,26 +43,24 @@
         try:
             orders = self.front.handle(clock(), notes)
         except Exception as flaw:  # whatever it is, the GETs concerned are answered and the front lives on
-            self.faulted("handle", flaw)
+            self.log.fault("handle", flaw)
             for note in notes:
                 if isinstance(note, (c.Get, c.Outcome)):
                     self.clients.errored(note)
-            told = [note for note in notes if isinstance(note, (c.Roster, c.Purge))]
-            if len(told) < len(notes):  # drains and purges must not be lost with the rest; twice is harmless
-                self.reactor.callLater(self.limits.fault_pause / 1e6, self.gather, *told, c.Due(0))
+            # drains and purges must not be lost with the rest; they are told once more, which is harmless
+            told = {note for note in notes if isinstance(note, (c.Roster, c.Purge))} - self.retold
+            self.retold |= told
+            again = [note for note in notes if note in told] + [c.Due(0)]
+            self.reactor.callLater(self.limits.fault_pause / 1e6, self.gather, *again)
             return
         for order in orders:
             try:
                 self.carriers.get(type(order), self.unknown)(order)
             except Exception as flaw:
-                self.faulted(type(order).__name__, flaw)
+                self.log.fault(type(order).__name__, flaw)
 
     def followed(self, order):
         """The change log is followed always."""
 
     def unknown(self, order):
         self.log.say("order", f"no way to carry out {type(order).__name__} here")
-
-    def faulted(self, where, flaw):
-        at = traceback.extract_tb(flaw.__traceback__)[-1]
-        self.log.say("fault", f"{where}: {type(flaw).__name__}: {flaw} ({at.name}, line {at.lineno})")
