--- a/limepath/front/opening.py
+++ b/limepath/front/opening.py
@@ -7,7 +7,7 @@
 from limepath.front.changelog import address_of
 from limepath.front.limits import Limits, planned
 
-NAME, LISTEN, CONFIG = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
+NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
 NUMBER = (int, float)
 NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list,
                "safety": dict},
@@ -86,18 +86,18 @@
 
 def read(environ):
     """Give the Opening that the environment and the file it names tell of."""
-    path = environ.get(CONFIG)
+    path = environ.get(CONFIGURATION)
     if not path:
-        raise BadConfiguration(f"{CONFIG}: missing from the environment")
+        raise BadConfiguration(f"{CONFIGURATION}: missing from the environment")
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
     except OSError as flaw:
-        raise BadConfiguration(f"{CONFIG}: {path}: {flaw.strerror}") from None
+        raise BadConfiguration(f"{CONFIGURATION}: {path}: {flaw.strerror}") from None
     except ValueError as flaw:
-        raise BadConfiguration(f"{CONFIG}: {path}: no JSON: {flaw}") from None
+        raise BadConfiguration(f"{CONFIGURATION}: {path}: no JSON: {flaw}") from None
     if not isinstance(told, dict):
-        raise BadConfiguration(f"{CONFIG}: {path}: no JSON object")
+        raise BadConfiguration(f"{CONFIGURATION}: {path}: no JSON object")
     return opening_of(told, environ)
 
 
