--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -93,6 +93,8 @@
                  "sent", "flights", "closed", "timer")
 
     def __init__(self, ident, connection, method, target, fields, body, services):
+        if target.startswith(b"http://"):
+            target = b"/" + target[7:].partition(b"/")[2]
         path, mark, query = target.partition(b"?")
         service, slash, obj = path[len(PATH):].partition(b"/")
         if not path.startswith(PATH) or not slash or service not in services:
@@ -163,6 +165,8 @@
     def read(self):
         limits = self.clients.limits
         if self.head is None:
+            while self.buffer[:2] == b"\r\n":  # an empty line before a head says nothing
+                del self.buffer[:2]
             self.head = read_head(self.buffer, limits.head, limits.fields)
             if self.head is None:
                 return
