A forward ordered as its viewer leaves has its outcome: the GET is kept until the module knows

Seen while reading: an outcome and the end of its viewer in one pass make the module order a forward and its withdrawal; the GET was forgotten by then, so the outcome bore the wrong number and the module held the forward for out for ever, at a cache's room. At fault: Clients.settled dropped the GET before the module had heard. A story with a memory reactor fails without it.

--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -343,9 +343,6 @@
         self.peers[ident].listed(address, since, standing)
 
     def forward(self, order, get):
-        if get is None:
-            self.turn.gather(c.Outcome(order.id, 0, c.Verdict.MOOT, order.cache, 0, 0, True, c.Hint.NONE, {}))
-            return
         flight = Flight(get, order)
         get.sent += 1
         get.flights[flight.number] = flight
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -230,7 +230,7 @@
         self.reactor, self.turn, self.limits, self.log, self.services = reactor, turn, limits, log, services
         self.connections, self.open, self.ids = set(), {}, count(1)
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
-        self.last_call = None
+        self.last_call, self.done = None, []
 
     def listen(self, endpoint):
         """Give a Deferred that fires once clients can connect."""
@@ -304,13 +304,20 @@
         self.settled(get)
 
     def settled(self, get):
-        """A closed GET without forwards is done with."""
-        if get.flights:
-            return
-        if get.timer is not None:
-            get.timer.cancel()
-            get.timer = None
-        self.open.pop(get.id, None)
+        """A closed GET without forwards is done with, once the module has heard all of it: until then it may
+        order one more forward, which needs its outcome."""
+        if not get.flights:
+            if get.timer is not None:
+                get.timer.cancel()
+                get.timer = None
+            self.done.append(get)
+
+    def clear(self):
+        """The module has heard all there was."""
+        done, self.done = self.done, []
+        for get in done:
+            if not get.flights:
+                self.open.pop(get.id, None)
         self.leave_if_done()
 
     def withdraw(self, order, caches):
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -58,6 +58,7 @@
                 self.carriers.get(type(order), self.unknown)(order)
             except Exception as flaw:
                 self.log.fault(type(order).__name__, flaw)
+        self.clients.clear()
 
     def followed(self, order):
         """The change log is followed always."""
