--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -335,7 +335,7 @@
         self.log.say("descriptors", f"{len(held)} connections to caches")
         if idle := [one for one in held if not one.out and not one.retired]:
             min(idle, key=lambda one: one.heard).retire()
-        return False
+        return bool(idle)
 
     def listed(self, ident, name, address, since, standing):
         if ident not in self.peers:
--- a/tests/front_stories.py
+++ b/tests/front_stories.py
@@ -1,13 +1,15 @@
 """Stories of the real front: the program is started and spoken to on loopback sockets."""
 
-
+import contextlib
+import io
 import time
+from types import SimpleNamespace
 
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
 from limepath import contract as c
-from limepath.front.caches import Caches
+from limepath.front.caches import CacheConnection, Caches, Probing
 from limepath.front.clients import Clients
 from limepath.front.limits import planned
 from limepath.front.log import Log
@@ -365,6 +367,34 @@
     assert purge in front.told and not clients.open
 
 
+def test_an_answer_may_be_split_at_any_byte():
+    stream = b"aa DONE rev=1,since=2 4\r\nx\r\ny\r\nbb LACK - 0\r\n\r\np7 FIT use=util:0.5 0\r\n\r\n"
+    for split in range(len(stream) + 1):
+        heard = []
+        told = SimpleNamespace(limits=planned(1024, 192, 32, open_gets=9), send_waiting=lambda: None,
+                               answered_probe=lambda: None, caches=SimpleNamespace(
+                                   ended=lambda flight, verdict, word, fields, body: heard.append((word, body))))
+        connection = CacheConnection(told)
+        connection.out = {b"aa": object(), b"bb": object(), b"p7": Probing(1, b"p7")}
+        connection.dataReceived(stream[:split])
+        connection.dataReceived(stream[split:])
+        assert heard == [(b"DONE", b"x\r\ny"), (b"LACK", b""), (b"FIT", b"")], (split, heard)
+
+
+def test_the_log_counts_what_it_leaves_out():
+    said, log = io.StringIO(), Log("n1", 2, 0.0)
+    with contextlib.redirect_stderr(said):
+        log.span = 60
+        for number in range(5):
+            log.say("cache", f"line {number}")
+        log.say("client", "another kind")
+        log.span = 0
+        log.say("cache", "line 5")
+    assert said.getvalue().splitlines() == [
+        "limepath n1: cache: line 0", "limepath n1: cache: line 1", "limepath n1: client: another kind",
+        "limepath n1: cache: 3 more lines of this kind left out", "limepath n1: cache: line 5"]
+
+
 class EagerFront(BrokenFront):
     """Forwards whatever GET it hears of, once more after each outcome."""
 
