SIGHUP reads the configuration again and follows the change log to its new address

Cause: __main__ had no handler for SIGHUP, and ChangeLog.follow knew one address for life. Now opening.read_again reads and checks the file once more, the change log at the new address is called from the last known event, the old stream and any call under way are dropped; a file that cannot be used is logged with its key and nothing changes; keys that are fixed for a running front are named when they differ.

--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -20,6 +20,11 @@
 from limepath.front.turn import Turn
 
 
+def on(numbers, act):
+    for number in numbers:
+        signal.signal(number, lambda *_: reactor.callFromThread(act))
+
+
 def build(told):
     """Put the parts together; give the log, the clients and a Deferred that fires once these can connect."""
     limits = told.limits
@@ -45,11 +50,22 @@
             except Exception as flaw:  # whatever it is, the others' turn comes, and this one's again
                 log.fault("sweep", flaw)
 
+    def reload():
+        try:
+            (host, port), differing = opening.read_again(os.environ, told)
+        except opening.BadConfiguration as flaw:
+            log.say("reload", f"{flaw}; the running values stay")
+            return
+        for key in differing:
+            log.say("reload", f"{key} differs; it changes at a restart only")
+        log.say("reload", f"follows the change log at {host}:{port} from event {changes.last}")
+        changes.follow(host, port)
+
     def ready(_):
         changes.follow(*told.changelog)
         LoopingCall(sweep).start(limits.sweep / 1e6, now=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: reactor.callFromThread(clients.leave))
+        on((signal.SIGTERM, signal.SIGINT), clients.leave)
+        on((signal.SIGHUP,), reload)
         gc.freeze()
         log.say("ready", f"{len(changes.entries)} members, listening on {told.listen[0]}:{told.listen[1]}")
 
@@ -65,6 +81,7 @@
         flawed.append(f"listen: {failure.value.socketError}")
         reactor.callWhenRunning(reactor.stop)
 
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the front is ready: what it reads is new anyway
     try:
         build(opening.read(os.environ)).addErrback(fail)
     except opening.BadConfiguration as flaw:
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -5,6 +5,7 @@
 from zlib import crc32
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.protocol import Factory, Protocol
 
 from limepath import contract as c
@@ -175,8 +176,8 @@
     def __init__(self, reactor, turn, caches, limits, log, settings, seed):
         self.reactor, self.turn, self.caches, self.limits, self.log = reactor, turn, caches, limits, log
         self.zones, self.kinds, self.seed = list(settings["areas"]), list(settings["models"]), seed
-        self.entries, self.last, self.pauses, self.calls, self.stream = {}, 0, 0, 0, None
-        self.doubted = None
+        self.entries, self.last, self.pauses, self.calls = {}, 0, 0, 0
+        self.stream, self.coming, self.doubted = None, None, None
 
     def known(self, known):
         """Take in the events of the start."""
@@ -238,17 +239,31 @@
             self.turn.gather(c.Purge(int(told["bucket"]), age, 0))
 
     def follow(self, host, port):
-        self.host, self.port = host, port
+        """Follow the log at this address, from the last event taken in, and none before it any more."""
+        self.host, self.port, self.pauses = host, port, 0
+        if self.coming:
+            self.coming.cancel()  # the call under way, or the pause before it
+        if self.stream:
+            self.stream.transport.abortConnection()
+        self.stream = None
         self.call()
 
     def call(self):
         endpoint = TCP4ClientEndpoint(self.reactor, self.host, self.port, timeout=self.limits.connect / 1e6)
-        coming = endpoint.connect(Factory.forProtocol(lambda: Stream(self)))
-        coming.addErrback(lambda failure: self.again(failure.getErrorMessage()))
+        self.coming = endpoint.connect(Factory.forProtocol(lambda: Stream(self)))
+        self.coming.addCallbacks(self.came_up, self.never_came_up)
+
+    def came_up(self, stream):
+        self.coming = None
+
+    def never_came_up(self, failure):
+        if not failure.check(ConnectingCancelledError):  # another address is followed now
+            self.again(failure.getErrorMessage())
 
     def lost(self, stream):
-        self.stream = None
-        self.again("the stream ended")
+        if stream is self.stream:
+            self.stream = None
+            self.again("the stream ended")
 
     def again(self, why):
         """Call again after a pause that doubles, give or take half."""
@@ -256,7 +271,7 @@
         pause = min(self.limits.feed_longest_pause, self.limits.feed_pause << min(10, self.pauses))
         self.pauses, self.calls = self.pauses + 1, self.calls + 1
         share = 0.5 + crc32(b"%d:%d" % (self.seed, self.calls)) / 2 ** 32
-        self.reactor.callLater(pause * share / 1e6, self.call)
+        self.coming = self.reactor.callLater(pause * share / 1e6, self.call)
 
     def sweep(self):
         if self.stream and clock() - self.stream.heard > self.limits.feed_silence:
--- a/limepath/front/limits.py
+++ b/limepath/front/limits.py
@@ -32,7 +32,7 @@
     fault_pause: int = 50_000
     feed_silence: int = 2_500_000
     feed_pause: int = 100_000  # the first before the change log is called again; they double
-    feed_longest_pause: int = 1_000_000
+    feed_longest_pause: int = 600_000
     sweep: int = 500_000  # between looks at what is idle or silent
     leaving: int = 900_000  # after SIGTERM; new GETs come for 600 ms of it, the rest is for a busy core
     log_lines: int = 5  # of one kind
--- a/limepath/front/opening.py
+++ b/limepath/front/opening.py
@@ -9,6 +9,7 @@
 
 NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
 NUMBER = (int, float)
+FIXED = ("name", "listen", "seed", "settings", "limits")  # `known` is of the start; the log tells what follows
 NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list,
                "safety": dict},
           "safety.": dict.fromkeys(("cold-share", "cold", "overload-factor", "tip-after", "answer-slack",
@@ -101,6 +102,13 @@
     return opening_of(told, environ)
 
 
+def read_again(environ, running):
+    """Give the change log's address as the file names it now, and the keys that differ from those of the
+    running front but can't change in it."""
+    told = read(environ)
+    return told.changelog, [key for key in FIXED if getattr(told, key) != getattr(running, key)]
+
+
 def opening_of(told, environ):
     seed = part(told, "seed", str)
     try:
--- a/tests/front_stories.py
+++ b/tests/front_stories.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import json
 import time
 from types import SimpleNamespace
 
@@ -15,7 +16,7 @@
 from limepath.front.log import Log
 from limepath.front.opening import opening_of
 from limepath.front.turn import Turn
-from tests.stand_ins import (BOUND, MS, SETTINGS, Site, address, configuration, free_address, listening,
+from tests.stand_ins import (BOUND, MS, SETTINGS, Site, StandInChangeLog, address, configuration, free_address, listening,
                              started)
 
 NOW = "rev=4be0c1927d55a6f3,since=1764576000123"
@@ -164,6 +165,30 @@
         assert site.health()[0] == 200
 
 
+def test_a_reload_follows_the_change_log_to_another_address_and_disturbs_no_get():
+    with Site() as site:
+        assert site.log.called() == 1
+        viewer = site.viewer().send()
+        asked = site.cache.next()
+        site.log.tell(2, invalidate={"bucket": 3, "time": int(time.time() * 1000)})
+        for flawed in ("{", json.dumps(site.configuration | {"changelog": "nowhere"})):
+            site.reload(flawed)
+            assert site.heard("reload: ").endswith("the running values stay")
+        old, site.log = site.log, StandInChangeLog()
+        site.reload(json.dumps(site.configuration | {"changelog": address(site.log.listener), "seed": "1"}))
+        assert "seed" in site.heard("reload: ") and site.log.called() == 2  # SIGHUP once ended the front
+        for _ in range(2):
+            site.reload(json.dumps(site.configuration | {"changelog": address(site.log.listener)}))
+            assert site.log.called() == 2 and old.calls.empty()
+        now = int(time.time() * 1000)
+        site.log.tell(3, invalidate={"bucket": 17, "time": now})
+        asked.answer("DONE", NOW, b"x")
+        assert viewer.answer()[::2] == (200, b"x")
+        while "cap" not in (asked := viewer.send() and site.cache.next()).fields:
+            asked.answer("DONE", NOW)
+            assert viewer.answer()[0] == 200
+
+
 def test_a_silent_change_log_is_called_anew():
     with Site() as site:
         assert [site.log.called(), site.log.called()] == [1, 1]
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -241,9 +241,10 @@
 
     def start(self):
         """Whether the front came up; its port may have been taken since it was found free."""
-        self.where, self.said = free_address(), []
-        self.process = started(configuration(self.where, **self.told))
-        threading.Thread(target=lambda: self.said.extend(self.process.stderr), daemon=True).start()
+        self.where, self.said, self.lines = free_address(), [], queue.Queue()
+        self.configuration = configuration(self.where, **self.told)
+        self.process = started(self.configuration)
+        threading.Thread(target=self.listen, daemon=True).start()
         end = time.monotonic() + BOUND
         while time.monotonic() < end and self.process.poll() is None:
             try:
@@ -251,6 +252,22 @@
             except ConnectionRefusedError:
                 time.sleep(0.02)
 
+    def listen(self):
+        for line in self.process.stderr:
+            self.said.append(line)
+            self.lines.put(line)
+
+    def heard(self, word):
+        """The next line of the front's log that holds the word."""
+        while word not in (line := self.lines.get(timeout=BOUND)):
+            pass
+        return line.rstrip()
+
+    def reload(self, text):
+        with open(self.process.file.name, "w", encoding="utf-8") as file:
+            file.write(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def __enter__(self):
         assert any(self.start() for _ in range(3)), f"the front did not start: {self.said}"
         return self
