An error that comes quickly does not narrow the fetch window

A log of every outcome showed nearly all fills ordered 'held only' and ending LACK at the healthy parents. Ruled out: the caches (same share of errors through each), the change log (told in time), the origin (direct fills good). Cause: Door.ended, where any ERRORED fetch keeps a tenth of the window. It is meant for fetches that queue at a slow origin; an error within the latency objective queues nothing. Holds against any member above that errs fast; may hurt where a quick error is the sign of an origin close to falling, since the window then stays open (its queue still shows as late fills).

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -1,8 +1,7 @@
 """All decisions of a limepath front: Greedy-Dual-Size-Frequency (docs/design.md) and the guards around it.
 
-A host makes one `Front(seed=..., ...)` per instance and calls `front.handle(now, notes)`, which returns the
-orders to carry out. What passes in and out is in limepath/contract.py. Times are whole microseconds.
-Inside, each part is an actor with an inbox; `Loop` empties the inboxes in the order in which notes were put.
+A host makes one `Front` per instance; `handle(now, notes)` gives the orders to carry out (see contract.py).
+Times are whole microseconds. Inside, actors with inboxes, which `Loop` empties in the order of the notes put.
 A GET goes Door -> Shelf (rank) -> Door -> Cache (has it room?) -> Gate (the five rules) -> order.
 """
 
@@ -434,9 +433,10 @@
             self.fetches.remove(flight)
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
-            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5:
-                self.window *= YIELD if note.verdict == Verdict.RETURNED else LOST
-                self.window = max(self.least, self.window)
+            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and (
+                    note.verdict != Verdict.ERRORED or note.took > get.ds.objective):  # quick, it jams nothing
+                lasting = YIELD if note.verdict == Verdict.RETURNED else LOST
+                self.window = max(self.least, self.window * lasting)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
