A forward has a connection to itself; one break is one strike; a copy's tag and time are checked

Lines: Peer.send (min over shared connections), Cache.ended and Cache.probed in the module. Ruled out: spoilt answers passed on (none), the change log's breaks (followed within 0.3 s). Change: Peer.fit_for gives a forward an idle connection, else a new one while there is room, else shares; an id goes out once a connection, so that a second copy cannot pass for the next answer; forwards not written whole when their connection ends are CONNECT_FAILED, which is proven; DONE and KEEP must bear a tag and a time within the age asked for; an answer that stands still for 1 s ends its connection; a probe goes where it has been quiet for longest. In the module what breaks at one moment is one strike, also under a probe, and a first break leaves the GET at its cache.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -30,8 +30,7 @@
 SATED = 0.95  # load that a member reports above which its room shrinks
 LONG_GONE = 2_000_000  # silent this long, a member is taken to have restarted empty
 MARGIN, SPREAD = 0.8, 2  # share of the cold budget spent; deviations left free where forwards fall by chance
-COME_BACK = 0.1  # of the longest wait, give or take half: a repeat is in time; 0.2 alike, 0.75 far worse
-TICK = 50_000
+TICK, COME_BACK = 50_000, 0.1  # of the longest wait, give or take half: a repeat is in time; 0.75 far worse
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
 STUCK = (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED, Verdict.FULL)
 MIX = (1 << 64) - 1
@@ -140,13 +139,13 @@
         self.upper, self.warming, self.warm_at, self.ease = upper, warming, 0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
-        self.member, self.missed, self.strikes, self.doubt_since = None, 0, 0, None
+        self.member, self.missed, self.strikes, self.struck, self.unsure = None, 0, 0, None, None
 
     def listed(self, member, sharing, lanes, weighted):
         if member.started:
             self.warm_at = max(self.warm_at, member.started + self.warming)
         if self.member is None or member.started > self.member.started:
-            self.missed, self.strikes, self.doubt_since, self.heard = 0, 0, None, self.loop.now
+            self.missed, self.strikes, self.struck, self.unsure, self.heard = 0, 0, None, None, self.loop.now
         self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
 
     def offer(self, get):
@@ -160,38 +159,40 @@
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
     def took(self, flight):
-        if not self.out:
-            self.heard = max(self.heard, self.loop.now)
+        self.heard = self.heard if self.out else self.loop.now
         self.out.add(flight)
 
     def ended(self, flight, verdict, mine, strained):
         self.out.discard(flight)
         if strained is not None:
             self.eased(strained)
-        broken = verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT
         self.suspect |= verdict == Verdict.FULL and not mine  # down, sated, or its own fetches stick: ask
-        if broken:
-            self.strikes += 1
-            if self.strikes >= STRIKES:
-                self.silent(verdict)
+        if verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT:
+            self.broke(verdict)
         elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
             self.alive()
 
+    def broke(self, verdict):
+        self.strikes += self.struck != self.loop.now  # what breaks at one moment may be one connection
+        self.struck = self.loop.now
+        if self.strikes >= STRIKES:
+            self.silent(verdict)
+
     def eased(self, strained):
         """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
         self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
 
     def alive(self):
         self.heard = self.loop.now
-        if self.warming and self.doubt_since is not None and self.heard - self.doubt_since > LONG_GONE:
+        if self.warming and self.unsure is not None and self.heard - self.unsure > LONG_GONE:
             self.warm_at = self.heard + self.warming
             self.loop.put(self.gate, "started", self.id, self.heard)
-        self.missed, self.strikes, self.doubt_since = 0, 0, None
+        self.missed, self.strikes, self.struck, self.unsure = 0, 0, None, None
 
     def silent(self, verdict):
         self.missed += 1
-        if self.doubt_since is None:
-            self.doubt_since = self.loop.now
+        if self.unsure is None:
+            self.unsure = self.loop.now
         if self.missed >= DOUBT_AFTER or verdict in BROKEN:
             self.loop.put(self.door, "recall", self)
 
@@ -210,7 +211,7 @@
         elif report.verdict == Verdict.FULL:  # proves neither life nor silence, but strain
             self.eased(True)
         elif sent is not None and self.heard <= sent:
-            self.silent(report.verdict)
+            (self.broke if report.verdict in BROKEN else self.silent)(report.verdict)
 
 
 class Gate(Actor):
@@ -434,7 +435,7 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
             elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and (
-                    note.verdict != Verdict.ERRORED or note.took > get.ds.objective):  # quick, it jams nothing
+                    note.verdict != Verdict.ERRORED or note.took > get.ds.objective):  # quick jams nothing
                 lasting = YIELD if note.verdict == Verdict.RETURNED else LOST
                 self.window = max(self.least, self.window * lasting)
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
@@ -452,8 +453,9 @@
             self.fall_back(get)
             return
         get.filling = note.verdict == Verdict.MISS and source is cache
-        if not get.filling:  # a broken connection to the cache says nothing of the source
-            get.passed.update((cache,) if note.verdict in BROKEN else (cache, source))
+        broken = note.verdict in BROKEN  # says nothing of the source, and once, nothing of the cache
+        if not get.filling and not (broken and cache.struck in (None, self.loop.now)):
+            get.passed.update((cache,) if broken else (cache, source))
         self.step(get)
 
     def give_up(self, get):
@@ -472,8 +474,7 @@
             self.loop.orders.append(Withdraw(*get.out))
 
     def left(self, note):
-        get = self.open.pop(note.id, None)
-        if get:
+        if get := self.open.pop(note.id, None):
             get.closed = True
             if get.ds.repeats == Repeats.IDEMPOTENT and isinstance(note, Left):  # a stream that began goes on
                 self.withdraw(get)
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from limepath import contract as c
-from limepath.front.turn import clock
+from limepath.front.turn import clock, unix_clock
 from limepath.opening_values import LOAD_NAMES
 
 VERDICTS = {b"DONE": c.Verdict.RETURNED, b"KEEP": c.Verdict.RETURNED, b"LACK": c.Verdict.MISS,
@@ -81,10 +81,25 @@
     return load
 
 
+def check_copy(flight, word, fields, body, skew):
+    """What is spoilt must not pass for a whole answer: a copy tells its tag and since when it is out."""
+    get, oldest = flight.get, flight.order.oldest
+    if word == b"KEEP" and (not get.have or body):
+        raise Unreadable("KEEP without a copy to keep, or with one")
+    tag, since = fields.get(b"rev"), fields.get(b"since")
+    if get.note.write and tag is since is None:
+        return
+    if not tag or not tag.isalnum() or not since or not since.isdigit() or len(since) > 15:
+        raise Unreadable("no tag or no time of the copy")
+    age = unix_clock() - int(since) * 1000
+    if age < -skew or oldest and age > oldest + clock() - flight.at + skew:
+        raise Unreadable(f"a copy {age // 1000} ms old")
+
+
 class Flight:
     """One forward on its way."""
 
-    __slots__ = ("get", "number", "order", "at", "limit", "connection", "tag", "timer")
+    __slots__ = ("get", "number", "order", "at", "limit", "connection", "tag", "timer", "end")
 
     def __init__(self, get, order):
         self.get, self.order, self.number, self.tag = get, order, get.sent, get.txn
@@ -114,7 +129,7 @@
 class Probing:
     """One probe on its way."""
 
-    __slots__ = ("cache", "at", "tag", "timer", "connection")
+    __slots__ = ("cache", "at", "tag", "timer", "connection", "end")
 
     def __init__(self, cache, tag):
         self.cache, self.at, self.tag, self.timer, self.connection = cache, clock(), tag, None, None
@@ -125,7 +140,7 @@
     """One connection: commands out, answers in, in any order."""
 
     def __init__(self, peer):
-        self.peer, self.out, self.spent = peer, {}, set()
+        self.peer, self.out, self.past, self.queued = peer, {}, deque(maxlen=peer.limits.past), 0
         self.buffer, self.answer = bytearray(), None
         self.up = self.full = self.retired = self.silent = False
         self.heard = clock()
@@ -146,23 +161,36 @@
         self.full = True
 
     def takes(self, tag):
-        """Whether one more may go out here; an id given up here could be mistaken for its next forward."""
+        """Whether one more may go out here; a second or late answer to an id that was out here before could
+        be taken for its next forward's."""
         return (self.up and not (self.full or self.retired or self.silent) and tag not in self.out
-                and tag not in self.spent and len(self.out) < self.peer.limits.streams)
+                and tag not in self.past and len(self.out) < self.peer.limits.streams)
 
     def send(self, flight, *pieces):
         self.out[flight.tag], flight.connection = flight, self
+        self.past.append(flight.tag)
+        self.queued += sum(map(len, pieces))
+        flight.end = self.queued
         self.transport.writeSequence(pieces)
 
+    def quiet_since(self):
+        """Since when something out here has heard nothing."""
+        return max(self.heard, min(flight.at for flight in self.out.values()))
+
+    def unsent(self):
+        """Bytes that were never handed to the system."""
+        held = self.transport
+        return len(held.dataBuffer) - held.offset + sum(map(len, held._tempDataBuffer))
+
     def give_up(self, flight, unanswered=False):
         """Tell the cache that nobody waits. Where it has been silent since, nothing more is sent here until
         it speaks again."""
         del self.out[flight.tag]
         if isinstance(flight, Flight):
-            self.spent.add(flight.tag)
-            self.transport.write(b"QUIT %b\r\n" % flight.tag)
+            line = b"QUIT %b\r\n" % flight.tag
+            self.queued += len(line)
+            self.transport.write(line)
         self.silent |= unanswered and self.heard < flight.at
-        self.retired |= len(self.spent) > 1000
         self.close_if_done()
 
     def retire(self):
@@ -210,12 +238,11 @@
     def answered(self, tag, word, fields, body):
         flight = self.out.get(tag)
         if flight is None:
-            self.spent.discard(tag)  # late: it was given up
-            return
+            return  # late, a second copy, or nobody's
         if word not in (PROBE_WORDS if isinstance(flight, Probing) else FORWARD_WORDS):
             raise Unreadable(f"{word!r} is no answer to that")
-        if word == b"KEEP" and not flight.get.have:
-            raise Unreadable("KEEP without a copy to keep")
+        if word in (b"DONE", b"KEEP"):
+            check_copy(flight, word, fields, body, self.peer.limits.skew)
         del self.out[tag]
         if isinstance(flight, Probing):
             self.peer.answered_probe()
@@ -225,7 +252,7 @@
 
     def connectionLost(self, reason):
         self.up = False
-        self.peer.lost(self)
+        self.peer.lost(self, self.queued - self.unsent())
 
 
 class Peer:
@@ -243,14 +270,13 @@
         self.address, self.since = address, since
 
     def send(self, flight):
-        fit = [connection for connection in self.connections if connection.takes(flight.tag)]
-        if not fit:
+        """A forward has a connection to itself where one can be had: what breaks takes no other along."""
+        connection = self.fit_for(flight)
+        if connection is None:
             self.waiting.append(flight)
             self.caches.time(flight, self.limits.wait, self.overdue)
             self.connect()
-            return
-        connection = min(fit, key=lambda one: len(one.out))
-        if isinstance(flight, Probing):
+        elif isinstance(flight, Probing):
             connection.send(flight, self.caches.probe_word + b" %b\r\n" % flight.tag)
             self.caches.time(flight, self.limits.probe, self.caches.unanswered)
         else:
@@ -258,22 +284,36 @@
             if flight.limit < flight.get.due:
                 self.caches.time(flight, flight.limit - clock(), self.caches.timed_out)
 
+    def fit_for(self, flight):
+        fit = [connection for connection in self.connections if connection.takes(flight.tag)]
+        busy = [connection for connection in fit if connection.out]
+        if isinstance(flight, Probing) and busy:  # asked where it has been quiet for longest
+            return min(busy, key=CacheConnection.quiet_since)
+        if len(busy) < len(fit):
+            return max((one for one in fit if not one.out), key=lambda one: one.heard)
+        if self.coming > len(self.waiting) or self.may_connect():
+            return None
+        return min(busy, key=lambda one: len(one.out), default=None)
+
     def send_waiting(self):
         for _ in range(len(self.waiting)):
             flight = self.waiting.popleft()
-            if any(connection.takes(flight.tag) for connection in self.connections):
+            if self.fit_for(flight):
                 self.caches.still(flight)
                 self.send(flight)
             else:
                 self.waiting.append(flight)
 
+    def may_connect(self):
+        return self.coming + len(self.connections) < self.limits.cache_connections and self.caches.spare()
+
     def connect(self):
-        streams = self.limits.streams
-        if self.coming * streams >= len(self.waiting):
-            return
-        if self.coming + len(self.connections) >= self.limits.cache_connections or not self.caches.spare():
+        """One connection for each forward that waits, as far as there is room."""
+        if self.coming >= len(self.waiting) or not self.may_connect():
             return
+        self.caches.make_room()
         self.coming += 1
+        self.caches.held += 1
         connection = CacheConnection(self)
         host, port = self.address
         endpoint = TCP4ClientEndpoint(self.caches.reactor, host, port, timeout=self.limits.connect / 1e6)
@@ -288,11 +328,13 @@
             self.send_waiting()
 
     def never_came_up(self, failure):
+        """The first that waits has failed; all have, where no other connection is there or coming."""
         self.coming -= 1
+        self.caches.held -= 1
         failure.trap(ConnectError)
-        waiting, self.waiting = self.waiting, deque()
-        for flight in waiting:
-            self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
+        for _ in range(len(self.waiting) if not (self.coming or self.connections) else 1):
+            if self.waiting:
+                self.caches.ended(self.waiting.popleft(), c.Verdict.CONNECT_FAILED)
 
     def answered_probe(self):
         for connection in self.connections:
@@ -303,12 +345,13 @@
         self.waiting.remove(flight)
         self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
 
-    def lost(self, connection):
+    def lost(self, connection, sent):
+        self.caches.held -= 1
         if connection in self.connections:
             self.connections.remove(connection)
         out, connection.out = connection.out, {}
-        for flight in out.values():
-            self.caches.ended(flight, c.Verdict.RESET)
+        for flight in out.values():  # what was not written whole has not run
+            self.caches.ended(flight, c.Verdict.RESET if flight.end <= sent else c.Verdict.CONNECT_FAILED)
         if self.waiting:
             self.connect()
 
@@ -318,7 +361,7 @@
 
     def __init__(self, reactor, turn, clients, limits, log, probe_word):
         self.reactor, self.turn, self.clients, self.limits, self.log = reactor, turn, clients, limits, log
-        self.probe_word, self.peers, self.names, self.tags = probe_word, {}, {}, count(1)
+        self.probe_word, self.peers, self.names, self.tags, self.held = probe_word, {}, {}, count(1), 0
 
     def time(self, flight, span, then):
         flight.timer = self.reactor.callLater(max(0, span) / 1e6, then, flight)
@@ -328,14 +371,17 @@
             flight.timer.cancel()
 
     def spare(self):
-        """Whether there is a descriptor for one more connection; else the longest idle one makes room."""
+        """Whether there is a descriptor for one more connection, or an idle one that can make room."""
+        return self.held < self.limits.all_cache_connections or bool(self.idle())
+
+    def idle(self):
         held = [one for peer in self.peers.values() for one in peer.connections]
-        if len(held) + sum(peer.coming for peer in self.peers.values()) < self.limits.all_cache_connections:
-            return True
-        self.log.say("descriptors", f"{len(held)} connections to caches")
-        if idle := [one for one in held if not one.out and not one.retired]:
-            min(idle, key=lambda one: one.heard).retire()
-        return bool(idle)
+        return [one for one in held if not (one.out or one.retired)]
+
+    def make_room(self):
+        if self.held >= self.limits.all_cache_connections:
+            self.log.say("descriptors", f"{self.held} connections to caches")
+            min(self.idle(), key=lambda one: one.heard).retire()
 
     def listed(self, ident, name, address, since, standing):
         if ident not in self.peers:
@@ -398,9 +444,12 @@
             self.clients.settled(get)
 
     def sweep(self):
-        """Close what has been idle for long, before the cache does."""
+        """Close what has been idle for long, before the cache does, and what stands still in an answer."""
         now = clock()
         for peer in self.peers.values():
             for connection in list(peer.connections):
                 if not connection.out and now - connection.heard > self.limits.cache_idle:
                     connection.retire()
+                elif connection.answer and now - connection.heard > self.limits.stall:
+                    self.log.say("cache", f"{peer.name}: an answer stands still; connection closed")
+                    connection.transport.abortConnection()
--- a/limepath/front/limits.py
+++ b/limepath/front/limits.py
@@ -13,12 +13,15 @@
     all_cache_connections: int
     streams: int  # forwards out on one connection
     open_gets: int
-    cache_connections: int = 8  # to one cache, parent or origin
+    cache_connections: int = 64  # to one cache, parent or origin
     head: int = 8192
     fields: int = 64  # header fields of a GET
     body: int = 48_000  # of a PUT
     answer: int = 240_000
     line: int = 4096  # of a cache's answer
+    past: int = 64  # ids remembered on a connection
+    skew: int = 100_000  # by which another machine's clock may be off
+    stall: int = 1_000_000  # within an answer, until its connection is given up
     event: int = 4_000_000  # of the change log
     connect: int = 400_000
     wait: int = 300_000  # of a forward for a connection
--- a/limepath/front/opening.py
+++ b/limepath/front/opening.py
@@ -9,7 +9,7 @@
 
 NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
 NUMBER = (int, float)
-FIXED = ("name", "listen", "seed", "settings", "limits")  # `known` is of the start; the log tells what follows
+FIXED = ("name", "listen", "seed", "settings", "limits")  # `known` is of the start, the log tells more
 NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list,
                "safety": dict},
           "safety.": dict.fromkeys(("cold-share", "cold", "overload-factor", "tip-after", "answer-slack",
