A fetch lost among timely ones closes the window mildly; a wide window grows in proportion

Lines: Door.ended (LOST, GROW). Holds against single answers lost of whatever cause; may hurt where half of an origin's answers stick and the rest are quick: late ones then still narrow by 0.85 each.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -22,7 +22,8 @@
 EASED, LEAST_EASE = 0.7, 0.02  # share of its room that a strained member keeps each time, and at the least
 FILLS = 2.2  # fills out, in this front's share of the link: less sheds, more is late; 2 to 2.5 are alike
 LIGHT, HEAVY = 1.5, 0.7  # times that for GETs under half their latency objective in size, and over it
-GROW, YIELD, LOST = 5, 0.85, 0.1  # a window gains GROW / window by a fetch in time, keeps these after others
+GROW, USUAL = 5, 40  # a window gains GROW / window by a fetch in time, in proportion to a room over USUAL
+YIELD, LOST = 0.85, 0.1  # of it kept after a late fetch, or one lost among timely ones, and after others lost
 LEAST_FETCHES, DOUBLING = 4, 3_000_000  # least window of all fronts; time in which one below 1 doubles
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET, PACE = 200_000, 1_000_000  # silence with an answer owed before a probe, and between probes that answer
@@ -292,8 +293,7 @@
 
     def forward(self, get, cache, source):
         if barred := self.barred(get, cache, source):
-            self.loop.put(self.door, "barred", get, *barred)
-            return
+            return self.loop.put(self.door, "barred", get, *barred)
         for ident in dict.fromkeys((cache.id, source.id)):
             if ident in self.starts:
                 self.starts[ident][2].append((self.loop.now, get.work))
@@ -325,7 +325,9 @@
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = max(1, FILLS * link / self.flow_kb_s / footprint.fronts_in_zone) if link else 1e9
-        self.looked, self.window, self.least = 0, self.fill_room, min(1, LEAST_FETCHES / footprint.fronts)
+        self.looked, self.fetched, self.window = 0, 0, self.fill_room
+        self.least = min(1, LEAST_FETCHES / footprint.fronts)
+        self.grow = GROW * max(1, min(link, self.fill_room) / USUAL)
         self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
         self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
@@ -352,8 +354,7 @@
         """Offer the GET to the next in hash order: first a look at a cache, then a parent to fill from."""
         above = get.filling or get.direct
         if above and not get.ds.uncacheable and len(self.fills) >= self.fill_room * get.claim:
-            self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
-            return
+            return self.fall_back(get)  # one more on a jammed link makes all fills late, whatever jams it
         line = get.above if above else get.walk
         left = next((m for m in line if m not in get.passed), None)
         if left:
@@ -371,8 +372,7 @@
         return len(self.fetches) < self.window and (self.window >= 1 or self.loop.chance() < self.window)
 
     def fall_back(self, get):
-        """No fill is to be had: an ageing copy will do where allowed. No cache has room: past them, straight
-        to a parent, where the link has room. Else the GET is given up."""
+        """No fill is to be had: an ageing copy will do. No cache has room: to a parent. Else give it up."""
         if get.filling and get.ds.grace and not get.stale:
             get.stale, get.filling, get.passed = True, False, set()
             self.step(get)
@@ -431,11 +431,12 @@
         if flight in self.fetches:
             self.fetches.remove(flight)
             if in_time:
-                self.window = min(self.fill_room, self.window + min(self.window, GROW / self.window))
+                self.window = min(self.fill_room, self.window + min(self.window, self.grow / self.window))
+                self.fetched = self.loop.now
             elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and (
                     note.verdict != Verdict.ERRORED or note.took > get.ds.objective):  # quick jams nothing
-                lasting = YIELD if note.verdict == Verdict.RETURNED else LOST
-                self.window = max(self.least, self.window * lasting)
+                mild = note.verdict == Verdict.RETURNED or self.loop.now - self.fetched < QUIET
+                self.window = max(self.least, self.window * (YIELD if mild else LOST))
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
         if note.verdict in NEVER_RAN and get.ran_by == note.forward:
@@ -448,8 +449,7 @@
 
     def again(self, get, cache, source, note):
         if note.verdict == Verdict.MISS and get.held:
-            self.fall_back(get)
-            return
+            return self.fall_back(get)
         get.filling = note.verdict == Verdict.MISS and source is cache
         broken = note.verdict in BROKEN  # says nothing of the source, and once, nothing of the cache
         if not get.filling and not (broken and cache.struck in (None, self.loop.now)):
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -25,12 +25,12 @@
 
 class FakeHost:
     def __init__(self, services=(service(),), fleet=FLEET, seed=7, fronts=2, nearby=1, weighted=True,
-                 **allowed):
+                 link=9000.0, **allowed):
         allowance = c.Allowance(forwards=6, overlap=False, withdraw=True, probing=True, peers=False,
                                 come_back=SECOND, direct=True, joins=False, lateral="none", subscribe=False)
         self.front = Front(
             seed=seed, services=services,
-            footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(9000.0, 0.0), fronts_in_zone=nearby,
+            footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(link, 0.0), fronts_in_zone=nearby,
                                   fronts=fronts, parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0,
                                   weighted=weighted),
             allowance=allowance._replace(**allowed),
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -370,6 +370,29 @@
     assert errs > 10 and not any(held)
 
 
+def fill(host, obj, verdict, took=1000):
+    filled = forwards(host.end(host.get(obj)[0], V.MISS))[0]
+    host.wait(1000)
+    host.end(filled, verdict, 1, closed=True, took=took)
+
+
+def test_one_fetch_lost_among_timely_ones_leaves_the_window_open_and_a_wide_one_grows_in_proportion():
+    host = FakeHost()
+    fill(host, 1, V.RETURNED)
+    fill(host, 2, V.TIMED_OUT)
+    assert host.front.door.window > 0.8 * host.front.door.fill_room  # kept a tenth once
+    windows = []
+    for link in (9000.0, 90_000.0):
+        host = FakeHost(link=link)
+        for obj in range(8):
+            fill(host, obj, V.TIMED_OUT)
+            host.wait(SECOND)
+        for obj in range(300):
+            fill(host, obj, V.RETURNED)
+        windows.append(host.front.door.window)
+    assert windows[0] == 19.8 and windows[1] > 90  # was 55
+
+
 def test_a_fill_through_a_strained_cache_says_nothing_of_the_origin():
     host = FakeHost(fleet=FLEET[:1] + FLEET[3:])
     for obj in range(3):
