--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -415,8 +415,7 @@
                 self.fetches.add(get.out)
 
     def ended(self, note):
-        flight = (note.id, note.forward)
-        if flight not in self.flights:
+        if (flight := (note.id, note.forward)) not in self.flights:
             return
         get, cache, source = self.flights.pop(flight)
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
@@ -428,14 +427,15 @@
             self.loop.put(source, "ended", flight, note.verdict, False, strained)
         get.out = None
         self.fills.discard(flight)
+        others = self.loop.now - self.fetched < QUIET  # fetches come in time beside this one
         if flight in self.fetches:
             self.fetches.remove(flight)
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, self.grow / self.window))
                 self.fetched = self.loop.now
-            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and (
-                    note.verdict != Verdict.ERRORED or note.took > get.ds.objective):  # quick jams nothing
-                mild = note.verdict == Verdict.RETURNED or self.loop.now - self.fetched < QUIET
+            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and not (  # the object errs, or a parent
+                    others and note.verdict == Verdict.ERRORED):  # this one errs: its object, or one parent
+                mild = note.verdict == Verdict.RETURNED or others and note.verdict == Verdict.TIMED_OUT
                 self.window = max(self.least, self.window * (YIELD if mild else LOST))
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
             self.work[get.dsi] += (note.took - self.work[get.dsi]) // 32
