--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -433,8 +433,8 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, self.grow / self.window))
                 self.fetched = self.loop.now
-            elif note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5 and not (  # the object errs, or a parent
-                    others and note.verdict == Verdict.ERRORED):  # this one errs: its object, or one parent
+            elif (note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5
+                  and not (others and note.verdict == Verdict.ERRORED)):  # its object errs, or one parent
                 mild = note.verdict == Verdict.RETURNED or others and note.verdict == Verdict.TIMED_OUT
                 self.window = max(self.least, self.window * (YIELD if mild else LOST))
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
