A time-out of a GET with little patience counts against no member and no window

Checked: resets (358 breaks, one or two forwards each) put nobody in doubt by themselves. Lines: Door.ended, which passed each time-out on as a loss. Such a time-out now counts as called back. May hurt where all GETs of a service are so short and a member is silent: its probes still tell.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -325,9 +325,8 @@
         self.services, self.allowance, self.flow_kb_s = services, allowance, footprint.flow_kb_s
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = max(1, FILLS * link / self.flow_kb_s / footprint.fronts_in_zone) if link else 1e9
-        self.looked, self.fetched, self.window = 0, 0, self.fill_room
-        self.least = min(1, LEAST_FETCHES / footprint.fronts)
-        self.grow = GROW * max(1, min(link, self.fill_room) / USUAL)
+        self.least, self.looked, self.fetched = min(1, LEAST_FETCHES / footprint.fronts), 0, 0
+        self.window, self.grow = self.fill_room, GROW * max(1, min(link, self.fill_room) / USUAL)
         self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
         self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
@@ -418,6 +417,8 @@
         if (flight := (note.id, note.forward)) not in self.flights:
             return
         get, cache, source = self.flights.pop(flight)
+        if note.verdict == Verdict.TIMED_OUT and note.took < get.ds.objective:
+            note = note._replace(verdict=Verdict.CANCELLED)  # its GET's time was short: nobody is at fault
         in_time = note.verdict == Verdict.RETURNED and note.took < get.ds.objective + get.ds.stretch * get.own
         strained = note.verdict == Verdict.FULL or None
         late = not in_time if note.verdict == Verdict.RETURNED else strained
@@ -443,8 +444,7 @@
             get.ran_at = None
         get.closed |= note.closed
         if get.closed:
-            self.open.pop(get.id, None)
-            return
+            return self.open.pop(get.id, None)
         self.again(get, cache, source, note)
 
     def again(self, get, cache, source, note):
