--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -140,6 +140,7 @@
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
         self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
         self.member, self.missed, self.strikes, self.struck, self.unsure = None, 0, 0, None, None
+        self.doubted = 0
 
     def listed(self, member, sharing, lanes, weighted):
         if member.started:
@@ -170,7 +171,7 @@
         if verdict in BROKEN if mine else verdict == Verdict.TIMED_OUT:
             self.broke(verdict)
         elif verdict == Verdict.RETURNED or mine and verdict in (Verdict.MISS, Verdict.FULL):
-            self.alive()
+            self.alive(self.loop.now)
 
     def broke(self, verdict):
         self.strikes += self.struck != self.loop.now  # what breaks at one moment may be one connection
@@ -182,8 +183,8 @@
         """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
         self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
 
-    def alive(self):
-        self.heard = self.loop.now
+    def alive(self, at):
+        self.heard = at
         if self.warming and self.unsure is not None and self.heard - self.unsure > LONG_GONE:
             self.warm_at = self.heard + self.warming
             self.loop.put(self.gate, "started", self.id, self.heard)
@@ -191,6 +192,7 @@
 
     def silent(self, verdict):
         self.missed += 1
+        self.doubted = self.loop.now
         if self.unsure is None:
             self.unsure = self.loop.now
         if self.missed >= DOUBT_AFTER or verdict in BROKEN:
@@ -201,16 +203,21 @@
         waiting = self.missed or self.suspect or self.out and now - self.heard > QUIET
         if able and waiting and self.probe_at is None and (self.missed == 1 or now - self.asked > PACE):
             self.probe_at, self.asked, self.suspect = now, now, False
-            self.loop.orders.append(Probe(self.id))
+            self.loop.orders.append(Probe(self.id, now - max(self.heard, self.doubted)))
 
     def probed(self, report):
         sent, self.probe_at = self.probe_at, None
+        at = self.loop.now - report.age
+        if report.age and at <= max(self.heard, self.doubted):
+            return  # another front's, older than what this one has seen itself
         if report.verdict == Verdict.RETURNED:
             self.eased(report.load.get("util", 0) > SATED)
-            self.alive()
+            self.alive(at)
         elif report.verdict == Verdict.FULL:  # proves neither life nor silence, but strain
             self.eased(True)
-        elif sent is not None and self.heard <= sent:
+        elif sent is None:  # nobody asked: another front's failure may be of its own way there, so see
+            self.suspect |= report.age > 0
+        elif self.heard <= (at if report.age else sent):
             (self.broke if report.verdict in BROKEN else self.silent)(report.verdict)
 
 
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -209,12 +209,14 @@
 
 
 class ProbeReport(NamedTuple):
-    """`load` maps 'inflight', 'queue', 'util', 'latency_ms', 'qps', 'eps', 'x0', 'x1' as far as told."""
+    """`load` maps 'inflight', 'queue', 'util', 'latency_ms', 'qps', 'eps', 'x0', 'x1' as far as told. `age` is how
+    long ago another front learnt it; 0 where this front's own probe did."""
 
     cache: int
     verdict: Verdict
     took: int
     load: dict
+    age: int = 0
 
 
 class Due(NamedTuple):
@@ -259,7 +261,10 @@
 
 
 class Probe(NamedTuple):
+    """Where fronts share answers, one learnt within the last `oldest` microseconds will do instead."""
+
     cache: int
+    oldest: int = 0
 
 
 class Wake(NamedTuple):
--- /dev/null
+++ b/limepath/duties/host.py
@@ -0,0 +1,229 @@
+"""Beside a front: the instance's timer, store and datagrams; its rounds are probes, its results the module's reports."""
+
+import os
+import time
+
+from limepath import contract as c
+from limepath.duties.instance import Instance
+from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
+from limepath.duties.interface import Keep, Serve, Served, Shared, Targets
+from limepath.peers import control
+from limepath.peers.host import Line, Unopened
+from limepath.peers.identity import identity_of, kept_ceiling
+from limepath.peers.interface import MESSAGES, REFUTALS, Depart, Departed, GiveWay, News, Say, Send
+from limepath.store import DAMAGED, NEW, Held, Store, Unusable
+
+REPORT = 10_000_000  # between lines on what was dropped
+
+
+def clock():
+    """Whole microseconds that go on while the machine sleeps: a lease must not outlive a suspended holder's sleep."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+def drawn():
+    return int.from_bytes(os.urandom(8), "big") >> 1
+
+
+class Cooperation:
+    """One instance of limepath.duties at one front. `told` is its PeersOpening, `front` the front's Opening."""
+
+    def __init__(self, reactor, turn, caches, log, told, front):
+        self.reactor, self.turn, self.caches, self.log, self.told = reactor, turn, caches, log, told
+        try:
+            self.store = Store(told.store)
+            self.line = Line(reactor, told.listen, told.keys, MESSAGES + DUTY_MESSAGES, log, self.gather)
+        except (Held, Unusable, Unopened, OSError) as flaw:
+            raise opening_flaw(told, flaw) from None
+        identity, rows = identity_of(self.store.all(), drawn)
+        self.store.put(rows)
+        self.found, self.identity = self.store.found, identity
+        me = News(identity.token, told.name, *told.listen, identity.life << REFUTALS, time.time_ns() // 1000)
+        self.instance = Instance(me, told.seeds, told.spans, told.plans, told.leasing, front.seed,
+                                 identity.ceiling, identity.sure)
+        self.kinds = self.kinds_of(front)
+        self.members, self.notes, self.called, self.timer, self.over = {}, [], False, None, False
+        self.serving, self.asked, self.control, self.looked, self.said = {}, set(), None, clock(), clock()
+        self.plain_probe = turn.carriers[c.Probe]
+        self.counts = {"probes_asked": 0, "probes_shared": 0, "probes_sent": 0, "rounds": 0, "too_late": 0}
+        turn.listener = self.overheard
+        turn.carriers[c.Probe] = self.probe
+
+    def kinds_of(self, front):
+        """For each duty, the module's kinds of its targets."""
+        place = front.arguments["footprint"]
+        upper = {"parents": place.parent_kind, "origin": place.origin_kind}
+        caches = set(range(len(front.settings["models"]))) - set(upper.values())
+        return [set().union(*(caches if kind == "caches" else {upper[kind]} for kind in self.told.kinds[plan.name]))
+                for plan in self.told.plans]
+
+    def start(self):
+        try:
+            self.line.open()
+            if self.told.control:
+                self.control = control.listen(self.reactor, self.told.control, {"peers": self.shown})
+        except Exception as flaw:  # the front goes on alone; whoever reads the log mends the file
+            self.log.say("sharing-off", str(flaw), file=self.told.file)
+            return self.stop()
+        if self.found == DAMAGED:
+            self.log.say("store-damaged", "joins as a new instance", put_aside=self.store.aside)
+        elif self.found == NEW:
+            self.log.say("store-new", "joins as a new instance", store=self.told.store)
+        self.log.say("sharing", name=self.told.name, listening="%s:%d" % self.told.listen,
+                     life=self.identity.life, token=f"{self.identity.token:016x}", duties=len(self.told.plans))
+        self.carry(self.instance.start(clock()))
+        self.gather(*self.all_targets())
+
+    def gather(self, *notes):
+        """Keep notes until all that this pass of the reactor has ready is read."""
+        self.notes += notes
+        if not self.called and not self.over:
+            self.called = True
+            self.reactor.callLater(0, self.run)
+
+    def run(self):
+        if self.over:
+            return
+        notes, self.notes, self.called = self.notes, [], False
+        try:
+            self.carry(self.instance.handle(clock(), notes))
+        except Exception as flaw:  # GETs go on whatever happens here
+            self.log.fault("sharing", flaw)
+            self.stop()
+
+    def carry(self, orders):
+        me = self.instance.members.me
+        for order in orders:
+            if isinstance(order, Send):
+                self.line.send(me, order)
+            elif isinstance(order, Serve):
+                self.serve(order)
+            elif isinstance(order, Shared):
+                self.learnt(order.result)
+            elif isinstance(order, Keep):
+                self.store.put(kept_ceiling(order.ceiling))
+            elif isinstance(order, Say):
+                self.log.say(order.event, **order.fields)
+            elif isinstance(order, GiveWay):
+                self.log.say("gives-way", order.why + "; this front shares nothing any more", name=order.other.name,
+                             other=f"{order.other.host}:{order.other.port}", life=order.other.life)
+                return self.stop()
+            elif isinstance(order, Departed):
+                return self.stop()
+        self.arm()
+
+    def arm(self):
+        due = self.instance.next()
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        self.timer = due is not None and self.reactor.callLater(max(0, due - clock()) / 1e6, self.gather)
+
+    # Between the instance and the front
+
+    def overheard(self, notes):
+        """What the front's parts tell the module: the list of members, and how probes ended."""
+        for note in notes:
+            if isinstance(note, c.Roster):
+                self.roster(note)
+            elif isinstance(note, c.ProbeReport) and not note.age:
+                self.asked.discard(note.cache)
+                duty = self.serving.pop(note.cache, self.duty_of(note.cache))
+                if duty is not None and note.verdict != c.Verdict.MOOT:
+                    load = {name: float(value) for name, value in list(note.load.items())[:8] if len(name) <= 12}
+                    self.gather(Served(duty, note.cache, int(note.verdict), note.took, load))
+
+    def duty_of(self, cache):
+        kind = self.members.get(cache)
+        return next((duty for duty, kinds in enumerate(self.kinds) if kind in kinds), None)
+
+    def roster(self, note):
+        if note.listing == c.Listing.UNAVAILABLE:
+            return
+        if note.listing != c.Listing.DELTA:
+            self.members = {}
+        for member in note.members:
+            if member.standing == c.Standing.READY:
+                self.members[member.cache] = member.kind
+            else:
+                self.members.pop(member.cache, None)
+        self.gather(*self.all_targets())
+
+    def all_targets(self):
+        return [Targets(duty, tuple(cache for cache, kind in self.members.items() if kind in kinds))
+                for duty, kinds in enumerate(self.kinds)]
+
+    def serve(self, order):
+        if order.until and clock() >= order.until:
+            self.counts["too_late"] += 1
+        elif order.target in self.caches.peers:
+            self.counts["rounds"] += 1
+            self.serving[order.target] = order.duty
+            self.caches.probe(c.Probe(order.target), order.epoch)
+
+    def probe(self, order):
+        """The module asks for a probe: what is learnt already serves, as far as the module takes it."""
+        self.counts["probes_asked"] += 1
+        self.instance.agenda.now = clock()
+        if shared := self.instance.answer(order.cache, order.oldest):
+            self.counts["probes_shared"] += 1
+            self.turn.gather(self.report_of(shared))
+        else:
+            self.counts["probes_sent"] += 1
+            self.asked.add(order.cache)
+            self.plain_probe(order)
+
+    def learnt(self, result):
+        if result.target not in self.asked:  # its own answer is on its way
+            self.turn.gather(self.report_of(result))
+
+    def report_of(self, result):
+        try:
+            verdict = c.Verdict(result.verdict)
+        except ValueError:
+            verdict = c.Verdict.ERRORED
+        return c.ProbeReport(result.target, verdict, result.took, result.load, max(1, result.age))
+
+    # The front's own calls
+
+    def sweep(self):
+        if self.over:
+            return
+        now = clock()
+        if now - self.looked > self.told.keys_reread:
+            self.looked = now
+            self.line.reread()
+        if now - self.said > REPORT:
+            self.said = now
+            self.line.report()
+
+    def reload(self):
+        if not self.over:
+            self.line.reread()
+
+    def leave(self):
+        self.gather(Depart())
+
+    def stop(self):
+        """Share nothing any more; the front goes on by itself."""
+        self.over = True
+        self.turn.listener, self.turn.carriers[c.Probe] = None, self.plain_probe
+        self.line.close()
+        self.line.report()
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        if self.control:
+            self.control.stopListening()
+        self.store.close()
+
+    def shown(self):
+        """What `limepath peers show` asks for."""
+        self.instance.agenda.now = clock()
+        view = self.instance.view()._asdict()
+        view["counts"] |= self.counts | {"datagrams_sent": self.line.sent} | {
+            f"datagrams {kind}": count for kind, count in self.line.guard.counts.items()}
+        return view
+
+
+def opening_flaw(told, flaw):
+    from limepath.opening.ini import BadSetting
+    return BadSetting(f"{told.file}: {flaw}")
--- a/limepath/duties/learnt.py
+++ b/limepath/duties/learnt.py
@@ -8,13 +8,13 @@
 from collections import Counter
 from math import ceil, log
 
+from limepath.contract import Verdict
 from limepath.duties.interface import Reach, Result, Results, Shared
 
 NEARBY = 8
 CARRIED = 18  # results on one datagram
 IN_FLIGHT = 5000  # added to an age for the way, which nobody measures: microseconds
-RETURNED = 0  # contract.Verdict.RETURNED
-AGREED = 2  # probers whose failures must agree before another takes them for its own
+AGREED = 2  # probers whose failures must agree before they serve a third
 
 
 class Learnt:
@@ -129,7 +129,8 @@
         if not fresh:
             return None
         result, at = max(fresh, key=lambda kept: kept[1])
-        if result.verdict != RETURNED and sum(other.verdict != RETURNED for other, _ in fresh) < AGREED:
+        if result.verdict != Verdict.RETURNED and sum(
+                other.verdict != Verdict.RETURNED for other, _ in fresh) < AGREED:
             return None
         return result._replace(age=now - at)
 
--- a/limepath/duties/world.py
+++ b/limepath/duties/world.py
@@ -12,7 +12,7 @@
 from limepath.duties.instance import Instance
 from limepath.duties.interface import Keep, Mode, Serve, Served, Targets
 from limepath.peers.guard import HEAD, SEAL
-from limepath.peers.interface import REFUTALS, Departed, GiveWay, Heard, News, Send
+from limepath.peers.interface import REFUTALS, Departed, GiveWay, Heard, News, Say, Send
 
 SAMPLED = 64  # one message in so many is encoded, for the bytes
 PORT = 7946
@@ -97,6 +97,8 @@
                 world.serve(self, order)
             elif isinstance(order, Keep):
                 self.store |= {"ceiling": order.ceiling, "sure": True}
+            elif isinstance(order, Say):
+                world.said(order)
             elif isinstance(order, GiveWay):
                 self.gave_way = order.why
                 world.gave_way.append((world.now, self.index, order.why))
@@ -138,6 +140,7 @@
         self.network = Network(Random(seed + 1), loss, doubled, late)
         self.wall_step = 0
         self.targets, self.gone = {target: 0 for target in range(1, targets + 1)}, {}
+        self.born, self.false_deaths = dict(self.targets), []
         self.nodes = [Node(self, index) for index in range(instances)]
         self.serves, self.holders, self.both_held, self.turned_away = {}, {}, [], 0
         self.gave_way, self.messages, self.bytes, self.sampled, self.after_gone = [], 0, 0, 0, 0
@@ -169,6 +172,14 @@
         node.start([(str(seed), PORT) for seed in range(min(3, len(self.nodes))) if seed != index] or [("0", PORT)])
         node.begin()
 
+    def said(self, order):
+        """A death is false where that instance runs, in that very life."""
+        if order.event == "peer-dead":
+            node = self.nodes[int(order.fields["peer"][1:])]
+            if node.instance and not node.paused and node.store["life"] == order.fields["incarnation"] >> REFUTALS and (
+                    not self.network.cuts):
+                self.false_deaths.append((self.now, node.index))
+
     def send(self, node, me, order):
         self.messages += 1
         to = int(order.host)
@@ -206,7 +217,7 @@
             self.gone[target] = self.now
             del self.targets[target]
         for target in come:
-            self.targets[target] = self.now
+            self.targets[target] = self.born[target] = self.now
         now_all = tuple(self.targets)
         for node in self.nodes:
             self.at(self.now + int(self.chance.random() * 200_000), node.hear,
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -422,8 +422,10 @@
         else:
             self.peers[order.cache].send(flight)
 
-    def probe(self, order):
-        self.peers[order.cache].send(Probing(order.cache, b"p%d" % next(self.tags)))
+    def probe(self, order, epoch=0):
+        """A probe under a lease tells its epoch in its tag, so that a member can turn an older one away."""
+        tag = b"p%d-e%d" % (next(self.tags), epoch) if epoch else b"p%d" % next(self.tags)
+        self.peers[order.cache].send(Probing(order.cache, tag))
 
     def close_idle(self, order):
         for connection in list(self.peers[order.cache].connections):
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -18,6 +18,7 @@
     def __init__(self, reactor, front, limits, log):
         self.reactor, self.front, self.limits, self.log = reactor, front, limits, log
         self.notes, self.called, self.retold = [], False, set()
+        self.listener = None  # hears all notes too, where fronts share what they learn
         self.carriers = {
             c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
             c.Subscribe: self.followed, c.AskRoster: self.followed,
@@ -34,6 +35,8 @@
     def gather(self, *notes):
         """Keep notes until all that this pass of the reactor has ready is read."""
         self.notes += notes
+        if self.listener:
+            self.listener(notes)
         if not self.called:
             self.called = True
             self.reactor.callLater(0, self.run)
--- /dev/null
+++ b/limepath/peers/host.py
@@ -0,0 +1,84 @@
+"""Datagrams between instances, on a socket: opened by the guard, gathered for one `handle`, orders sent."""
+
+import os
+from collections import Counter
+
+from twisted.internet.error import MessageLengthError
+from twisted.internet.protocol import DatagramProtocol
+
+from limepath.peers.guard import BadKeys, Dropped, Guard, keys_of
+from limepath.peers.interface import Heard
+
+
+class Unopened(Exception):
+    """The keys or the socket can't be had; the text names which."""
+
+
+def read_keys(path):
+    """(keys, the file's mark: when it was changed and its size)."""
+    try:
+        mark = os.stat(path)
+        if mark.st_mode & 0o077:
+            raise Unopened(f"{path}: open to others; its mode should be 600")
+        with open(path, encoding="ascii") as file:
+            return keys_of(file.read()), (mark.st_mtime_ns, mark.st_size)
+    except OSError as flaw:
+        raise Unopened(f"{path}: {flaw.strerror}") from None
+    except (BadKeys, UnicodeDecodeError) as flaw:
+        raise Unopened(f"{path}: {flaw}") from None
+
+
+class Line(DatagramProtocol):
+    """One socket. `gather(note)` takes what was heard."""
+
+    def __init__(self, reactor, address, keys, types, log, gather):
+        self.reactor, self.address, self.path, self.log, self.gather = reactor, address, keys, log, gather
+        told, self.mark = read_keys(keys)
+        self.guard = Guard(told, types)
+        self.port, self.reported, self.sent = None, Counter(), 0
+
+    def open(self):
+        self.port = self.reactor.listenUDP(self.address[1], self, self.address[0], maxPacketSize=2048)
+
+    def close(self):
+        if self.port:
+            self.port.stopListening()
+        self.port = None
+
+    def datagramReceived(self, datagram, address):
+        try:
+            self.gather(Heard(*self.guard.open(datagram)))
+        except Dropped:
+            pass  # counted there, told by `report`
+
+    def send(self, me, order):
+        if self.port is None:
+            return
+        try:
+            self.port.write(self.guard.seal(me, order.to, order.message), (order.host, order.port))
+            self.sent += 1
+        except (OSError, MessageLengthError, ValueError) as flaw:
+            self.guard.counts["unsent"] += 1
+            self.log.say("peers-unsent", str(flaw), to=f"{order.host}:{order.port}")
+
+    def reread(self):
+        """Take the key file's new keys; a file that can't be used leaves the old ones."""
+        try:
+            mark = os.stat(self.path)
+            if (mark.st_mtime_ns, mark.st_size) == self.mark:
+                return
+            keys, self.mark = read_keys(self.path)
+        except (OSError, Unopened) as flaw:
+            self.log.say("peers-keys", f"{flaw}; the old keys stay")
+            return
+        if keys != self.guard.keys:
+            self.guard.keys = keys
+            self.log.say("peers-keys", "read anew", keys=len(keys), seals=keys[0].name.hex())
+
+    def report(self):
+        """One line for all that was dropped since the last."""
+        news = {kind.replace(" ", "_"): count - self.reported[kind] for kind, count in self.guard.counts.items()
+                if kind != "taken" and count > self.reported[kind]}
+        self.reported = Counter(self.guard.counts)
+        if news:
+            self.log.say("peers-dropped", **news)
--- /dev/null
+++ b/limepath/peers/identity.py
@@ -0,0 +1,37 @@
+"""Who an instance is, out of its store: a token drawn once, a life for each start, the ceiling of epochs.
+
+Damaged or missing state is never guessed: the instance is a new one then, under a new token, and its voter unsure.
+"""
+
+from typing import NamedTuple
+
+
+class Identity(NamedTuple):
+    token: int
+    life: int
+    ceiling: int
+    sure: bool
+
+
+def identity_of(rows, draw):
+    """(the Identity of this start, the rows to keep before it is used). `draw()` gives 63 random bits.
+
+    >>> first, rows = identity_of({}, lambda: 5)
+    >>> first, identity_of(rows, lambda: 6)[0]
+    (Identity(token=5, life=1, ceiling=0, sure=False), Identity(token=5, life=2, ceiling=0, sure=False))
+    >>> identity_of(rows | kept_ceiling(7000), lambda: 6)[0]
+    Identity(token=5, life=2, ceiling=7000, sure=True)
+    >>> identity_of({"token": b"x"}, lambda: 6)[0]
+    Identity(token=6, life=1, ceiling=0, sure=False)
+    """
+    try:
+        token, life = int(rows["token"]), int(rows["life"]) + 1
+        ceiling = int(rows["ceiling"]) if "ceiling" in rows else None
+    except (KeyError, ValueError):
+        token, life, ceiling = draw(), 1, None
+    identity = Identity(token, life, ceiling or 0, ceiling is not None)
+    return identity, {"token": b"%d" % token, "life": b"%d" % life}
+
+
+def kept_ceiling(ceiling):
+    return {"ceiling": b"%d" % ceiling}
