--- /dev/null
+++ b/limepath/duties/drill.py
@@ -0,0 +1,427 @@
+"""The drill: real fronts with real datagrams on loopback, faults by seed, probes counted at stand-in caches.
+
+Each instance is `limepath run --peers FILE` in a process of its own. Between them lie ways that lose and cut; the
+bounds are those that the settings promise (`bounds`), the rows those of the run in virtual time (`simulate`).
+"""
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from datetime import datetime
+from random import Random
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from limepath.duties.bounds import bounds
+from limepath.duties.interface import Leasing, Mode, Plan
+from limepath.duties.simulate import Fault, findings
+from limepath.duties.stand_ins import HOST, StandInCaches, StandInChangeLog, StandInWays
+from limepath.peers.control import Unanswered, ask
+from limepath.peers.interface import Spans
+from limepath.verdicts import Row
+
+MS, SECOND = 1000, 1_000_000
+SPANS = Spans(period=250 * MS, direct=80 * MS, indirect=3, suspicion=3)
+LEASING = Leasing(span=SECOND, drift=0.01, slots=16, batch=100 * MS)
+KINDS = ("kill", "stop", "leave", "halves", "one-way", "targets", "keys", "lost-store", "all", "cut-store")
+START = 30  # seconds that all fronts may take to be ready
+SETTINGS = {
+    "az": 0, "replicas-of-me": 1, "areas": ["sur"], "models": ["box", "parent", "origin"],
+    "classes": [{"name": "video", "aim": 600_000_000, "deadline": 5_000_000_000, "idempotency": "free"}],
+    "family-info": {"mid-kind": 1, "master-kind": 2},
+    "limits": {"max-attempts": 3, "probing": True, "streams-per-conn": 8, "connect-timeout": 400_000_000},
+    "stats": {"fields": ["rif", "busy"]},
+    "safety": {"cold-share": 0.2, "cold": 10_000_000_000, "overload-factor": 2, "tip-after": 1_000_000_000,
+               "answer-slack": 8_000_000, "drain-grace": 500_000_000}}
+
+
+class Found(NamedTuple):
+    rows: list
+    said: list
+
+
+class NotStarted(Exception):
+    """An instance never came up; the text says which and what its log says."""
+
+
+def free_ports(kind, count):
+    held = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    for one in held:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in held]
+    for one in held:
+        one.close()
+    return ports
+
+
+class Instance:
+    """One front: its files, its process."""
+
+    def __init__(self, drill, who):
+        self.drill, self.who, self.name, self.process, self.lives = drill, who, f"n{who}", None, 0
+        self.folder = os.path.join(drill.folder, self.name)
+        os.makedirs(self.folder, exist_ok=True)
+        self.stopped = False
+
+    def path(self, name):
+        return os.path.join(self.folder, name)
+
+    def write_keys(self, keys):
+        self.replace("peers.keys", "\n".join(keys) + "\n")
+
+    def replace(self, name, text):
+        with open(os.open(self.path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w") as file:
+            file.write(text)
+        os.replace(self.path(name + ".new"), self.path(name))
+
+    def prepare(self):
+        drill, who = self.drill, self.who
+        seeds = [drill.ways.reached_at(seed) for seed in range(min(3, drill.count)) if seed != who or drill.count == 1]
+        spans, leasing, plan = SPANS, drill.leasing, drill.plan
+        mode = "one-owner" if plan.mode == Mode.ONE_OWNER else "at-least-once"
+        self.write_keys(drill.keys)
+        self.replace("peers.ini", f"""[instance]
+name = {self.name}
+store = peers.db
+control = peers.sock
+[log]
+form = json
+[peers]
+listen = {HOST}:{drill.listens[who]}
+advertise = {HOST}:{drill.ways.reached_at(who)}
+seeds = {', '.join(f'{HOST}:{seed}' for seed in seeds) if drill.sharing else ''}
+keys = peers.keys
+period = {spans.period}us
+direct = {spans.direct}us
+indirect = {spans.indirect}
+suspicion = {spans.suspicion}
+keys-reread = 200ms
+[sharing]
+batch = {leasing.batch}us
+[leases]
+voters = {', '.join(leasing.voters if drill.sharing else (self.name,))}
+span = {leasing.span}us
+drift = {leasing.drift}
+slots = {leasing.slots}
+[duty probe]
+mode = {mode}
+interval = {plan.interval}us
+targets = caches
+""")
+        self.replace("front.json", json.dumps({
+            "name": self.name, "listen": f"{HOST}:{drill.fronts[who]}", "seed": f"{drill.seed * 1000 + who:x}",
+            "changelog": f"{HOST}:{drill.changes.ports[who].getHost().port}",
+            "limits": {"memory_mb": 192, "sockets": 1024, "leaving_ms": 700}, "settings": SETTINGS,
+            "known": {"seq": 1, "results": [{"seq": 1, "fleet": drill.fleet(who)}]}}))
+
+    def start(self):
+        self.lives += 1
+        self.stopped = False
+        with open(self.path("log"), "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "limepath", "run", "--config", self.path("front.json"), "--peers",
+                 self.path("peers.ini")], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})
+
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            self.process.send_signal(number)
+            self.stopped = number == signal.SIGSTOP
+            if number == signal.SIGKILL:
+                self.process.wait()
+
+    def shown(self):
+        return ask(self.path("peers.sock"), "peers", 2)
+
+    def lines(self):
+        try:
+            with open(self.path("log"), encoding="utf-8", errors="replace") as log:
+                for line in log:
+                    try:
+                        yield json.loads(line)
+                    except ValueError:
+                        yield {"event": "unreadable", "said": line}
+        except OSError:
+            return
+
+
+class Drill:
+    """What `findings` wants to know of a world, told by real processes. Times are microseconds since the start."""
+
+    def __init__(self, reactor, folder, instances, targets, plan, seed, sharing, loss):
+        self.reactor, self.folder, self.count, self.plan, self.seed, self.sharing = (
+            reactor, folder, instances, plan, seed, sharing)
+        self.chance, self.spans = Random(seed), SPANS
+        self.leasing = LEASING._replace(voters=tuple(f"n{who}" for who in range(min(instances, 5))))
+        self.leased = plan.mode == Mode.ONE_OWNER
+        self.zero, self.wall_zero = time.monotonic_ns() // 1000, time.time_ns() // 1000
+        self.listens, self.fronts = free_ports(socket.SOCK_DGRAM, instances), free_ports(socket.SOCK_STREAM, instances)
+        self.ways = StandInWays(reactor, self.listens, seed, loss)
+        self.caches, self.changes = StandInCaches(reactor, self.probed), StandInChangeLog(reactor, instances)
+        self.keys = [f"{self.chance.getrandbits(256):064x}"]
+        self.entries, self.targets, self.gone, self.born, self.serves = {}, {}, {}, {}, {}
+        self.after_gone = self.turned_away = 0
+        self.both_held, self.false_deaths, self.gave_way = [], [], []
+        self.owners, self.said, self.faults, self.deaths, self.restarted = {}, [], [], [], False
+        self.unable, self.down, self.end, self.together = [], None, None, 1
+        self.nodes = [Instance(self, who) for who in range(instances)]
+        for _ in range(targets):
+            self.come()
+
+    def now(self):
+        return time.monotonic_ns() // 1000 - self.zero
+
+    def come(self):
+        name = f"t{len(self.born)}"
+        ports = self.caches.open(name, self.count)
+        self.entries[name] = ports
+        self.targets[name] = self.born[name] = self.now()
+        return name
+
+    def fleet(self, who, complete=True):
+        return {"revision": 1 + len(self.changes.events), "complete": complete, "members": [
+            {"id": name, "host_port": f"{HOST}:{ports[who]}", "locality": "sur", "flavor": "box", "cell": 0,
+             "phase": "in_service", "size": 6, "up_since_ms": 0}
+            for name, ports in self.entries.items() if name in self.targets]}
+
+    def probed(self, cache, who, epoch):
+        """What one cache sees: whether it takes the probe."""
+        now = self.now()
+        if cache.name in self.gone:
+            self.after_gone += now - self.gone[cache.name] > 500 * MS
+            return True
+        if epoch < cache.epoch:
+            self.turned_away += 1
+            return False
+        if epoch:
+            holder = self.owners.setdefault((cache.name, epoch), (who, self.nodes[who].lives))
+            if holder != (who, self.nodes[who].lives):
+                self.both_held.append((now, cache.name, epoch))
+        cache.epoch = epoch
+        self.serves.setdefault((0, cache.name), []).append((now, who))
+        return True
+
+    # The script
+
+    def pause(self, span):
+        done = Deferred()
+        self.reactor.callLater(span / 1e6, done.callback, None)
+        return done
+
+    @inlineCallbacks
+    def ready(self, nodes):
+        end = time.monotonic() + START
+        for node in nodes:
+            while True:
+                if not node.running() or time.monotonic() > end:
+                    raise NotStarted(f"{node.name}: {[line for line in node.lines()][-3:]}")
+                try:
+                    if node.shown()["me"]["joined"] or not self.sharing or self.count == 1:
+                        break
+                except Unanswered:
+                    pass
+                yield self.pause(50 * MS)
+
+    @inlineCallbacks
+    def play(self, count):
+        for node in self.nodes:
+            node.prepare()
+            node.start()
+        yield self.ready(self.nodes)
+        for name in self.targets:  # what came before all were up is not of this drill
+            self.targets[name] = self.born[name] = self.now()
+        self.serves.clear()
+        self.counted = self.now(), self.ways.messages, self.ways.bytes
+        self.caches_first = self.now()
+        bound = self.bound()
+        kinds = []
+        yield self.pause(2 * self.plan.interval)
+        for _ in range(count):
+            if not kinds:
+                kinds = list(KINDS)
+                self.chance.shuffle(kinds)
+            kind = kinds.pop()
+            length = self.chance.randrange(3_000, 8_000) * MS
+            who = tuple(self.chance.sample(range(self.count), self.count // 2 if kind in ("halves", "one-way") else 1))
+            who = tuple(range(self.count)) if kind == "all" else who
+            fault = Fault(self.now(), kind, who, length)
+            self.faults.append(fault)
+            yield self.fault(fault)
+            self.faults[-1] = fault._replace(length=self.now() - fault.at)
+            yield self.pause(min(bound.disagreement, 3 * SECOND) + self.plan.interval)
+        yield self.agree(bound)
+        self.end = self.now()
+
+    def bound(self):
+        return bounds(self.spans, self.plan, self.leasing, self.count, self.together)
+
+    @inlineCallbacks
+    def fault(self, fault):
+        """Cause one fault, let it last, end it."""
+        kind, nodes = fault.kind, [self.nodes[who] for who in fault.who]
+        if kind in ("kill", "lost-store", "cut-store", "all"):
+            for node in nodes:
+                self.died(node)
+                node.signal(signal.SIGKILL)
+            if kind == "all":
+                self.down = self.now()
+            yield self.pause(fault.length if kind != "all" else SECOND // 2)
+            if kind == "lost-store":
+                os.remove(nodes[0].path("peers.db"))
+            elif kind == "cut-store":
+                with open(nodes[0].path("peers.db"), "r+b") as file:
+                    file.truncate(os.path.getsize(nodes[0].path("peers.db")) // 2 + 7)
+            yield self.again(nodes)
+        elif kind == "stop":
+            self.died(nodes[0])
+            nodes[0].signal(signal.SIGSTOP)
+            yield self.pause(fault.length + self.leasing.span)
+            nodes[0].signal(signal.SIGCONT)
+        elif kind == "leave":
+            self.died(nodes[0])
+            nodes[0].signal(signal.SIGTERM)
+            yield self.pause(fault.length)
+            nodes[0].signal(signal.SIGKILL)
+            yield self.again(nodes)
+        elif kind in ("halves", "one-way"):
+            one = frozenset(fault.who)
+            other = frozenset(range(self.count)) - one
+            self.ways.cuts[0] = one, other
+            if kind == "halves":
+                self.ways.cuts[1] = other, one
+            yield self.pause(fault.length)
+            self.ways.cuts.clear()
+        elif kind == "targets":
+            gone = self.chance.sample(sorted(self.targets), max(1, len(self.targets) // 3))
+            for name in gone:
+                del self.targets[name]
+                self.gone[name] = self.now()
+            for _ in gone:
+                self.come()
+            self.changes.tell(lambda who: {"fleet": self.fleet(who)})
+        elif kind == "keys":
+            new = f"{self.chance.getrandbits(256):064x}"
+            for keys in ([self.keys[0], new], [new, self.keys[0]], [new]):  # known to all, used by all, alone
+                for node in self.nodes:
+                    node.write_keys(keys)
+                    yield self.pause(fault.length // 8 // self.count)
+                yield self.pause(600 * MS)
+            self.keys = [new]
+
+    def died(self, node):
+        self.deaths.append((self.now(), node.who))
+
+    @inlineCallbacks
+    def again(self, nodes):
+        self.restarted = True
+        for node in nodes:
+            node.prepare()
+            node.start()
+        yield self.ready(nodes)
+        if self.down is not None:
+            self.unable.append((self.down, self.now()))
+            self.down = None
+
+    @inlineCallbacks
+    def agree(self, bound):
+        """Wait until all views are one, no longer than they may differ."""
+        end = self.now() + bound.disagreement
+        while not self.views_agree() and self.now() < end and self.sharing:
+            yield self.pause(200 * MS)
+
+    def views_agree(self):
+        views = set()
+        for node in self.nodes:
+            try:
+                told = node.shown()
+            except Unanswered:
+                return False
+            views.add(tuple(sorted(row["token"] for row in told["members"] if row["state"] in ("alive", "suspect"))))
+        return len(views) == 1 and len(next(iter(views))) == self.count
+
+    def look_back(self):
+        """What the instances' logs tell: deaths declared of those that lived, and who gave way."""
+        away = [(at - 1, at + fault.length + self.bound().disagreement) for fault in self.faults for at in (fault.at,)]
+        for node in self.nodes:
+            for line in node.lines():
+                if line.get("event") not in ("peer-dead", "gives-way", "fault"):
+                    continue
+                at = round(datetime.fromisoformat(line["time"]).timestamp() * 1e6) - self.wall_zero
+                if line["event"] == "gives-way":
+                    self.gave_way.append((at, node.name))
+                elif line["event"] == "fault":
+                    self.said.append(f"{node.name}: {line}")
+                elif not any(since <= at <= until for since, until in away):
+                    self.false_deaths.append((at, line["peer"]))
+
+    def close(self):
+        for node in self.nodes:
+            node.signal(signal.SIGKILL)
+        for part in (self.caches, self.changes, self.ways):
+            part.close()
+
+
+def raise_descriptors():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65_536), hard))
+
+
+def drilled(instances, targets, mode, interval, count, seed, sharing=True, loss=0.0, keep=None):
+    """Run a drill in this process's reactor, once; give what was Found."""
+    from twisted.internet import reactor
+    from twisted.internet.task import LoopingCall
+    raise_descriptors()
+    flaws = []
+    with tempfile.TemporaryDirectory(prefix="limepath-drill-") as scratch:
+        drill = Drill(reactor, keep or scratch, instances, targets, Plan("probe", mode, interval), seed, sharing, loss)
+        beat = LoopingCall(drill.changes.beat)
+        beat.start(0.5)
+
+        def over(result):
+            beat.stop()
+            drill.agreed = drill.end is not None and (drill.views_agree() or not sharing)
+            drill.look_back()
+            drill.close()
+            reactor.callLater(0.1, reactor.stop)
+            return result
+
+        reactor.callWhenRunning(lambda: drill.play(count).addBoth(over).addErrback(flaws.append))
+        reactor.run(installSignalHandlers=False)
+    if flaws:
+        raise flaws[0].value
+    return concluded(drill)
+
+
+class Told:
+    """The drill as `findings` takes a day."""
+
+    def __init__(self, drill):
+        self.world, self.faults, self.end, self.unable = drill, drill.faults, drill.end, drill.unable
+        self.deaths, self.restarted, self.together = drill.deaths, drill.restarted, drill.together
+
+
+def concluded(drill):
+    since, messages, size = drill.counted
+    span = (drill.end - since) / SECOND
+    drill.messages, drill.bytes, drill.sampled = drill.ways.messages - messages, drill.ways.bytes - size, 0
+    agreed, drill.views_agree = drill.agreed, lambda: drill.agreed
+    rounds = sum(len(served) for served in drill.serves.values())
+    alive = sum(min(drill.gone.get(name, drill.end), drill.end) - at for name, at in drill.born.items())
+    rows = findings(Told(drill), drill.plan, drill.caches_first)
+    rows = [row for row in rows if not row.what.startswith(("messages", "bytes"))]
+    rows += [Row("messages per instance and second", round(drill.messages / drill.count / span, 1)),
+             Row("bytes per instance and second", round(drill.bytes / drill.count / span)),
+             Row("probes per target and interval", round(rounds * drill.plan.interval / max(1, alive), 3))]
+    said = [f"at {(fault.at - since) / 1e6:6.1f} s  {fault.kind} for {fault.length / 1e6:.1f} s: "
+            f"{', '.join(f'n{who}' for who in fault.who)}" for fault in drill.faults] + drill.said
+    return Found(rows, said)
--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -38,7 +38,7 @@
         identity, rows = identity_of(self.store.all(), drawn)
         self.store.put(rows)
         self.found, self.identity = self.store.found, identity
-        me = News(identity.token, told.name, *told.listen, identity.life << REFUTALS, time.time_ns() // 1000)
+        me = News(identity.token, told.name, *told.advertise, identity.life << REFUTALS, time.time_ns() // 1000)
         self.instance = Instance(me, told.seeds, told.spans, told.plans, told.leasing, front.seed,
                                  identity.ceiling, identity.sure)
         self.kinds = self.kinds_of(front)
--- a/limepath/duties/simulate.py
+++ b/limepath/duties/simulate.py
@@ -180,17 +180,17 @@
     return sum(max(0, min(until, end) - max(since, begin)) for begin, end in spans)
 
 
-def findings(day, plan):
-    """The rows of one day."""
+def findings(day, plan, since=0):
+    """The rows of one day, of virtual time or a drill; `since` is when it began."""
     world, rows = day.world, []
     live = len(world.nodes)
     bound = bounds(world.spans, plan, world.leasing, live, day.together)
     gap_bound = bound.restart if day.restarted else bound.gap
     calm = spread(world.spans, live) + plan.interval  # the start
-    longest, over, most, worst_target = 0, 0, 0, None
+    longest, most = 0, 0
     disturbed = [(fault.at, fault.at + fault.length + bound.disagreement) for fault in day.faults]
     disturbed += [(at - bound.disagreement, at + bound.disagreement) for at, _ in world.false_deaths]
-    disturbed.append((0, calm))
+    disturbed.append((since, since + calm))
     changes = [fault.length for fault in day.faults] + [0 for _ in world.false_deaths]
     undisturbed_doubles, serves = 0, 0
     for target in [*world.targets, *world.gone]:
@@ -198,18 +198,16 @@
         times = [at for at, _ in world.serves.get((0, target), ())]
         serves += len(times)
         marks = [born, *times, gone]
-        for since, until in zip(marks, marks[1:]):
-            gap = until - since - covered(day.unable, since, until)
-            if gap > longest:
-                longest, worst_target = gap, target
-        twice = [until for since, until in zip(times, times[1:]) if until - since < plan.interval // 2]
+        for since_last, until in zip(marks, marks[1:]):
+            longest = max(longest, until - since_last - covered(day.unable, since_last, until))
+        twice = [until for before, until in zip(times, times[1:]) if until - before < plan.interval // 2]
         most = max(most, len(twice))
         undisturbed_doubles += sum(not any(a <= at <= b for a, b in disturbed) for at in twice)
     took = taken_over(day, bound)
-    minutes = day.end / SECOND
+    span = (day.end - since) / SECOND
     rows += [
         Row("instances", live), Row("targets", len(world.targets)), Row("interval, s", seconds(plan.interval)),
-        Row("virtual time, s", seconds(day.end)), Row("faults", len(day.faults)),
+        Row("time, s", round(span, 1)), Row("faults", len(day.faults)),
         Row("ring neighbours away at once, most", day.together),
         Row("rounds served", serves),
         at_most("longest gap, s", seconds(longest), seconds(gap_bound)),
@@ -225,12 +223,12 @@
         at_most("take-over, worst, s", seconds(max(took, default=0)), seconds(
             bound.take_over + (gap_bound - bound.gap))),
         Row("declared dead though alive", len(world.false_deaths)),
-        Row("messages per instance and second", round(world.messages / live / minutes, 2)),
-        Row("bytes per instance and second", round(world.bytes / max(1, world.sampled) * world.messages / live / minutes)),
+        Row("messages per instance and second", round(world.messages / live / span, 2)),
+        Row("bytes per instance and second", round(world.bytes / max(1, world.sampled) * world.messages / live / span)),
         Row("gave way", len(world.gave_way)),
         Row("views agree at the end", world.views_agree(), True, world.views_agree()),
     ]
-    return rows, worst_target
+    return rows
 
 
 def taken_over(day, bound):
@@ -260,5 +258,4 @@
     world.open(not cold)
     day.look()
     world.run(end)
-    rows, _ = findings(day, plan)
-    return Findings(rows, faults, world)
+    return Findings(findings(day, plan), faults, world)
--- a/limepath/opening/peers.py
+++ b/limepath/opening/peers.py
@@ -22,7 +22,7 @@
     "instance": Section({"name": Key(ini.word), "store": Key(ini.path), "control": Key(ini.path, "")}, True),
     "log": Section({"form": Key(ini.one_of(*FORMS), FORMS[0])}),
     "peers": Section({
-        "listen": Key(ini.address), "seeds": Key(ini.many(ini.address), ()), "keys": Key(ini.path),
+        "listen": Key(ini.address), "advertise": Key(ini.address, None), "seeds": Key(ini.many(ini.address), ()), "keys": Key(ini.path),
         "period": span(SECOND, 100 * MS, 60 * SECOND), "direct": span(300 * MS, 20 * MS, 20 * SECOND),
         "indirect": Key(ini.whole, 3, 0, 8), "suspicion": Key(ini.whole, 4, 1, 20),
         "forget": span(3600 * SECOND, 10 * SECOND, 24 * 3600 * SECOND),
@@ -46,6 +46,7 @@
     control: str
     form: str
     listen: tuple
+    advertise: tuple
     seeds: tuple
     keys: str
     keys_reread: int
@@ -78,7 +79,7 @@
 
     return PeersOpening(
         str(file), instance["name"], resolved(instance["store"]), resolved(instance["control"]),
-        told["log"]["form"], peers["listen"], peers["seeds"], resolved(peers["keys"]), peers["keys-reread"],
+        told["log"]["form"], peers["listen"], peers["advertise"] or peers["listen"], peers["seeds"], resolved(peers["keys"]), peers["keys-reread"],
         Spans(period=peers["period"], direct=peers["direct"], indirect=peers["indirect"],
               suspicion=peers["suspicion"], forget=peers["forget"]),
         Leasing(voters=leases["voters"], span=leases["span"], drift=leases["drift"], slots=leases["slots"],
--- a/limepath/store.py
+++ b/limepath/store.py
@@ -2,7 +2,8 @@
 
 Each row bears a checksum. A file that is missing, cut or damaged is told apart from a good one; a damaged one is
 put aside, never read. One process holds a store at a time. Writes are on the disk when `put` returns
-(journal in WAL, synchronous FULL).
+(one file, a rollback journal, synchronous EXTRA): with a log beside the file, a cut log would silently give the
+state of an earlier start.
 """
 
 import os
@@ -46,8 +47,8 @@
     def opened(self):
         base = sqlite3.connect(self.path, timeout=0, isolation_level=None)
         base.execute("PRAGMA locking_mode = EXCLUSIVE")
-        base.execute("PRAGMA journal_mode = WAL")
-        base.execute("PRAGMA synchronous = FULL")
+        base.execute("PRAGMA journal_mode = DELETE")
+        base.execute("PRAGMA synchronous = EXTRA")
         base.execute("BEGIN EXCLUSIVE")
         base.execute("CREATE TABLE IF NOT EXISTS state (name TEXT PRIMARY KEY, value BLOB NOT NULL, sum INTEGER NOT NULL)")
         base.execute("COMMIT")
@@ -78,9 +79,8 @@
             number += 1
         self.aside = f"{self.path}.damaged-{number}"
         os.replace(self.path, self.aside)
-        for tail in ("-wal", "-shm", "-journal"):
-            if os.path.exists(self.path + tail):
-                os.remove(self.path + tail)
+        if os.path.exists(self.path + "-journal"):
+            os.remove(self.path + "-journal")
         try:
             self.base, self.found = self.opened(), DAMAGED
         except sqlite3.DatabaseError as flaw:
