--- a/limepath/cli/duties.py
+++ b/limepath/cli/duties.py
@@ -72,8 +72,8 @@
 @click.option("--loss", type=Share(), default="0", help="Share of all datagrams that is lost.")
 @click.option("--doubled", type=Share(), default="0", help="Share that arrives twice.")
 @click.option("--late", type=Share(), default="0", help="Share that is up to 400 ms late, and so out of order.")
-@click.option("--faults", "kinds", default="every", show_default=True,
-              help="Kinds with commas, 'every' or 'none'; --faults help lists them.")
+@click.option("--faults", "kinds", help="Kinds with commas, 'every' or 'none'; --faults help lists them. Otherwise every kind, "
+              "and two drawn by the seed beyond 50 instances.")
 @click.option("--cold", is_flag=True, help="Instances begin without knowing each other.")
 @seed_option
 @json_option
@@ -82,8 +82,8 @@
     from limepath.duties.simulate import KINDS, simulated
     if kinds == "help":
         return click.echo(", ".join(KINDS))
-    chosen = KINDS if kinds == "every" else () if kinds == "none" else tuple(kinds.split(","))
-    for kind in chosen:
+    chosen = None if kinds is None else KINDS if kinds == "every" else () if kinds == "none" else tuple(kinds.split(","))
+    for kind in chosen or ():
         if kind not in KINDS:
             raise click.BadParameter(f"{kind!r}: no such kind{ini.near(kind, KINDS)}", param_hint="--faults")
     found = simulated(instances, targets, MODES[mode], interval, length, seed, loss, doubled, late, chosen, cold=cold)
--- a/limepath/duties/instance.py
+++ b/limepath/duties/instance.py
@@ -92,6 +92,8 @@
         if any(isinstance(note, Depart) for note in peers) and not self.leaving:
             self.leave()
         orders = self.settle(now, self.members.handle(now, peers))
+        if len(peers) == len(notes):
+            return orders
         self.agenda.now = now
         for note in notes:
             if isinstance(note, Served):
--- a/limepath/duties/simulate.py
+++ b/limepath/duties/simulate.py
@@ -17,6 +17,9 @@
          "leave", "targets")
 
 
+MANY, FEW = 50, 2
+
+
 class Fault(NamedTuple):
     """Virtual microseconds; `who` are instances' indices, or the share of targets in thousandths."""
 
@@ -244,14 +247,19 @@
 
 
 def simulated(instances=5, targets=100, mode=Mode.AT_LEAST_ONCE, interval=5 * SECOND, length=None, seed=1, loss=0.0,
-              doubled=0.0, late=0.0, kinds=KINDS, voters=5, spans=Spans(), leasing=Leasing(), cold=False):
-    """Run a day; give its Findings. `cold` starts with instances that do not know each other yet."""
+              doubled=0.0, late=0.0, kinds=None, voters=5, spans=Spans(), leasing=Leasing(), cold=False):
+    """Run a day; give its Findings. `cold` starts with instances that do not know each other yet.
+
+    `kinds` None: every kind; beyond MANY instances so many of them as FEW, drawn by the seed.
+    """
+    if kinds is None:
+        kinds = KINDS if instances <= MANY else tuple(Random(seed).sample(KINDS, FEW))
     leasing = leasing._replace(voters=tuple(f"n{index}" for index in range(min(instances, voters))))
     plan = Plan("probe", mode, interval)
     settle = bounds(spans, plan, leasing, instances).disagreement
     first = 2 * interval + (settle if cold else 0)
     length = length or first + len(kinds) * (30 * SECOND + settle)
-    end = length + 2 * settle
+    end = length + interval
     world = World(instances, targets, (plan,), spans, leasing, seed, loss, doubled, late)
     faults = schedule(kinds, instances, first, length, settle, seed) if kinds else []
     day = Day(world, faults, end)
