--- a/limepath/cli/duties.py
+++ b/limepath/cli/duties.py
@@ -142,3 +142,17 @@
             for plan in read.plans
             for name, value in computed(read.spans, plan, read.leasing, instances, together)._asdict().items()]
     conclude(rows, as_json, instances=instances)
+
+
+@command.command("measure")
+@click.option("--out", type=click.Path(file_okay=False), default="docs/measurements", show_default=True)
+@click.option("--sizes", default="3,30,300,1000", show_default=True, help="Instances, in virtual time.")
+@click.option("--fronts", default="3,10,50", show_default=True, help="Fronts, real and in virtual time.")
+def measure(out, sizes, fronts):
+    """Measure what sharing costs and saves; write a page, a chart and the raw figures. Needs the extra 'measure'."""
+    from limepath.duties.measure import measured
+    try:
+        numbers = [tuple(int(number) for number in text.split(",")) for text in (sizes, fronts)]
+    except ValueError:
+        raise click.BadParameter("whole numbers with commas are wanted") from None
+    click.echo(measured(out, *numbers, say=lambda line: click.echo(line, err=True)))
--- /dev/null
+++ b/limepath/duties/saving.py
@@ -0,0 +1,144 @@
+"""What sharing saves the caches: many fronts with the real decision module, in virtual time, before one silent cache.
+
+Three ways: as the module does by itself (probes on suspicion only), each front for itself (every front probes every
+cache in each interval), and shared. Counted are the probes that caches see, and the GETs that meet the silent cache.
+"""
+
+from typing import NamedTuple
+
+from limepath import contract as c
+from limepath.choice import Front
+from limepath.duties.interface import Leasing, Mode, Plan, Served
+from limepath.duties.world import World
+from limepath.peers.interface import Spans
+
+SECOND = 1_000_000
+ALONE, EACH, SHARED = "on suspicion alone", "each for itself", "shared"
+WAYS = (ALONE, EACH, SHARED)
+PATIENCE, PROBE = 2 * SECOND, 250_000
+WORK = 40_000  # of a GET at a cache
+SERVICE = c.DeliveryService(
+    objective=600_000, stretch=1.6, viewer_timeout=PATIENCE, revenue=1.0, late_share=0.2, repeats=c.Repeats.IDEMPOTENT,
+    scope=c.Scope.ALL, window=SECOND, streamed=False, fresh=0, grace=0, stale_share=0.0, uncacheable=False, segmented=False)
+
+
+class Saved(NamedTuple):
+    way: str
+    fronts: int
+    probes: float  # that a healthy cache sees, by second
+    probes_silent: float  # that the silent cache sees, by second of its silence
+    met: int  # GETs forwarded to the silent cache in its silence
+    gets: int
+
+
+class Fronts(World):
+    """A world whose nodes each have a front. The silent cache is target 1, between two moments."""
+
+    def __init__(self, way, fronts, caches, interval, rate, seed):
+        super().__init__(fronts, caches, (Plan("probe", Mode.AT_LEAST_ONCE, interval),), Spans(), Leasing(), seed)
+        self.way, self.rate = way, rate
+        self.silent, self.seen, self.met, self.gets = (20 * SECOND, 40 * SECOND), {}, 0, 0
+        self.fronts = [Front(
+            seed=seed + index, services=(SERVICE,),
+            footprint=c.Footprint(0, (0,), (), fronts, fronts, 2, 3, 0.0, False),
+            allowance=c.Allowance(6, False, True, True, False, SECOND, True, False, "none", False),
+            cache_warmup=c.Warmup(1.0, 1, 2.0, SECOND), parent_warmup=c.Warmup(1.0, 1, 2.0, SECOND),
+            grace=c.Grace(8000, SECOND, 0, 0, 0)) for index in range(fronts)]
+        self.asked, self.wakes, self.out = [set() for _ in range(fronts)], [None] * fronts, {}
+
+    def open(self, preset=True):
+        if self.way == SHARED:
+            super().open(True)
+        else:
+            for node in self.nodes:
+                node.start(())
+                if self.way == EACH:
+                    node.begin()
+        members = tuple(c.Member(c.Standing.READY, target, 0, 0, 0, 0, 6.0) for target in self.targets)
+        for index in range(len(self.nodes)):
+            self.tell(index, c.Roster(c.Listing.FULL, 1, members))
+            self.at(self.chance.randrange(SECOND), self.get, index)
+
+    def is_silent(self, cache):
+        return cache == 1 and self.silent[0] <= self.now < self.silent[1]
+
+    def tell(self, index, *notes):
+        self.carry(index, self.fronts[index].handle(self.now, notes))
+
+    def carry(self, index, orders):
+        for order in orders:
+            if isinstance(order, c.Forward):
+                self.out[index, order.id] = order
+                self.met += self.is_silent(order.cache)
+                if self.is_silent(order.cache):
+                    self.at(self.now + PATIENCE, self.ended, index, order, c.Verdict.TIMED_OUT, PATIENCE)
+                else:
+                    self.at(self.now + WORK, self.ended, index, order, c.Verdict.RETURNED, WORK)
+            elif isinstance(order, c.Withdraw):
+                if forward := self.out.get((index, order.id)):
+                    self.ended(index, forward, c.Verdict.CANCELLED, SECOND)
+            elif isinstance(order, c.Probe):
+                self.probe(index, order)
+            elif isinstance(order, c.Wake) and (self.wakes[index] is None or self.wakes[index] <= self.now
+                                                or self.now + order.delay < self.wakes[index]):
+                self.wakes[index] = self.now + order.delay
+                self.at(self.wakes[index], self.wake, index, self.wakes[index])
+
+    def wake(self, index, due):
+        if self.wakes[index] == due:
+            self.wakes[index] = None
+            self.tell(index, c.Due(0))
+
+    def get(self, index):
+        self.gets += 1
+        self.tell(index, c.Get(self.gets, 0, 0, 1 + self.chance.randrange(10_000), PATIENCE, 0.0, 0, 0, False, False))
+        self.at(self.now + int(self.chance.expovariate(self.rate) * SECOND) + 1, self.get, index)
+
+    def ended(self, index, order, verdict, took):
+        if self.out.pop((index, order.id), None) is order:
+            done = verdict == c.Verdict.RETURNED
+            self.tell(index, c.Outcome(order.id, 0, verdict, order.cache, took, 0, done, c.Hint.NONE, {}))
+
+    # Probes: of rounds, of the module's asking
+
+    def probe(self, index, order):
+        node = self.nodes[index]
+        if self.way == SHARED:
+            node.instance.agenda.now = node.clock()
+            if shared := node.instance.answer(order.cache, order.oldest):
+                return self.at(self.now + 1, self.tell, index, self.report_of(shared))
+        self.asked[index].add(order.cache)
+        self.sent(index, order.cache)
+
+    def sent(self, index, cache):
+        self.seen.setdefault(cache, []).append(self.now)
+        silent = self.is_silent(cache)
+        verdict, took = (c.Verdict.TIMED_OUT, PROBE) if silent else (c.Verdict.RETURNED, 800)
+        self.at(self.now + took, self.probed, index, cache, verdict, took)
+
+    def probed(self, index, cache, verdict, took):
+        self.asked[index].discard(cache)
+        self.tell(index, c.ProbeReport(cache, verdict, took, {}))
+        if self.way != ALONE:
+            self.nodes[index].hear([Served(0, cache, int(verdict), took, {})])
+
+    def serve(self, node, order):
+        self.sent(node.index, order.target)
+
+    def shared(self, node, result):
+        if result.target not in self.asked[node.index]:
+            self.tell(node.index, self.report_of(result))
+
+    def report_of(self, result):
+        return c.ProbeReport(result.target, c.Verdict(result.verdict), result.took, {}, max(1, result.age))
+
+
+def saved(way, fronts, caches=20, interval=2 * SECOND, rate=20.0, seed=1):
+    """Play 60 s of one way; give what was Saved."""
+    world = Fronts(way, fronts, caches, interval, rate, seed)
+    world.open()
+    world.run(60 * SECOND)
+    begin, end = world.silent
+    healthy = sum(len(seen) for cache, seen in world.seen.items() if cache != 1) / (caches - 1) / 60
+    silent = sum(begin <= at < end for at in world.seen.get(1, ())) / ((end - begin) / SECOND)
+    return Saved(way, fronts, round(healthy, 3), round(silent, 3), world.met, world.gets)
--- a/limepath/duties/world.py
+++ b/limepath/duties/world.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from limepath.duties.instance import Instance
-from limepath.duties.interface import Keep, Mode, Serve, Served, Targets
+from limepath.duties.interface import Keep, Mode, Serve, Served, Shared, Targets
 from limepath.peers.guard import HEAD, SEAL
 from limepath.peers.interface import REFUTALS, Departed, GiveWay, Heard, News, Say, Send
 
@@ -97,6 +97,8 @@
                 world.serve(self, order)
             elif isinstance(order, Keep):
                 self.store |= {"ceiling": order.ceiling, "sure": True}
+            elif isinstance(order, Shared):
+                world.shared(self, order.result)
             elif isinstance(order, Say):
                 world.said(order)
             elif isinstance(order, GiveWay):
@@ -207,6 +209,9 @@
         self.serves.setdefault(key, []).append((self.now, node.index))
         self.at(self.now + 800, self.answered, node, node.instance, order)
 
+    def shared(self, node, result):
+        """Another's result has come to this node; worlds with fronts hand it on."""
+
     def answered(self, node, instance, order):
         if node.instance is instance:
             node.hear([Served(order.duty, order.target, 0, 800, {"util": 0.5})])
--- a/limepath/peers/host.py
+++ b/limepath/peers/host.py
@@ -9,6 +9,8 @@
 from limepath.peers.guard import BadKeys, Dropped, Guard, keys_of
 from limepath.peers.interface import Heard
 
+SLICE, TAKEN = 50_000, 400  # microseconds; datagrams that may be dropped in one before it is left unread to its end
+
 
 class Unopened(Exception):
     """The keys or the socket can't be had; the text names which."""
@@ -36,6 +38,7 @@
         told, self.mark = read_keys(keys)
         self.guard = Guard(told, types)
         self.port, self.reported, self.sent = None, Counter(), 0
+        self.bad, self.sliced = 0, False
 
     def open(self):
         self.port = self.reactor.listenUDP(self.address[1], self, self.address[0], maxPacketSize=2048)
@@ -49,7 +52,19 @@
         try:
             self.gather(Heard(*self.guard.open(datagram)))
         except Dropped:
-            pass  # counted there, told by `report`
+            self.bad += 1  # counted by kind there, told by `report`
+            if not self.sliced:
+                self.sliced = True
+                self.reactor.callLater(SLICE / 1e6, self.sliced_over)
+            elif self.bad == TAKEN:
+                self.guard.counts["left unread"] += 1  # slices
+                self.port.stopReading()
+
+    def sliced_over(self):
+        """Whoever floods the port takes a part of a core, not all; the system drops what it has no room for."""
+        if self.bad >= TAKEN and self.port:
+            self.port.startReading()
+        self.bad, self.sliced = 0, False
 
     def send(self, me, order):
         if self.port is None:
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -4,7 +4,7 @@
 a shuffled round. No answer within `direct`: others are asked to check. None by the end of the period: it is
 suspected, and declared dead when the suspicion's time is over and nobody has heard it refute. News travels on the
 checks. Whoever does not know the life it speaks to says Hello and learns it: what is meant for a former life
-changes nothing. Free of I/O; docs/peers.md has the options weighed.
+changes nothing. Free of I/O; docs/duties.md has the options weighed.
 """
 
 from bisect import bisect_left, insort
@@ -346,6 +346,10 @@
     def give_way(self, other, why):
         if not self.over:
             self.over = True
+            if other.token != self.me.token:  # a token of its own is not needed any more
+                gone = self.me._replace(state=State.LEFT)
+                for token in self.agenda.some(self.ring, min(len(self.ring), FAREWELLS)):
+                    self.send(self.table[token], Ping(0, (gone,), 0))
             self.agenda.order(GiveWay(other, why))
 
     # Messages
