--- a/limepath/verdicts.py
+++ b/limepath/verdicts.py
@@ -28,8 +28,8 @@
 def table(rows):
     """
     >>> print(table([Row("longest gap, s", 5.2, 33.0), Row("serves", 12)]))
-    longest gap, s   5.2   33.0  holds
-    serves          12        -  -
+    longest gap, s  5.2  33.0  holds
+    serves           12     -  -
     """
     drawn = [(row.what, shown(row.measured), shown(row.bound),
               "-" if row.bound is None else "holds" if row.holds else "BROKEN") for row in rows]
