TLS decisions without I/O: sessions to offer, budget of handshakes, what fits together

Change: limepath/tls with sessions (every condition of a verification must hold, one use in 1.3), admission (budget by server and in all, charged as full and given back, back-off by kind of failure, slow return), material and making (keys, chains, trust, revocation lists). No sockets yet.

--- /dev/null
+++ b/tests/tls_stories.py
@@ -0,0 +1,277 @@
+"""Stories of the TLS decisions: sessions, the budget of handshakes, and what fits together."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limepath.tls.admission import HEAD_START, Admission
+from limepath.tls.interface import (Begin, Broken, Failure, Pace, Patience, Refuse, Session, Shaken, Swapped, Told, Under,
+                                    Unwanted, Want)
+from limepath.tls.making import DAY, Made, authority, issue, revoked
+from limepath.tls.material import (BadMaterial, certificates, checked_lists, hangs_together, is_revoked, shown, trusted)
+from limepath.tls.sessions import Sessions
+
+SECOND = 1_000_000
+WALL = 1_796_000_000 * SECOND
+NAME = Under(1, "c1.sur.example.org", 0, 0)
+
+
+def session(under=NAME, ticket="t", until=100 * SECOND, since=0, end=10 ** 18, once=False):
+    return Session(under, "TLSv1.3" if once else "TLSv1.2", ticket, until, since, end, once)
+
+
+def test_a_session_is_offered_only_while_all_holds_that_it_was_verified_under():
+    kept = Sessions(10, 4, 3600 * SECOND)
+    assert kept.keep(0, WALL, session(end=WALL + 50 * SECOND))
+    assert kept.offer(SECOND, WALL, NAME).ticket == "t"
+    for other in (NAME._replace(member=2), NAME._replace(name="c2"), NAME._replace(trust=1), NAME._replace(client=1)):
+        assert kept.offer(SECOND, WALL, other) is None
+    assert kept.resumable(SECOND, WALL, NAME)
+    assert kept.offer(SECOND, WALL + 50 * SECOND, NAME) is None  # the clock has stepped past its certificate's end
+    assert kept.offer(SECOND, WALL, NAME) is None  # gone with that
+    assert kept.keep(0, WALL, session()) and kept.offer(100 * SECOND, WALL, NAME) is None
+    assert not kept.keep(0, WALL, session(since=WALL + 1))
+
+
+def test_a_ticket_of_1_3_is_offered_once_and_a_session_of_1_2_again():
+    kept = Sessions(10, 4, 3600 * SECOND)
+    kept.keep(0, WALL, session(ticket="a", once=True))
+    kept.keep(0, WALL, session(ticket="b", once=True))
+    assert [kept.offer(1, WALL, NAME).ticket for _ in range(2)] == ["b", "a"]
+    assert kept.offer(1, WALL, NAME) is None and kept.count == 0
+    kept.keep(0, WALL, session())
+    assert kept.offer(1, WALL, NAME) == kept.offer(1, WALL, NAME) is not None
+
+
+def test_all_is_dropped_when_trust_or_key_change_and_one_server_s_when_it_falls_back():
+    kept = Sessions(10, 4, 3600 * SECOND)
+    other = NAME._replace(member=2)
+    for under in (NAME, other):
+        kept.keep(0, WALL, session(under))
+    kept.forget(1)
+    assert kept.offer(1, WALL, NAME) is None and kept.offer(1, WALL, other)
+    kept.swap(1, 0)
+    assert kept.count == 0 and not kept.keep(0, WALL, session(other))
+    assert kept.keep(0, WALL, session(other._replace(trust=1)))
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.one_of(
+    st.tuples(st.just("keep"), st.integers(0, 3), st.integers(0, 1), st.integers(1, 40), st.integers(1, 40), st.booleans()),
+    st.tuples(st.just("offer"), st.integers(0, 3), st.integers(0, 1)),
+    st.tuples(st.just("swap"), st.integers(0, 1), st.integers(0, 1)),
+    st.tuples(st.just("forget"), st.integers(0, 3)),
+    st.tuples(st.just("wait"), st.integers(0, 20), st.integers(-10, 30))), max_size=60))
+def test_no_session_is_ever_offered_that_fails_a_condition_and_the_store_stays_bounded(history):
+    kept, now, wall, used = Sessions(6, 3, 15), 0, 100, set()
+    for number, (what, *said) in enumerate(history):
+        if what == "keep":
+            member, trust, until, end, once = said
+            kept.keep(now, wall, session(Under(member, "x", trust, 0), number, now + until, 0, wall + end, once))
+        elif what == "offer":
+            under = Under(said[0], "x", said[1], 0)
+            offered = kept.offer(now, wall, under)
+            if offered:
+                assert offered.under == under and (under.trust, under.client) == (kept.trust, kept.client)
+                assert now < offered.until and wall < offered.wall_until and offered.ticket not in used
+                if offered.once:
+                    used.add(offered.ticket)
+        elif what == "swap":
+            kept.swap(*said)
+        elif what == "forget":
+            kept.forget(*said)
+        else:
+            now, wall = now + said[0], wall + said[1]
+        assert kept.count == sum(map(len, kept.kept.values())) <= 6 and all(kept.kept.values())
+        for member in range(4):
+            assert sum(len(line) for under, line in kept.kept.items() if under.member == member) <= 3
+
+
+# The budget
+
+
+def want(ident, server=1, resumable=False, objective=SECOND, until=5 * SECOND):
+    return Want(ident, server, resumable, objective, until)
+
+
+def begun(orders):
+    return [order.id for order in orders if isinstance(order, Begin)]
+
+
+def test_500_wanted_at_once_begin_at_the_pace_and_the_rest_is_refused_in_time():
+    pace = Pace(rate=20.0, burst=10, at_once=4)
+    doors, now, started, refused = Admission(1, pace), 0, [], []
+    orders = doors.handle(0, [want(ident, until=2 * SECOND) for ident in range(500)])
+    while now < 3 * SECOND:
+        for order in orders:
+            if isinstance(order, Begin):
+                started.append((now, order.id))
+            else:
+                refused.append((now, order.id))
+        now += 10_000
+        orders = doors.handle(now, [Shaken(ident, False) for at, ident in started if at == now - 10_000])
+    assert 45 <= len(started) <= 10 + 20 * 2 + 1 and len(started) + len(refused) == 500
+    assert all(at <= 2 * SECOND + 10_000 for at, _ in refused)
+    assert max(sum(at <= first < at + SECOND for first, _ in started) for at, _ in started) <= 10 + 20 + 1
+
+
+def test_the_nearest_objective_goes_first_and_who_can_resume_has_a_head_start_only():
+    pace = Pace(rate=1.0, burst=1, at_once=1)
+    doors = Admission(1, pace)
+    doors.handle(0, [want(0, objective=0)])
+    later = doors.handle(1, [Shaken(0, False), want(1, objective=900_000), want(2, objective=800_000),
+                             want(3, resumable=True, objective=850_000), want(4, resumable=True, objective=800_001 + HEAD_START)])
+    order = begun(later)
+    now = 1
+    while now < 8 * SECOND:
+        now += SECOND // 2
+        order += begun(doors.handle(now, [Shaken(ident, False) for ident in list(doors.under_way)]))
+    assert order == [3, 2, 4, 1]
+
+
+def test_a_resumed_handshake_gives_back_what_it_did_not_cost():
+    pace = Pace(rate=1.0, burst=4, at_once=100, resumed_share=0.25)
+    full, light = Admission(1, pace), Admission(1, pace)
+    notes = [want(ident) for ident in range(20)]
+    assert len(begun(full.handle(0, notes))) == len(begun(light.handle(0, notes))) == 4
+    assert begun(full.handle(1, [Shaken(ident, False) for ident in range(4)])) == []
+    assert len(begun(light.handle(1, [Shaken(ident, True) for ident in range(4)]))) == 3
+
+
+def test_a_server_is_left_alone_longer_each_time_and_returns_slowly():
+    doors, now, spans = Admission(1, Pace(rate=1000.0, burst=1000, at_once=8)), 0, []
+    for turn in range(5):
+        ident = 100 * turn
+        orders = doors.handle(now, [want(ident + n, until=now + 100 * SECOND) for n in range(8)])
+        assert len(begun(orders)) == (8 if turn == 0 else 1)
+        told = [o for o in doors.handle(now, [Broken(o.id, Failure.EXPIRED) for o in orders if isinstance(o, Begin)])
+                if isinstance(o, Told)]
+        assert len(told) == 1 and told[0].failure == Failure.EXPIRED
+        spans.append(told[0].span)
+        now += told[0].span - 1
+        assert begun(doors.handle(now, [])) == []
+        for n in range(8):
+            doors.handle(now, [Unwanted(ident + n)])
+        now += 1
+    assert all(b > a * 1.1 for a, b in zip(spans, spans[1:4])) and max(spans) <= 60 * SECOND * 1.25
+    orders = doors.handle(now, [want(1000 + n, until=now + 100 * SECOND) for n in range(30)])
+    grown = []
+    for _ in range(4):
+        grown.append(len(begun(orders)))
+        orders = doors.handle(now, [Shaken(o.id, False) for o in orders if isinstance(o, Begin)])
+    assert grown == [1, 2, 4, 8]
+
+
+def test_what_may_pass_is_tried_sooner_and_a_swap_tries_all_again():
+    doors = Admission(1)
+    (soon,) = [o for o in doors.handle(0, [want(1)]) + doors.handle(0, [Broken(1, Failure.TIMED_OUT)]) if isinstance(o, Told)]
+    assert soon.span <= Patience().passing * 1.25
+    (late,) = [o for o in doors.handle(0, [want(2, 9)]) + doors.handle(0, [Broken(2, Failure.WRONG_NAME)]) if isinstance(o, Told)]
+    assert late.span > 10 * soon.span
+    (refused,) = doors.handle(1, [want(3, 9, until=SECOND)])
+    assert refused == Refuse(3, "left alone")
+    doors.handle(2, [Swapped()])
+    assert begun(doors.handle(3, [want(4, 9)])) == [4]
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(st.integers(0, 99), st.lists(st.tuples(
+    st.sampled_from(("want", "shaken", "resumed", "broken", "unwanted", "swapped", "wait", "wait")), st.integers(0, 2),
+    st.integers(1, 600)), max_size=80))
+def test_the_budget_is_never_overdrawn_and_nobody_waits_for_ever(seed, history):
+    pace = Pace(rate=5.0, burst=3, at_once=2, all_rate=8.0, all_burst=4, all_at_once=3)
+    doors, now, ident, out, ended, full, gave_back = Admission(seed, pace), 0, 0, {}, {}, [], 0.0
+    waiting = {}
+
+    def hear(*notes):
+        nonlocal now
+        for order in doors.handle(now, notes):
+            if isinstance(order, Begin):
+                assert waiting.pop(order.id) > now and order.id not in ended
+                out[order.id] = now
+                full.append(now)
+            elif isinstance(order, Refuse):
+                waiting.pop(order.id)
+                ended[order.id] = order.why
+        assert all(until > now for until in waiting.values())
+        assert len(doors.under_way) <= pace.all_at_once
+        assert all(len(server.under_way) <= server.limit <= pace.at_once for server in doors.servers.values())
+        assert len(full) - gave_back <= pace.all_burst + pace.all_rate * now / SECOND + 1e-6
+
+    for what, server, span in history:
+        if what == "want":
+            ident += 1
+            waiting[ident] = now + span * 10_000
+            hear(want(ident, server, span % 2 == 0, now + span * 1000, now + span * 10_000))
+        elif what == "wait":
+            end = now + span * 3000
+            while (due := doors.next()) is not None and due <= end:
+                now = max(now, due)
+                hear()
+            now = end
+        elif what == "swapped":
+            hear(Swapped())
+        elif what == "unwanted" and waiting:
+            gone = min(waiting)
+            del waiting[gone]
+            hear(Unwanted(gone))
+        elif out and what in ("shaken", "resumed", "broken"):
+            one = min(out)
+            del out[one]
+            ended[one] = what
+            gave_back += (1 - pace.resumed_share) * (what == "resumed")
+            hear(Broken(one, Failure.REFUSED) if what == "broken" else Shaken(one, what == "resumed"))
+    now += 7 * SECOND
+    hear()
+    assert not waiting and not doors.wants
+
+
+# What fits together
+
+
+@pytest.fixture(scope="module")
+def made():
+    root = authority("root", WALL)
+    return {"root": root, "middle": authority("middle", WALL, above=root), "other": authority("root", WALL)}
+
+
+def flaw(certificate, key, roots=(), wall=WALL):
+    with pytest.raises(BadMaterial) as raised:
+        hangs_together(certificate, key, roots, wall)
+    return str(raised.value)
+
+
+def test_a_set_is_taken_as_a_whole_or_the_part_named(made):
+    roots = trusted(made["root"].certificate, WALL)
+    leaf = issue(made["root"], ["c1.example.org", "127.0.0.1"], WALL)
+    chain = hangs_together(leaf.certificate, leaf.key, roots, WALL)
+    assert chain.until == WALL + 90 * DAY and shown(chain.leaf, WALL).names == ("c1.example.org", "127.0.0.1")
+    below = issue(made["middle"], ["c2"], WALL)
+    assert len(hangs_together(below.certificate, below.key, roots, WALL).above) == 1
+    first = below.certificate[:below.certificate.index(b"-----END") + 26]
+    assert "chain: incomplete" in flaw(first, below.key, roots)
+    assert "does not fit" in flaw(leaf.certificate, below.key, roots)
+    assert "expired" in flaw(leaf.certificate, leaf.key, roots, WALL + 91 * DAY)
+    assert "not yet valid" in flaw(leaf.certificate, leaf.key, roots, WALL - DAY)
+    assert "another root" in flaw(leaf.certificate, leaf.key, trusted(made["other"].certificate))
+    assert "does not hang on" in flaw(leaf.certificate + made["middle"].certificate, leaf.key)
+    assert "no private key" in flaw(leaf.certificate, leaf.key[:-60])
+    assert "no certificate" in flaw(leaf.certificate[:200], leaf.key)
+    weak = issue(made["root"], ["c3"], WALL, kind="rsa", bits=1024)
+    assert "weak key: RSA of 1024" in flaw(weak.certificate, weak.key, roots)
+    with pytest.raises(BadMaterial, match="is no CA"):
+        trusted(leaf.certificate)
+    with pytest.raises(BadMaterial, match="no CA with its own key"):
+        issue(Made(made["root"].certificate, made["middle"].key), ["x"], WALL)
+
+
+def test_a_revoked_one_is_known_by_a_list_that_the_root_signed(made):
+    roots = trusted(made["root"].certificate)
+    good, bad = (certificates(issue(made["root"], [name], WALL).certificate)[0] for name in ("a", "b"))
+    lists, stale = checked_lists(revoked(made["root"], [bad.serial_number], WALL), roots, WALL)
+    assert not stale and is_revoked(bad, lists) and not is_revoked(good, lists)
+    assert checked_lists(revoked(made["root"], [], WALL, hours=1), roots, WALL + 2 * 3600 * SECOND)[1]
+    with pytest.raises(BadMaterial, match="nobody here trusts"):
+        checked_lists(revoked(made["other"], [], WALL), roots, WALL)
+    with pytest.raises(BadMaterial, match="none that can be read"):
+        checked_lists(b"noise", roots, WALL)
