--- a/limepath/duties/drill.py
+++ b/limepath/duties/drill.py
@@ -419,7 +419,7 @@
     since, messages, size = drill.counted
     span = (drill.end - since) / SECOND
     drill.messages, drill.bytes, drill.sampled = drill.ways.messages - messages, drill.ways.bytes - size, 0
-    agreed, drill.views_agree = drill.agreed, lambda: drill.agreed
+    drill.views_agree = lambda: drill.agreed
     rounds = sum(len(served) for served in drill.serves.values())
     alive = sum(min(drill.gone.get(name, drill.end), drill.end) - at for name, at in drill.born.items())
     rows = findings(Told(drill), drill.plan, drill.caches_first)
--- a/limepath/duties/instance.py
+++ b/limepath/duties/instance.py
@@ -7,13 +7,13 @@
 from typing import NamedTuple
 
 from limepath.agenda import Agenda
-from limepath.duties.interface import (AskEpochs, Claim, Epochs, From, Keep, Mode, Reach, Release, Results, Served,
-                                       Targets, Vote)
+from limepath.duties.interface import (AskEpochs, Claim, Epochs, Mode, Reach, Release, Results, Served, Targets,
+                                       Vote)
 from limepath.duties.learnt import Learnt
 from limepath.duties.leases import Leases
 from limepath.duties.ring import Ring, key_of
 from limepath.duties.rounds import Rounds
-from limepath.peers.interface import NEWEST, Depart, Departed, GiveWay, Heard, Joined, Parted, Passed, Say
+from limepath.peers.interface import NEWEST, Depart, Departed, GiveWay, Heard, Joined, Parted, Passed
 from limepath.peers.members import Members
 
 FEW = 3  # changes of the view up to which its ring is changed rather than built anew
--- a/limepath/duties/interface.py
+++ b/limepath/duties/interface.py
@@ -117,14 +117,6 @@
     load: dict
 
 
-class From(NamedTuple):
-    """A duties' message of a live member; `name` is its name among the voters."""
-
-    token: int
-    name: str
-    message: msgspec.Struct
-
-
 # Orders out
 
 
--- a/limepath/duties/leases.py
+++ b/limepath/duties/leases.py
@@ -8,8 +8,7 @@
 learnt from so many others that every majority is among them. Free of I/O.
 """
 
-from limepath.agenda import Agenda
-from limepath.duties.interface import AskEpochs, Claim, Epochs, Keep, Leasing, Reach, Release, Vote
+from limepath.duties.interface import AskEpochs, Claim, Epochs, Keep, Release, Vote
 
 BLOCK = 1000  # epochs by which the ceiling is kept ahead
 
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -187,7 +187,9 @@
         return max(self.heard, min(flight.at for flight in self.out.values()))
 
     def unsent(self):
-        """Bytes that were never handed to the system."""
+        """Bytes that were never handed to the system. Behind TLS that can't be told: all may have gone."""
+        if self.peer.caches.secured and self.peer.kind in self.peer.caches.secured.kinds:
+            return 0
         held = self.transport
         return len(held.dataBuffer) - held.offset + sum(map(len, held._tempDataBuffer))
 
@@ -272,7 +274,7 @@
         self.caches, self.ident, self.name = caches, ident, name
         self.log, self.limits = caches.log, caches.limits
         self.address, self.since, self.waiting, self.connections, self.coming = None, None, deque(), [], 0
-        self.idle, self.gone = [], None  # the connections with nothing out, the last used at the end
+        self.idle, self.gone, self.kind = [], None, None  # the connections with nothing out, the last used at the end
 
     def listed(self, address, since, standing):
         if (address, since) != (self.address, self.since) or standing == c.Standing.GONE:
@@ -335,9 +337,11 @@
         self.coming += 1
         self.caches.held += 1
         connection = CacheConnection(self)
-        host, port = self.address
-        endpoint = TCP4ClientEndpoint(self.caches.reactor, host, port, timeout=self.limits.connect / 1e6)
-        coming = endpoint.connect(Factory.forProtocol(lambda: connection))
+        coming = self.caches.secured and self.caches.secured.connect(self, connection, clock() + self.limits.wait)
+        if not coming:
+            host, port = self.address
+            endpoint = TCP4ClientEndpoint(self.caches.reactor, host, port, timeout=self.limits.connect / 1e6)
+            coming = endpoint.connect(Factory.forProtocol(lambda: connection))
         coming.addCallbacks(self.came_up, self.never_came_up)
         coming.addErrback(lambda failure: self.log.say(
             "fault", failure.getErrorMessage(), where="connecting"))
@@ -386,6 +390,7 @@
     def __init__(self, reactor, turn, clients, limits, log, probe_word):
         self.reactor, self.turn, self.clients, self.limits, self.log = reactor, turn, clients, limits, log
         self.probe_word, self.peers, self.names, self.tags, self.held = probe_word, {}, {}, count(1), 0
+        self.secured = None  # TLS, where the front is told of it
 
     def time(self, flight, span, then):
         flight.timer = self.reactor.callLater(max(0, span) / 1e6, then, flight)
@@ -406,11 +411,12 @@
             self.log.say("descriptors", caches=self.held)
             min(self.idle(), key=lambda one: one.heard).retire()
 
-    def listed(self, ident, name, address, since, standing):
+    def listed(self, ident, name, address, since, standing, kind=None):
         if ident not in self.peers and standing == c.Standing.GONE:
             return
         if ident not in self.peers:
             self.peers[ident], self.names[ident] = Peer(self, ident, name), name.encode()
+        self.peers[ident].kind = kind
         self.peers[ident].listed(address, since, standing)
 
     def forward(self, order, get):
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -222,13 +222,14 @@
             named = {entry.name for entry in entries}
             for name in [name for name in self.entries if name not in named]:
                 gone = self.entries.pop(name)
-                self.caches.listed(gone.member.cache, name, gone.address, gone.since, c.Standing.GONE)
+                self.caches.listed(gone.member.cache, name, gone.address, gone.since, c.Standing.GONE,
+                                   gone.member.kind)
         for entry in entries:
             self.entries[entry.name] = entry
             if entry.member.standing == c.Standing.GONE:
                 del self.entries[entry.name]
             self.caches.listed(entry.member.cache, entry.name, entry.address, entry.since,
-                               entry.member.standing)
+                               entry.member.standing, entry.member.kind)
         listing = c.Listing.FULL if whole else c.Listing.DELTA
         self.turn.gather(c.Roster(listing, int(told.get("revision", 0)),
                                   tuple(entry.member for entry in entries)))
--- a/limepath/front/start.py
+++ b/limepath/front/start.py
@@ -26,8 +26,9 @@
         signal.signal(number, lambda *_: reactor.callFromThread(act))
 
 
-def build(told, shared=None, form="person"):
-    """Put the parts together; give a Deferred that fires once clients can connect. `shared` is a PeersOpening."""
+def build(told, shared=None, form="person", secured=None):
+    """Put the parts together; give a Deferred that fires once clients can connect. `shared` is a PeersOpening,
+    `secured` a TlsOpening."""
     limits = told.limits
     log = Log(told.name, limits.log_lines, limits.log_span, form)
     globalLogBeginner.beginLoggingTo([log.observe], discardBuffer=True, redirectStandardIO=False)
@@ -37,6 +38,17 @@
     caches = clients.caches = Caches(reactor, turn, clients, limits, log, probe_word)
     turn.joined(clients, caches)
     cooperation = None
+    if secured:
+        from limepath.tls.host import Secured  # nothing of it is loaded where the way to servers is plain
+        place = told.arguments["footprint"]
+        upper = {"parents": place.parent_kind, "origin": place.origin_kind}
+        kinds = {kind: trust for trust in secured.trusts for name in trust.members
+                 for kind in ([upper[name]] if name in upper else
+                              set(range(len(told.settings["models"]))) - set(upper.values()))}
+        try:
+            caches.secured = Secured(reactor, log, secured, kinds, told.seed)
+        except ValueError as flaw:
+            raise BadSetting(f"{secured.file}: {flaw}") from None
     if shared:
         from limepath.duties.host import Cooperation  # nothing of it is loaded where nothing is shared
         cooperation = Cooperation(reactor, turn, caches, log, shared, told)
@@ -49,6 +61,8 @@
     clients.gone.addCallback(lambda _: reactor.stop())
 
     def sweep():
+        if caches.secured:
+            caches.secured.announce()
         for part in filter(None, (clients, caches, changes, cooperation)):
             try:
                 part.sweep()
@@ -67,6 +81,8 @@
         changes.follow(host, port)
         if cooperation:
             cooperation.reload()
+        if caches.secured:
+            caches.secured.reload()
 
     def leave():
         if cooperation:
@@ -87,8 +103,8 @@
     return clients.listen(TCP4ServerEndpoint(reactor, port, limits.backlog, host)).addCallback(ready)
 
 
-def main(peers=None, form=None):
-    """Run until told to leave; give the exit status. `peers` names a peers file, `form` the log's form."""
+def main(peers=None, form=None, tls=None):
+    """Run until told to leave; give the exit status. `peers` and `tls` name files, `form` the log's form."""
     flawed = []
 
     def fail(failure):
@@ -98,11 +114,14 @@
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the front is ready: what it reads is new anyway
     try:
-        shared = None
+        shared = secured = None
+        if tls:
+            from limepath.opening import tls as tls_opening
+            secured = tls_opening.read(tls)
         if peers:
             from limepath.opening import peers as peers_opening
             shared = peers_opening.read(peers)
-        build(opening.read(os.environ), shared, form or (shared.form if shared else "person")).addErrback(fail)
+        build(opening.read(os.environ), shared, form or (shared.form if shared else "person"), secured).addErrback(fail)
     except (opening.BadConfiguration, BadSetting) as flaw:
         print(f"limepath: configuration: {flaw}", file=sys.stderr)
         return 2
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -12,7 +12,7 @@
 from math import ceil, log, log2, log10
 
 from limepath.agenda import Agenda, mixed
-from limepath.peers.interface import (NEWEST, REFUTALS, Ack, Depart, Departed, GiveWay, Heard, Hello, Joined, News, Page,
+from limepath.peers.interface import (NEWEST, REFUTALS, Ack, Depart, Departed, GiveWay, Heard, Hello, Joined, Page,
                                       Parted, Passed, Ping, PingFor, Pull, Say, Send, State, Welcome)
 
 CARRIED = 8  # news on one message
@@ -115,10 +115,6 @@
     def next(self):
         return self.agenda.next()
 
-    def live(self):
-        """Tokens of the others that count as alive, suspected ones with them."""
-        return [token for token, _ in self.ring_tokens()]
-
     def ring_tokens(self):
         return [(token, self.table[token]) for token in self.ring]
 
--- a/limepath/tls/making.py
+++ b/limepath/tls/making.py
@@ -4,7 +4,6 @@
 """
 
 import ipaddress
-from datetime import timedelta
 from typing import NamedTuple
 
 from cryptography import x509
--- a/limepath/tls/material.py
+++ b/limepath/tls/material.py
@@ -15,7 +15,7 @@
 ANNOUNCED = (30, 14, 7, 3, 2, 1)  # days before its end that a certificate is announced, then each hour of the last day
 
 
-class BadMaterial(Exception):
+class BadMaterial(ValueError):
     """Its text says which part and why; no path."""
 
 
--- a/tests/duties_stories.py
+++ b/tests/duties_stories.py
@@ -13,7 +13,7 @@
 from limepath.duties.bounds import bounds, doubles
 from limepath.duties.check import explored
 from limepath.duties.interface import (Claim, Epochs, Keep, Leasing, Mode, Plan, Reach, Release, Result, Serve,
-                                       Shared, Vote)
+                                       Shared)
 from limepath.duties.learnt import CARRIED, IN_FLIGHT, Learnt
 from limepath.duties.leases import Leases, Voter, held_for, silence
 from limepath.duties.rounds import Rounds
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -72,8 +72,9 @@
 class StandInCache:
     """Keeps the commands that come for the story to answer; answers probes by itself unless deaf."""
 
-    def __init__(self, name, kind, zone):
-        self.name, self.kind, self.zone = name, kind, zone
+    def __init__(self, name, kind, zone, tls=None):
+        """`tls(name)` gives the server's ssl.SSLContext."""
+        self.name, self.kind, self.zone, self.tls, self.reused = name, kind, zone, tls, []
         self.listener, self.asked, self.deaf, self.connected = listening(), queue.Queue(), False, 0
         self.cut_off, self.crowding, self.crowded = set(), [], False
         self.accepted_last = threading.Event()
@@ -91,6 +92,12 @@
         threading.Thread(target=self.read, args=(connection,), daemon=True).start()
 
     def read(self, connection):
+        if self.tls:
+            try:
+                connection = self.tls(self.name).wrap_socket(connection, server_side=True)
+            except (OSError, ValueError):
+                return
+            self.reused.append(connection.session_reused)
         stream = connection.makefile("rb")
         try:
             while line := stream.readline():
@@ -217,12 +224,12 @@
             "known": {"seq": 0, "results": []}, "settings": SETTINGS} | changes
 
 
-def started(told):
-    """Start the program with this configuration (text or an object); give the process."""
+def started(told, words=()):
+    """Start the program with this configuration (text or an object) and words; give the process."""
     file = tempfile.NamedTemporaryFile("w", suffix=".json")
     file.write(told if isinstance(told, str) else json.dumps(told))
     file.flush()
-    process = subprocess.Popen([sys.executable, "-m", "limepath"], stderr=subprocess.PIPE, text=True,
+    process = subprocess.Popen([sys.executable, "-m", "limepath", *words], stderr=subprocess.PIPE, text=True,
                                env=os.environ | {"ROUTER_CONFIG": file.name})
     process.file = file
     return process
@@ -231,10 +238,11 @@
 class Site:
     """A front started as `run` starts it, with a cache, a parent, the origin and a change log around it."""
 
-    def __init__(self, caches=("s-1",), **changes):
-        self.caches = [StandInCache(name, "box", "sur") for name in caches]
+    def __init__(self, caches=("s-1",), words=(), tls=None, **changes):
+        self.words = words
+        self.caches = [StandInCache(name, "box", "sur", tls) for name in caches]
         self.cache = self.caches[0]
-        self.parent, self.origin = StandInCache("p-1", "parent", "hub"), StandInCache("o-1", "origin", "hub")
+        self.parent, self.origin = (StandInCache(name, kind, "hub", tls) for name, kind in (("p-1", "parent"), ("o-1", "origin")))
         self.members, self.log = [*self.caches, self.parent, self.origin], StandInChangeLog()
         fleet = {"revision": 1, "complete": True, "members": [member.entry() for member in self.members]}
         self.told = {"changelog": address(self.log.listener),
@@ -244,7 +252,7 @@
         """Whether the front came up; its port may have been taken since it was found free."""
         self.where, self.said, self.lines = free_address(), [], queue.Queue()
         self.configuration = configuration(self.where, **self.told)
-        self.process = started(self.configuration)
+        self.process = started(self.configuration, self.words)
         threading.Thread(target=self.listen, daemon=True).start()
         end = time.monotonic() + BOUND
         while time.monotonic() < end and self.process.poll() is None:
--- a/tests/tls_stories.py
+++ b/tests/tls_stories.py
@@ -1,6 +1,8 @@
 """Stories of the TLS decisions: sessions, the budget of handshakes, and what fits together."""
 
 import json
+import signal
+import ssl
 import time
 
 import pytest
@@ -15,6 +17,7 @@
 from limepath.tls.making import DAY, Made, authority, issue, revoked
 from limepath.tls.material import (BadMaterial, certificates, checked_lists, hangs_together, is_revoked, shown, trusted)
 from limepath.tls.sessions import Sessions
+from tests.stand_ins import Site
 
 SECOND = 1_000_000
 WALL = 1_796_000_000 * SECOND
@@ -189,7 +192,6 @@
     waiting = {}
 
     def hear(*notes):
-        nonlocal now
         for order in doors.handle(now, notes):
             if isinstance(order, Begin):
                 assert waiting.pop(order.id) > now and order.id not in ended
@@ -356,3 +358,149 @@
     done = told("check", site / "tls.ini")
     assert says in done.output and done.exit_code == (2 if says else 0)
     assert says or "warning: [trust servers] verify: off" in done.output
+
+
+# The front over TLS, on loopback sockets
+
+
+class Servers:
+    """Certificates of the stand-in servers, by member, and the front's settings beside them."""
+
+    def __init__(self, folder):
+        self.folder, self.now = folder, time.time_ns() // 1000
+        self.root, self.contexts = authority("root", self.now), {}
+        (folder / "keys").mkdir()
+        (folder / "keys/ca.pem").write_bytes(self.root.certificate)
+        (folder / "tls.ini").write_text(
+            "[trust servers]\nroots = keys/ca.pem\nmembers = caches, parents, origin\nname = {id}.cajas.example.org\n"
+            "[left-alone]\nlasting = 1s\n")
+        self.words = ("run", "--tls", str(folder / "tls.ini"))
+
+    def certify(self, member, names=None, above=None, version=None, client=None, **told):
+        made = issue(above or self.root, names or [f"{member}.cajas.example.org"], self.now, **told)
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.set_ciphers("DEFAULT@SECLEVEL=0")
+        context.maximum_version = version or ssl.TLSVersion.TLSv1_3
+        for name, data in (("pem", made.certificate), ("key", made.key)):
+            (self.folder / f"{member}.{name}").write_bytes(data)
+        context.load_cert_chain(self.folder / f"{member}.pem", self.folder / f"{member}.key")
+        if client:
+            (self.folder / "client-ca.pem").write_bytes(client.certificate)
+            context.load_verify_locations(self.folder / "client-ca.pem")
+            context.verify_mode = ssl.CERT_REQUIRED
+        self.contexts[member] = context
+        return made
+
+    def context(self, member):
+        if member not in self.contexts:
+            self.certify(member)
+        return self.contexts[member]
+
+    def site(self, **told):
+        return Site(words=self.words, tls=self.context, **told)
+
+
+COPY = "rev=4be0c1927d55a6f3,since=1764576000123"
+
+
+@pytest.fixture
+def servers(tmp_path):
+    return Servers(tmp_path)
+
+
+@pytest.mark.parametrize("version", (ssl.TLSVersion.TLSv1_2, ssl.TLSVersion.TLSv1_3))
+def test_a_get_goes_over_verified_tls_and_the_next_connection_resumes(servers, version):
+    servers.certify("s-1", version=version)
+    with servers.site() as site:
+        viewers = [site.viewer(), site.viewer()]
+        for number, asking in enumerate((viewers[:1], viewers)):  # the second of two at once needs a connection of its own
+            for viewer in asking:
+                viewer.send(txn=f"0000000000000f{number}{viewers.index(viewer)}")
+            for asked in [site.cache.next() for _ in asking]:
+                asked.answer("DONE", COPY, b"over tls" * 1000)
+            for viewer in asking:
+                assert viewer.answer()[::2] == (200, b"over tls" * 1000)
+        assert site.cache.reused == [False, True]
+
+
+def spoilt(servers, what):
+    """Give the s-1 of the stand-ins a certificate that must not be taken."""
+    if what == "expired":
+        servers.certify("s-1", days=-1, since=servers.now - 5 * DAY)
+    elif what == "not yet valid":
+        servers.certify("s-1", since=servers.now + DAY)
+    elif what == "wrong name":
+        servers.certify("s-1", names=["s-2.cajas.example.org"])
+    elif what == "unknown issuer":
+        servers.certify("s-1", above=authority("root", servers.now))
+    elif what == "missing link":
+        made = servers.certify("s-1", above=authority("middle", servers.now, above=servers.root))
+        first = made.certificate[:made.certificate.index(b"-----END") + 26]
+        (servers.folder / "s-1.pem").write_bytes(first)
+        servers.contexts["s-1"] = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        servers.contexts["s-1"].load_cert_chain(servers.folder / "s-1.pem", servers.folder / "s-1.key")
+    elif what == "weak key":
+        servers.certify("s-1", kind="rsa", bits=1024)
+    elif what == "revoked":
+        made = servers.certify("s-1")
+        (servers.folder / "keys/revoked.pem").write_bytes(
+            revoked(servers.root, [certificates(made.certificate)[0].serial_number], servers.now))
+        text = (servers.folder / "tls.ini").read_text()
+        (servers.folder / "tls.ini").write_text(text.replace("[left", "lists = keys/revoked.pem\n[left"))
+
+
+@pytest.mark.parametrize("what, why", (
+    ("expired", "certificate expired"), ("not yet valid", "certificate not yet valid"), ("wrong name", "wrong name"),
+    ("unknown issuer", "unknown issuer"), ("missing link", "unknown issuer"), ("weak key", "weak key"),
+    ("revoked", "revoked")))
+def test_a_server_that_must_not_be_believed_gets_nothing_and_the_get_goes_elsewhere(servers, what, why):
+    spoilt(servers, what)
+    with servers.site() as site:
+        viewer = site.viewer().send()
+        direct = site.parent.next()  # the cache is proven not to have run it: straight to the parent
+        direct.answer("DONE", COPY, b"elsewhere")
+        assert viewer.answer()[::2] == (200, b"elsewhere")
+        line = site.heard("event=tls-server")
+        assert f'why="{why}"' in line or f"why={why}" in line
+        assert "server=s-1" in line and site.cache.asked.empty()
+
+
+def test_a_put_to_a_server_that_is_not_believed_is_shed_for_it_has_not_run(servers):
+    servers.certify("o-1", names=["other.example.org"])
+    with servers.site() as site:
+        viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine")
+        assert viewer.answer()[0] == 503 and site.origin.asked.empty()
+
+
+def test_keys_swap_as_a_whole_under_sighup_and_a_half_written_one_is_refused(servers):
+    clients = authority("clients", servers.now)
+    for member in ("s-1", "p-1", "o-1"):
+        servers.certify(member, client=clients)
+    pair = issue(clients, ["front-1"], servers.now)
+    paths = [servers.folder / "keys/front.pem", servers.folder / "keys/front.key"]
+
+    def put(one):
+        for path, data in zip(paths, (one.certificate, one.key)):
+            path.write_bytes(data)
+            path.chmod(0o600)
+
+    put(pair)
+    text = (servers.folder / "tls.ini").read_text()
+    (servers.folder / "tls.ini").write_text("[client]\ncertificate = keys/front.pem\nkey = keys/front.key\n" + text)
+    with servers.site() as site:
+        viewer = site.viewer().send()
+        out = site.cache.next()
+        paths[1].write_bytes(pair.key[:80])
+        site.process.send_signal(signal.SIGHUP)
+        assert "the old set stays" in site.heard("event=tls-keys")
+        put(issue(clients, ["front-1"], servers.now))
+        for _ in range(10):
+            site.process.send_signal(signal.SIGHUP)
+        assert "swapped" in site.heard("event=tls-keys")
+        out.answer("DONE", COPY, b"x")  # what was out finishes on its connection
+        assert viewer.answer()[::2] == (200, b"x")
+        out.hang_up()
+        viewer.send(txn="00000000000000fe")
+        site.cache.next().answer("DONE", COPY, b"y")
+        assert viewer.answer()[::2] == (200, b"y")
+        assert site.cache.reused == [False, False]  # no session outlives the key that it was made with
