News goes newest first, then in turn, without sorting all of it for each message

Need: in a fleet of 1,000 split in halves each message sorted a thousand pieces of news. Change: an ordered dict in place of the sort.

--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -8,7 +8,8 @@
 """
 
 from bisect import bisect_left, insort
-from heapq import nlargest
+from collections import OrderedDict
+from itertools import islice
 from math import ceil, log, log2, log10
 
 from limepath.agenda import Agenda, mixed
@@ -75,7 +76,7 @@
     def __init__(self, me, seeds, spans, seed, speaks=NEWEST):
         self.me, self.seeds, self.spans, self.speaks = me, tuple(seeds), spans, speaks
         self.agenda = Agenda(seed)
-        self.table, self.names, self.suspicions, self.gossip = {}, {}, {}, {}
+        self.table, self.names, self.suspicions, self.gossip = {}, {}, {}, OrderedDict()
         self.buried, self.table_since = {}, {}
         self.ring, self.round, self.periods, self.seq, self.ill = [], [], 0, 0, 0
         self.checks, self.relays, self.greeted, self.digest = {}, {}, {}, digest_of(me)
@@ -142,20 +143,19 @@
         self.agenda.order(Send(host, port, 0, Hello()))
 
     def told(self, to):
-        """News to carry: what has been passed on least; and what the receiver itself should refute."""
+        """News to carry: the newest, then each in its turn; and what the receiver itself should refute."""
         own = self.table.get(to)
         carried = [own] if own and own.state not in (State.ALIVE, State.LEFT) else []
-        if self.gossip:
-            for token, (news, left) in nlargest(CARRIED - len(carried), self.gossip.items(), key=lambda item: item[1][1]):
-                carried.append(news)
-                if left <= 1:
-                    del self.gossip[token]
-                else:
-                    self.gossip[token] = news, left - 1
+        for token in list(islice(self.gossip, CARRIED - len(carried))):
+            news, left = self.gossip.pop(token)
+            carried.append(news)
+            if left > 1:
+                self.gossip[token] = news, left - 1  # behind all others
         return tuple(carried)
 
     def pass_on(self, news):
         self.gossip[news.token] = news, COPIES * ceil(log2(len(self.ring) + 2))
+        self.gossip.move_to_end(news.token, last=False)  # the newest goes first, then each in its turn
 
     # The round of checks
 
