--- a/limepath/tls/host.py
+++ b/limepath/tls/host.py
@@ -9,7 +9,7 @@
 from itertools import count
 
 from OpenSSL import SSL, crypto
-from service_identity import VerificationError
+from service_identity import CertificateError, VerificationError
 from service_identity.pyopenssl import verify_hostname, verify_ip_address
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -107,9 +107,7 @@
         """Name and revocation lists, which the library's own verification leaves to us."""
         try:
             (verify_ip_address if self.address_only else verify_hostname)(connection, self.under.name)
-        except (VerificationError, ValueError):  # the library raises its own kinds for a certificate without names
-            return Failure.WRONG_NAME
-        except Exception:  # service_identity's CertificateError is no VerificationError
+        except (VerificationError, CertificateError, ValueError):  # another name, no name, one that can't be read
             return Failure.WRONG_NAME
         chain = connection.get_verified_chain() or [connection.get_peer_certificate()]
         if any(is_revoked(one.to_cryptography(), self.lists) for one in chain if one):
