Silence is judged by what is out; a cache in time takes more than a static share

A third of the GETs shed had first been declined at their home cache at ease 1 for the front's static share ('decl c5769 o2 r2.00 e1.00 > look c9665 MISS > no room for a fill'): Cache.offer, Cache.eased. Change: of n transfers out one ends in an n-th of their mean sending time, silence begins at twice that, at 0.2 s at the least; hits in time take a cache's ease beyond 1, up to all its room.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -26,7 +26,8 @@
 YIELD, LOST = 0.85, 0.1  # of it kept after a late fetch, or one lost among timely ones, and after others lost
 LEAST_FETCHES, DOUBLING = 4, 3_000_000  # least window of all fronts; time in which one below 1 doubles
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
-QUIET, PACE = 200_000, 1_000_000  # silence with an answer owed before a probe, and between probes that answer
+QUIET, PACE = 200_000, 1_000_000  # least silence with an answer owed before a probe, and between probes
+SILENCE = 2  # times that in which something out should be heard of, until silence is one
 DOUBT_AFTER, STRIKES = 2, 3  # probes unanswered in a row before a recall, connections broken before doubt
 SATED, LONG_GONE = 0.95, 2_000_000  # load above which room shrinks; silence after which one is back empty
 MARGIN, SPREAD = 0.8, 2  # share of the cold budget spent; deviations left free where forwards fall by chance
@@ -138,7 +139,7 @@
         super().__init__(loop)
         self.upper, self.warming, self.warm_at, self.ease = upper, warming, 0, 1.0
         self.door, self.gate, self.id, self.salt, self.probing = door, gate, ident, mixed(ident), probing
-        self.out, self.heard, self.probe_at, self.asked, self.suspect = set(), 0, None, 0, False
+        self.out, self.heard, self.probe_at, self.asked, self.suspect = {}, 0, None, 0, False
         self.member, self.missed, self.strikes, self.struck, self.unsure = None, 0, 0, None, None
         self.doubted = 0
 
@@ -149,9 +150,12 @@
             self.missed, self.strikes, self.struck, self.unsure, self.heard = 0, 0, None, None, self.loop.now
         self.member, self.sharing, self.lanes, self.share = member, sharing, lanes, lanes if weighted else 1.0
 
+    def share_of_room(self):
+        return max(LEAST_ROOM + self.upper, ROOM * self.lanes / self.sharing)
+
     def offer(self, get):
         """Take the GET, as cache or source, unless in doubt or full; warming, spare the forward of a look."""
-        room = max(LEAST_ROOM + self.upper, ROOM * self.lanes / self.sharing)
+        room = self.share_of_room()
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease ** (1 / get.claim)
         if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
@@ -159,12 +163,12 @@
         else:
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
-    def took(self, flight):
+    def took(self, flight, sending):
         self.heard = self.heard if self.out else self.loop.now
-        self.out.add(flight)
+        self.out[flight] = sending
 
     def ended(self, flight, verdict, mine, strained):
-        self.out.discard(flight)
+        self.out.pop(flight, None)
         if strained is not None:
             self.eased(strained)
         self.suspect |= verdict == Verdict.FULL and not mine  # down, sated, or its own fetches stick: ask
@@ -180,8 +184,14 @@
             self.silent(verdict)
 
     def eased(self, strained):
-        """What many fronts ask of one member together shows in its answers: late, turned away, sated."""
-        self.ease = max(LEAST_EASE, self.ease * EASED) if strained else min(1, self.ease / EASED ** 0.3)
+        """What many fronts ask of one member together shows in its answers: late, turned away, sated. What others leave
+        of a cache shows as well: one that answers in time takes more than this front's share, up to all its room."""
+        if strained:
+            self.ease = max(LEAST_EASE, self.ease * EASED)
+        elif self.ease < 1 or self.upper:
+            self.ease = min(1, self.ease / EASED ** 0.3)
+        else:
+            self.ease = max(1, min(ROOM * self.lanes / self.share_of_room(), self.ease / EASED ** 0.1))
 
     def alive(self, at):
         self.heard = at
@@ -198,9 +208,13 @@
         if self.missed >= DOUBT_AFTER or verdict in BROKEN:
             self.loop.put(self.door, "recall", self)
 
+    def patience(self):
+        """Of so many transfers out one ends in a part of its sending time: only well past that is silence a sign."""
+        return max(QUIET, SILENCE * sum(self.out.values()) // len(self.out) ** 2)
+
     def tick(self):
         now, able = self.loop.now, self.probing and self.member.standing == Standing.READY
-        waiting = self.missed or self.suspect or self.out and now - self.heard > QUIET
+        waiting = self.missed or self.suspect or self.out and now - self.heard > self.patience()
         if able and waiting and self.probe_at is None and (self.missed == 1 or now - self.asked > PACE):
             self.probe_at, self.asked, self.suspect = now, now, False
             self.loop.orders.append(Probe(self.id, now - max(self.heard, self.doubted)))
@@ -414,7 +428,7 @@
     def left_for(self, get, cache, source):
         self.flights[get.out] = (get, cache, source)
         for member in dict.fromkeys((cache, source)):
-            self.loop.put(member, "took", get.out)
+            self.loop.put(member, "took", get.out, get.own)
         if source is not cache or get.direct:
             self.fills.add(get.out)
             if not get.held:
@@ -441,7 +455,7 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, self.grow / self.window))
                 self.fetched = self.loop.now
-            elif (note.verdict in STUCK and source.ease == 1 and not source.missed and cache.ease > 0.5
+            elif (note.verdict in STUCK and source.ease >= 1 and not source.missed and cache.ease > 0.5
                   and not (others and note.verdict == Verdict.ERRORED)):  # its object errs, or one parent
                 mild = note.verdict == Verdict.RETURNED or others and note.verdict == Verdict.TIMED_OUT
                 self.window = max(self.least, self.window * (YIELD if mild else LOST))
--- /dev/null
+++ b/tests/fleet_host.py
@@ -0,0 +1,153 @@
+"""Many fronts on one fake set of members, in virtual time: what each does alone adds up, and is counted here.
+
+A member has lanes: with more transfers than these all get slower, with three times as many it is full. A look at a cache that
+lacks the object ends at once, a fill waits for its source. Arrivals, sizes and which objects are held are drawn by seed.
+"""
+
+from heapq import heappop, heappush
+from random import Random
+
+from limepath import contract as c
+from limepath.choice import Front
+from tests.fake_host import CACHE, FLEET, ORIGIN, PARENT, SECOND, member, service
+
+V = c.Verdict
+WAY = 5_000  # from a front to a member and back, microseconds
+VIDEO = service(objective=600_000)
+ENTREGA = service(objective=800_000, viewer_timeout=3 * SECOND, repeats=c.Repeats.NON_IDEMPOTENT, uncacheable=True)
+
+
+class FleetMember:
+    def __init__(self, member, chance):
+        self.member, self.chance, self.out, self.probes = member, chance, 0, []
+        self.silent = self.down = False
+        self.work = []  # (time, front, microseconds of sending) that came
+
+    def sending(self, mean):
+        """How long a transfer takes here now."""
+        return int(self.chance.lognormvariate(0, 0.6) / 1.2 * mean * max(1, self.out / self.member.weight))
+
+
+class Fleet:
+    """`rate` is GETs a second of all fronts; `held` the share of looks that find their object."""
+
+    def __init__(self, fronts, caches, seed=1, rate=100.0, held=0.6, weight=6.0, services=(VIDEO, ENTREGA), writes=0.03,
+                 mean=400_000, upper=150_000, link=None, warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND), uneven=1.0):
+        self.chance, self.now, self.serial, self.calendar = Random(seed), 0, 0, []
+        self.rate, self.held, self.writes, self.mean, self.upper, self.services = rate, held, writes, mean, upper, services
+        fleet = [member(100 + i, weight=weight) for i in range(caches)]
+        fleet += [member(11, PARENT, weight=30.0), member(12, PARENT, weight=30.0), member(21, ORIGIN, weight=20.0)]
+        self.members = {one.cache: FleetMember(one, self.chance) for one in fleet}
+        link = link or caches * weight * 1000.0
+        allowance = c.Allowance(forwards=6, overlap=False, withdraw=True, probing=True, peers=False, come_back=SECOND,
+                                direct=True, joins=False, lateral="none", subscribe=False)
+        self.fronts = [Front(
+            seed=seed * 1000 + i, services=services, allowance=allowance, cache_warmup=warmup, parent_warmup=warmup,
+            footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(link, 0.0), fronts_in_zone=fronts, fronts=fronts,
+                                  parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0, weighted=True),
+            grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND)) for i in range(fronts)]
+        self.shares = [self.chance.lognormvariate(0, uneven) for _ in range(fronts)]
+        self.ids, self.gets, self.ends = 0, {}, []  # an end: (time, front, ds, word, took)
+        self.forwards = 0
+        for front in range(fronts):
+            self.hear(front, c.Roster(c.Listing.CACHED, 1, tuple(fleet)))
+
+    def at(self, when, call, *said):
+        self.serial += 1
+        heappush(self.calendar, (when, self.serial, call, said))
+
+    def run(self, span):
+        end = self.now + span
+        self.at(self.now, self.arrive, end)
+        while self.calendar and self.calendar[0][0] <= end:
+            self.now, _, call, said = heappop(self.calendar)
+            call(*said)
+        self.now = end
+
+    def arrive(self, until):
+        if self.now >= until:
+            return
+        front = self.chance.choices(range(len(self.fronts)), self.shares)[0]
+        self.ids += 1
+        ds = int(self.chance.random() < self.writes)
+        told = self.services[ds]
+        get = c.Get(self.ids, ds, 0, self.chance.randrange(1, 1 << 40), told.viewer_timeout, 0.0, 0, 0, False, bool(ds))
+        self.gets[self.ids] = [front, ds, self.now, 0, False]
+        self.at(self.now + told.viewer_timeout, self.over, self.ids)
+        self.hear(front, get)
+        self.at(self.now + int(self.chance.expovariate(self.rate) * SECOND), self.arrive, until)
+
+    def over(self, ident):
+        if ident in self.gets:
+            self.close(ident, "timeout")
+            self.hear(self.gets.pop(ident)[0], c.Left(ident))
+
+    def close(self, ident, word):
+        get = self.gets[ident]
+        if not get[4]:
+            get[4] = True
+            self.ends.append((self.now, get[0], get[1], word, self.now - get[2]))
+
+    def hear(self, front, *notes):
+        for order in self.fronts[front].handle(self.now, notes):
+            if isinstance(order, c.Wake):
+                self.at(self.now + order.delay, self.hear, front, c.Due(order.cookie))
+            elif isinstance(order, c.Probe):
+                self.probe(front, order)
+            elif isinstance(order, c.Forward):
+                self.forward(front, order)
+            elif isinstance(order, (c.Shed, c.Errored)):
+                self.close(order.id, type(order).__name__.lower())
+
+    def probe(self, front, order):
+        one = self.members[order.cache]
+        one.probes.append((self.now, front))
+        verdict, took = (V.TIMED_OUT, 250_000) if one.silent else (V.CONNECT_FAILED, WAY) if one.down else (V.RETURNED, WAY)
+        load = {"util": min(1.0, one.out / one.member.weight)}
+        self.at(self.now + took, self.hear, front, c.ProbeReport(order.cache, verdict, took, load))
+
+    def forward(self, front, order):
+        self.forwards += 1
+        get = self.gets[order.id]
+        number, get[3] = get[3], get[3] + 1
+        cache, source = self.members[order.cache], self.members[order.source]
+        mean = self.mean if get[1] == 0 else 20_000
+        for one in {cache, source}:
+            one.work.append((self.now, front, mean))
+        verdict, took, busy = V.RETURNED, WAY, ()
+        if cache.silent:
+            return
+        if cache.down:
+            verdict = V.CONNECT_FAILED
+        elif cache.out >= 3 * cache.member.weight:
+            verdict = V.FULL
+        elif source is cache and cache.member.kind == CACHE and (get[1] or order.id * 0x9E3779B1 % 1000 >= self.held * 1000):
+            verdict = V.MISS
+        elif source is not cache and (source.down or source.silent or source.out >= 3 * source.member.weight):
+            verdict = V.FULL
+        else:
+            busy = {cache, source}
+            took += cache.sending(mean)
+            if source is not cache:
+                took += int(self.chance.expovariate(1) * self.upper)
+        for one in busy:
+            one.out += 1
+        self.at(self.now + took, self.ended, front, order, number, verdict, took, busy)
+
+    def ended(self, front, order, number, verdict, took, busy):
+        for one in busy:
+            one.out -= 1
+        get = self.gets.get(order.id)
+        closed = get is None or get[4] or verdict == V.RETURNED
+        if get and verdict == V.RETURNED:
+            self.close(order.id, "returned")
+        self.hear(front, c.Outcome(order.id, number, verdict, order.cache, took, 0, closed, c.Hint.NONE, {}))
+
+    # What is counted
+
+    def probes(self, since=0):
+        return sum(at >= since for one in self.members.values() for at, _ in one.probes)
+
+    def share(self, word, since=0, ds=None):
+        ends = [end for end in self.ends if end[0] >= since and ds in (None, end[2])]
+        return sum(end[3] == word for end in ends) / len(ends)
--- /dev/null
+++ b/tests/fleet_stories.py
@@ -0,0 +1,40 @@
+"""What is harmless at one front and not at many: stories of a fleet on one fake set of members (virtual time)."""
+
+from limepath.choice import hash_order
+from tests.fake_host import SECOND
+from tests.fleet_host import Fleet
+
+
+def test_a_fleet_with_thin_traffic_does_not_probe_nearly_as_often_as_it_forwards():
+    fleet = Fleet(fronts=60, caches=60, rate=600, seed=1)
+    fleet.run(10 * SECOND)
+    assert fleet.ids > 5000 and fleet.probes() < 0.25 * fleet.ids  # 0.80 where 0.2 s was silence whatever was out
+
+
+def test_a_silent_cache_is_still_found_out_by_each_front_that_asks_it():
+    fleet = Fleet(fronts=12, caches=4, rate=120, seed=1, uneven=0.2)
+    fleet.run(3 * SECOND)
+    silent, since = fleet.members[100], fleet.now
+    silent.silent = True
+    fleet.run(10 * SECOND)
+    asked = {front for at, front, _ in silent.work if since < at < since + 4 * SECOND}
+    late = [work for work in silent.work if work[0] > since + 6 * SECOND]
+    assert len(asked) > 6 and {front for _, front in silent.probes} >= asked
+    assert not late and fleet.share("timeout", since) < 0.02
+
+
+def test_a_front_with_most_of_the_traffic_stays_at_the_cache_that_holds_what_it_asks_for():
+    fleet = Fleet(fronts=10, caches=12, rate=90, seed=3, uneven=0.0, held=1.0)
+    fleet.shares = [12.0] + [0.2] * 9
+    home = []
+    forward = fleet.forward
+
+    def watched(front, order):
+        if not front and not fleet.gets[order.id][1] and fleet.now > 5 * SECOND:
+            door = fleet.fronts[0].door
+            home.append(order.cache == hash_order(door.open[order.id].name, door.caches)[0].id)
+        forward(front, order)
+
+    fleet.forward = watched
+    fleet.run(15 * SECOND)
+    assert len(home) > 300 and sum(home) / len(home) > 0.85
