A testbed of several processes: ways that cut, lose, delay, double and hold, counted

Need: what many processes do when some parts fail must be caused on purpose; the duties drill held its own stand-ins, its ways could cut and lose only, a fault that never took effect went unnoticed, and an old owner's late word was met by chance.

--- a/limepath/cli/duties.py
+++ b/limepath/cli/duties.py
@@ -53,6 +53,15 @@
     sys.exit(0 if hold(rows) else 1)
 
 
+def named_kinds(told, kinds, option):
+    """The kinds of faults that an option names, all where it is left out."""
+    chosen = tuple(told.split(",")) if told else kinds
+    for kind in chosen:
+        if kind not in kinds:
+            raise click.BadParameter(f"{kind!r}: no such kind{ini.near(kind, kinds)}", param_hint=option)
+    return chosen
+
+
 @click.group("duties")
 def command():
     """Periodic duties (probes of caches) that instances divide, each target once per interval."""
@@ -82,10 +91,7 @@
     from limepath.duties.simulate import KINDS, simulated
     if kinds == "help":
         return click.echo(", ".join(KINDS))
-    chosen = None if kinds is None else KINDS if kinds == "every" else () if kinds == "none" else tuple(kinds.split(","))
-    for kind in chosen or ():
-        if kind not in KINDS:
-            raise click.BadParameter(f"{kind!r}: no such kind{ini.near(kind, KINDS)}", param_hint="--faults")
+    chosen = None if kinds is None else () if kinds == "none" else named_kinds(kinds if kinds != "every" else None, KINDS, "--faults")
     found = simulated(instances, targets, MODES[mode], interval, length, seed, loss, doubled, late, chosen, cold=cold)
     conclude(found.rows, as_json, told_faults(found.faults), seed=seed, mode=mode,
              faults=[fault._asdict() for fault in found.faults])
@@ -99,13 +105,15 @@
 @click.option("--faults", "count", type=click.IntRange(0, 50), default=6, show_default=True)
 @click.option("--sharing/--alone", default=True, show_default=True, help="--alone: each front probes for itself.")
 @click.option("--loss", type=Share(), default="0", help="Share of datagrams that the way between instances loses.")
+@click.option("--only", help="Kinds of faults to draw from, with commas; all otherwise.")
 @seed_option
 @json_option
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep settings and logs in this folder.")
-def drill(instances, targets, mode, interval, count, sharing, loss, seed, as_json, keep):
+def drill(instances, targets, mode, interval, count, sharing, loss, only, seed, as_json, keep):
     """Start real fronts with real datagrams on loopback, kill, stop and restart them, and count probes per target."""
-    from limepath.duties.drill import drilled
-    found = drilled(instances, targets, MODES[mode], interval, count, seed, sharing, loss, keep)
+    from limepath.testbed.duties import KINDS, drilled
+    chosen = named_kinds(only, KINDS, "--only")
+    found = drilled(instances, targets, MODES[mode], interval, count, seed, sharing, loss, keep, chosen)
     conclude(found.rows, as_json, found.said, seed=seed, mode=mode)
 
 
--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -33,8 +33,8 @@
         try:
             self.store = Store(told.store)
             self.line = Line(reactor, told.listen, told.keys, MESSAGES + DUTY_MESSAGES, log, self.gather)
-        except (Held, Unusable, Unopened, OSError) as flaw:
-            raise opening_flaw(told, flaw) from None
+        except (Held, Unusable, OSError) as flaw:
+            raise Unopened(str(flaw)) from None
         identity, rows = identity_of(self.store.all(), drawn)
         self.store.put(rows)
         self.found, self.identity = self.store.found, identity
@@ -222,8 +222,3 @@
         view["counts"] |= self.counts | {"datagrams_sent": self.line.sent} | {
             f"datagrams {kind}": count for kind, count in self.line.guard.counts.items()}
         return view
-
-
-def opening_flaw(told, flaw):
-    from limepath.opening.ini import BadSetting
-    return BadSetting(f"{told.file}: {flaw}")
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -10,6 +10,7 @@
 
 from limepath import contract as c
 from limepath.front.turn import clock, unix_clock
+from limepath.opening.addresses import address_of
 
 STANDINGS = {"in_service": c.Standing.READY, "terminating": c.Standing.DRAINING,
              "terminated": c.Standing.GONE}
@@ -28,17 +29,6 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-def address_of(text):
-    """
-    >>> address_of("127.1.0.9:8080")
-    ('127.1.0.9', 8080)
-    """
-    host, colon, port = text.rpartition(":")
-    if not (host and colon and port.isdigit() and 0 < int(port) < 65536):
-        raise ValueError(f"address {text!r}")
-    return host, int(port)
-
-
 class Entry:
     """One line of the list: the module's member, and what the network code needs beside it."""
 
--- a/limepath/front/start.py
+++ b/limepath/front/start.py
@@ -51,7 +51,11 @@
             raise BadSetting(f"{secured.file}: {flaw}") from None
     if shared:
         from limepath.duties.host import Cooperation  # nothing of it is loaded where nothing is shared
-        cooperation = Cooperation(reactor, turn, caches, log, shared, told)
+        from limepath.peers.host import Unopened
+        try:
+            cooperation = Cooperation(reactor, turn, caches, log, shared, told)
+        except Unopened as flaw:
+            raise BadSetting(f"{shared.file}: {flaw}") from None
     changes = ChangeLog(reactor, turn, caches, limits, log, told.settings, told.seed)
     try:
         changes.known(told.known)
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from limepath import opening_values
-from limepath.front.changelog import address_of
-from limepath.front.limits import Limits, planned
+from limepath.opening.addresses import address_of
+from limepath.opening.limits import Limits, planned
 
 NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
 NUMBER = (int, float)
--- a/limepath/duties/drill.py
+++ b/limepath/testbed/duties.py
@@ -1,4 +1,4 @@
-"""The drill: real fronts with real datagrams on loopback, faults by seed, probes counted at stand-in caches.
+"""The drill of shared duties: real fronts with real datagrams on loopback, faults by seed, probes counted at stand-in caches.
 
 Each instance is `limepath run --peers FILE` in a process of its own. Between them lie ways that lose and cut; the
 bounds are those that the settings promise (`bounds`), the rows those of the run in virtual time (`simulate`).
@@ -6,11 +6,8 @@
 
 import json
 import os
-import resource
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 from datetime import datetime
@@ -22,16 +19,20 @@
 from limepath.duties.bounds import bounds
 from limepath.duties.interface import Leasing, Mode, Plan
 from limepath.duties.simulate import Fault, findings
-from limepath.duties.stand_ins import HOST, StandInCaches, StandInChangeLog, StandInWays
 from limepath.peers.control import Unanswered, ask
 from limepath.peers.interface import Spans
+from limepath.testbed.faults import Fault as Way
+from limepath.testbed.faults import Faults, Kind, both_ways
+from limepath.testbed.process import HOST, NotStarted, Process, free_ports, raise_descriptors
+from limepath.testbed.stand_ins import StandInCaches, StandInChangeLog
+from limepath.testbed.ways import Connections, Datagrams
 from limepath.verdicts import Row
 
 MS, SECOND = 1000, 1_000_000
 SPANS = Spans(period=250 * MS, direct=80 * MS, indirect=3, suspicion=3)
 LEASING = Leasing(span=SECOND, drift=0.01, slots=16, batch=100 * MS)
-KINDS = ("kill", "stop", "leave", "halves", "one-way", "targets", "keys", "lost-store", "all", "cut-store")
-LOWEST, HIGHEST = 12_000, 31_000  # ports
+KINDS = ("kill", "stop", "leave", "halves", "one-way", "held", "targets", "keys", "lost-store", "all", "cut-store")
+CACHES = "caches"  # the party that all stand-in caches are to the ways
 START = 60  # seconds that all fronts may take to be ready
 SETTINGS = {
     "az": 0, "replicas-of-me": 1, "areas": ["sur"], "models": ["box", "parent", "origin"],
@@ -48,44 +49,16 @@
     said: list
 
 
-class NotStarted(Exception):
-    """An instance never came up; the text says which and what its log says."""
-
-
-def free_ports(kind, count):
-    """Ports that nothing holds, below those that the system gives to connections, so that none takes them meanwhile."""
-    ports, port = [], LOWEST + int.from_bytes(os.urandom(2), "big") % (HIGHEST - LOWEST)
-    while len(ports) < count:
-        port = port + 1 if port < HIGHEST else LOWEST
-        with socket.socket(socket.AF_INET, kind) as one:
-            try:
-                one.bind((HOST, port))
-                ports.append(port)
-            except OSError:
-                pass
-    return ports
-
-
-class Instance:
-    """One front: its files, its process."""
+class Instance(Process):
+    """One front that shares its duties."""
 
     def __init__(self, drill, who):
-        self.drill, self.who, self.name, self.process, self.lives = drill, who, f"n{who}", None, 0
-        self.folder = os.path.join(drill.folder, self.name)
-        os.makedirs(self.folder, exist_ok=True)
-        self.stopped = False
-
-    def path(self, name):
-        return os.path.join(self.folder, name)
+        super().__init__(drill.folder, who)
+        self.drill = drill
 
     def write_keys(self, keys):
         self.replace("peers.keys", "\n".join(keys) + "\n")
 
-    def replace(self, name, text):
-        with open(os.open(self.path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w") as file:
-            file.write(text)
-        os.replace(self.path(name + ".new"), self.path(name))
-
     def prepare(self):
         drill, who = self.drill, self.who
         seeds = [drill.ways.reached_at(seed) for seed in range(min(3, drill.count)) if seed != who or drill.count == 1]
@@ -126,39 +99,12 @@
             "limits": {"memory_mb": 192, "sockets": 1024, "leaving_ms": 700}, "settings": SETTINGS,
             "known": {"seq": 1, "results": [{"seq": 1, "fleet": drill.fleet(who)}]}}))
 
-    def start(self):
-        self.lives += 1
-        self.stopped = False
-        with open(self.path("log"), "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "limepath", "run", "--config", self.path("front.json"), "--peers",
-                 self.path("peers.ini")], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
-                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})
-
-    def running(self):
-        return self.process is not None and self.process.poll() is None
-
-    def signal(self, number):
-        if self.running():
-            self.process.send_signal(number)
-            self.stopped = number == signal.SIGSTOP
-            if number == signal.SIGKILL:
-                self.process.wait()
+    def words(self):
+        return super().words() + ["--peers", self.path("peers.ini")]
 
     def shown(self):
         return ask(self.path("peers.sock"), "peers", 2)
 
-    def lines(self):
-        try:
-            with open(self.path("log"), encoding="utf-8", errors="replace") as log:
-                for line in log:
-                    try:
-                        yield json.loads(line)
-                    except ValueError:
-                        yield {"event": "unreadable", "said": line}
-        except OSError:
-            return
-
 
 class Drill:
     """What `findings` wants to know of a world, told by real processes. Times are microseconds since the start."""
@@ -171,7 +117,11 @@
         self.leased = plan.mode == Mode.ONE_OWNER
         self.zero, self.wall_zero = time.monotonic_ns() // 1000, time.time_ns() // 1000
         self.listens, self.fronts = free_ports(socket.SOCK_DGRAM, instances), free_ports(socket.SOCK_STREAM, instances)
-        self.ways = StandInWays(reactor, self.listens, seed, loss)
+        self.upon = Faults(Random(seed))
+        self.ways, self.passages = Datagrams(reactor, self.listens, self.upon), Connections(reactor, self.upon)
+        if loss:
+            everyone = frozenset(range(instances))
+            self.upon.begin(Way("loss", Kind.LOSE, everyone, everyone, loss))
         self.caches, self.changes = StandInCaches(reactor, self.probed), StandInChangeLog(reactor, instances)
         self.keys = [f"{self.chance.getrandbits(256):064x}"]
         self.entries, self.targets, self.gone, self.born, self.serves = {}, {}, {}, {}, {}
@@ -188,7 +138,7 @@
 
     def come(self):
         name = f"t{len(self.born)}"
-        ports = self.caches.open(name, self.count)
+        ports = [self.passages.open(who, CACHES, port) for who, port in enumerate(self.caches.open(name, self.count))]
         self.entries[name] = ports
         self.targets[name] = self.born[name] = self.now()
         return name
@@ -238,7 +188,7 @@
                 yield self.pause(50 * MS)
 
     @inlineCallbacks
-    def play(self, count):
+    def play(self, count, only=KINDS):
         for node in self.nodes:
             node.prepare()
             node.start()
@@ -250,10 +200,10 @@
         self.caches_first = self.now()
         bound = self.bound()
         kinds = []
-        yield self.pause(2 * self.plan.interval)
+        yield self.pause(2 * self.plan.interval + (2 * self.leasing.span if self.leased else 0))  # until all own something
         for _ in range(count):
             if not kinds:
-                kinds = list(KINDS)
+                kinds = list(only)
                 self.chance.shuffle(kinds)
             kind = kinds.pop()
             length = self.chance.randrange(3_000, 8_000) * MS
@@ -301,11 +251,16 @@
         elif kind in ("halves", "one-way"):
             one = frozenset(fault.who)
             other = frozenset(range(self.count)) - one
-            self.ways.cuts[0] = one, other
-            if kind == "halves":
-                self.ways.cuts[1] = other, one
-            yield self.pause(fault.length)
-            self.ways.cuts.clear()
+            name = f"{kind} at {fault.at}"
+            cut = both_ways(name, Kind.CUT, one, other) if kind == "halves" else (Way(name, Kind.CUT, one, other),)
+            yield self.under(cut, fault.length)
+        elif kind == "held":  # what one says lies in the network while the others go on without it, then comes, late
+            others = frozenset(range(self.count)) - {fault.who[0]}
+            self.died(nodes[0])
+            held = both_ways(f"held at {fault.at}", Kind.HOLD, fault.who, others)
+            if self.leased:  # its probes too: caches know an older epoch; without one each would count as a double
+                held += (Way(f"probes held at {fault.at}", Kind.HOLD, frozenset(fault.who), frozenset((CACHES,))),)
+            yield self.under(held, fault.length + self.bound().take_over)
         elif kind == "targets":
             gone = self.chance.sample(sorted(self.targets), max(1, len(self.targets) // 3))
             for name in gone:
@@ -323,6 +278,14 @@
                 yield self.pause(600 * MS)
             self.keys = [new]
 
+    @inlineCallbacks
+    def under(self, faults, length):
+        """Let faults of the ways last, then deliver what they held."""
+        self.upon.begin(*faults)
+        yield self.pause(length)
+        self.ways.end(*(one.name for one in faults))
+        self.passages.end()
+
     def died(self, node):
         self.deaths.append((self.now(), node.who))
 
@@ -372,16 +335,11 @@
     def close(self):
         for node in self.nodes:
             node.signal(signal.SIGKILL)
-        for part in (self.caches, self.changes, self.ways):
+        for part in (self.caches, self.changes, self.ways, self.passages):
             part.close()
 
 
-def raise_descriptors():
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 65_536), hard))
-
-
-def drilled(instances, targets, mode, interval, count, seed, sharing=True, loss=0.0, keep=None):
+def drilled(instances, targets, mode, interval, count, seed, sharing=True, loss=0.0, keep=None, only=KINDS):
     """Run a drill in this process's reactor, once; give what was Found."""
     from twisted.internet import reactor
     from twisted.internet.task import LoopingCall
@@ -400,7 +358,7 @@
             reactor.callLater(0.1, reactor.stop)
             return result
 
-        reactor.callWhenRunning(lambda: drill.play(count).addBoth(over).addErrback(flaws.append))
+        reactor.callWhenRunning(lambda: drill.play(count, only).addBoth(over).addErrback(flaws.append))
         reactor.run(installSignalHandlers=False)
     if flaws:
         raise flaws[0].value
@@ -426,7 +384,9 @@
     rows = [row for row in rows if not row.what.startswith(("messages", "bytes"))]
     rows += [Row("messages per instance and second", round(drill.messages / drill.count / span, 1)),
              Row("bytes per instance and second", round(drill.bytes / drill.count / span)),
+             Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt()),
              Row("probes per target and interval", round(rounds * drill.plan.interval / max(1, alive), 3))]
     said = [f"at {(fault.at - since) / 1e6:6.1f} s  {fault.kind} for {fault.length / 1e6:.1f} s: "
-            f"{', '.join(f'n{who}' for who in fault.who)}" for fault in drill.faults] + drill.said
+            f"{', '.join(f'n{who}' for who in fault.who)}" for fault in drill.faults] + [
+        f"took no effect: {name}" for name in drill.upon.unfelt()] + drill.said
     return Found(rows, said)
--- a/tests/front_stories.py
+++ b/tests/front_stories.py
@@ -13,7 +13,7 @@
 from limepath.front.caches import CacheConnection, Caches, Probing
 from limepath.front.changelog import ChangeLog
 from limepath.front.clients import ClientConnection, Clients
-from limepath.front.limits import planned
+from limepath.opening.limits import planned
 from limepath.front.turn import Turn
 from limepath.log import Log
 from limepath.opening.platform import opening_of
