A front starts with one fetch at a time and opens as they come in time

Door.__init__ opened the fetch window at all the front's share of the link, 198 x 5.7 fetches at once. Change: the window of a front that starts is one fetch; it doubles at timely ones at first, as before. Stories: one front, and a fleet of 40. Fleet story: 238 -> under 100 fetches.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -24,6 +24,7 @@
 LIGHT, HEAVY = 1.5, 0.7  # times that for GETs under half their latency objective in size, and over it
 GROW, USUAL = 5, 40  # a window gains GROW / window by a fetch in time, in proportion to a room over USUAL
 YIELD, LOST = 0.85, 0.1  # of it kept after a late fetch, or one lost among timely ones, and after others lost
+FIRST = 1  # window of a front that starts: where many start at once, all their shares open would sate the origin
 LEAST_FETCHES, DOUBLING = 4, 3_000_000  # least window of all fronts; time in which one below 1 doubles
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET, PACE = 200_000, 1_000_000  # least silence with an answer owed before a probe, and between probes
@@ -347,7 +348,7 @@
         link = footprint.link_kb_s[footprint.zone] if footprint.zone < len(footprint.link_kb_s) else 0
         self.fill_room = max(1, FILLS * link / self.flow_kb_s / footprint.fronts_in_zone) if link else 1e9
         self.least, self.looked, self.fetched = min(1, LEAST_FETCHES / footprint.fronts), 0, 0
-        self.window, self.grow = self.fill_room, GROW * max(1, min(link, self.fill_room) / USUAL)
+        self.window, self.grow = min(FIRST, self.fill_room), GROW * max(1, min(link, self.fill_room) / USUAL)
         self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
         self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
--- a/tests/fleet_stories.py
+++ b/tests/fleet_stories.py
@@ -38,3 +38,18 @@
     fleet.forward = watched
     fleet.run(15 * SECOND)
     assert len(home) > 300 and sum(home) / len(home) > 0.85
+
+
+def test_a_fleet_that_starts_at_once_does_not_send_all_its_fetches_at_once():
+    fleet = Fleet(fronts=40, caches=20, rate=2000, held=0.0, upper=5 * SECOND, seed=1, uneven=0.0)
+    fetches = []
+    forward = fleet.forward
+
+    def watched(front, order):
+        if order.source != order.cache and not order.held_only and order.cache >= 100:
+            fetches.append(front)
+        forward(front, order)
+
+    fleet.forward = watched
+    fleet.run(SECOND)
+    assert fleet.ids > 1000 and 30 < len(fetches) < 100  # 238 where each began with its share of the link
--- a/tests/stories.py
+++ b/tests/stories.py
@@ -350,7 +350,7 @@
 
 
 def test_lost_fetches_close_the_window_to_the_fleets_least_and_time_opens_it():
-    host = FakeHost(fronts=200)
+    host = opened(FakeHost(fronts=200))
     door = host.front.door
     for obj in range(40):
         fill = forwards(host.end(host.get(obj)[0], V.MISS))[0]
@@ -361,6 +361,12 @@
     assert FakeHost(fronts=400, nearby=200).front.door.may_fetch()  # its share of the link is under one fill
 
 
+def opened(host):
+    """As after a while of timely fetches."""
+    host.front.door.window = host.front.door.fill_room
+    return host
+
+
 def fill(host, obj, verdict, took=1000):
     filled = forwards(host.end(host.get(obj)[0], V.MISS))[0]
     host.wait(1000)
@@ -368,7 +374,7 @@
 
 
 def test_a_parent_that_errs_while_others_fetch_does_not_close_the_window():
-    host, errs, held = FakeHost(), 0, []
+    host, errs, held = opened(FakeHost()), 0, []
     fill(host, 40, V.RETURNED)
     for obj in range(40):  # each ends through the other parent, or stays out
         fetch, number = forwards(host.end(host.get(obj)[0], V.MISS))[0], 1
@@ -382,7 +388,7 @@
 
 
 def test_gets_of_little_patience_that_time_out_tell_nothing_of_a_member():
-    host = FakeHost()
+    host = opened(FakeHost())
     for obj in range(20):
         fill(host, obj, V.TIMED_OUT, took=100_000)
     assert host.front.door.window == host.front.door.fill_room
@@ -390,13 +396,13 @@
 
 
 def test_one_fetch_lost_among_timely_ones_leaves_the_window_open_and_a_wide_one_grows_in_proportion():
-    host = FakeHost()
+    host = opened(FakeHost())
     fill(host, 1, V.RETURNED)
     fill(host, 2, V.TIMED_OUT, took=SECOND)
     assert host.front.door.window > 0.8 * host.front.door.fill_room  # kept a tenth once
     windows = []
     for link in (9000.0, 90_000.0):
-        host = FakeHost(link=link)
+        host = opened(FakeHost(link=link))
         for obj in range(8):
             fill(host, obj, V.TIMED_OUT, took=SECOND)
             host.wait(SECOND)
@@ -418,7 +424,7 @@
 
 def test_on_a_full_link_small_gets_go_first_and_large_ones_last():
     def filled(size_kb):
-        host = FakeHost(services=(service(), service(objective=SECOND // 10)))
+        host = opened(FakeHost(services=(service(), service(objective=SECOND // 10))))
         looks = [host.get(obj, size_kb=size_kb)[0] for obj in range(60)]
         return sum(bool(forwards(host.end(look, V.MISS))) for look in looks if isinstance(look, c.Forward))
 
@@ -500,3 +506,13 @@
     for obj in range(6):
         host.get(obj)
     assert len(host.front.caches[1].out) == 6 and probed(host.wait(SECOND // 4 + 50_000)) == [1]
+
+
+def test_a_front_that_starts_fetches_one_at_a_time_and_opens_as_they_come_in_time():
+    host = FakeHost()
+    first, second = (forwards(host.end(host.get(obj)[0], V.MISS))[0] for obj in (1, 2))
+    assert not first.held_only and second.held_only
+    host.end(first, V.RETURNED, 1, closed=True)
+    for obj in range(3, 40):
+        fill(host, obj, V.RETURNED)
+    assert host.front.door.window > 10
