--- a/limepath/testbed/duties.py
+++ b/limepath/testbed/duties.py
@@ -200,7 +200,10 @@
         self.caches_first = self.now()
         bound = self.bound()
         kinds = []
-        yield self.pause(2 * self.plan.interval + (2 * self.leasing.span if self.leased else 0))  # until all own something
+        yield self.pause(2 * self.plan.interval)
+        end = self.now() + START * SECOND
+        while not all((0, name) in self.serves for name in self.targets) and self.now() < end:  # until all are owned
+            yield self.pause(100 * MS)
         for _ in range(count):
             if not kinds:
                 kinds = list(only)
@@ -209,6 +212,8 @@
             length = self.chance.randrange(3_000, 8_000) * MS
             who = tuple(self.chance.sample(range(self.count), self.count // 2 if kind in ("halves", "one-way") else 1))
             who = tuple(range(self.count)) if kind == "all" else who
+            if kind == "held" and (owners := sorted({served[-1][1] for served in self.serves.values()})):
+                who = (self.chance.choice(owners),)  # of one that owns nothing there is nothing to hold
             fault = Fault(self.now(), kind, who, length)
             self.faults.append(fault)
             yield self.fault(fault)
