--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -159,7 +159,8 @@
         room = self.share_of_room()
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease ** (1 / get.claim)
-        if self.missed or len(self.out) >= room or room < 1 and self.loop.chance() > room:
+        away = self.missed or self.unsure is not None and self.strikes > 1
+        if away or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
@@ -181,6 +182,8 @@
     def broke(self, verdict):
         self.strikes += self.struck != self.loop.now  # what breaks at one moment may be one connection
         self.struck = self.loop.now
+        if verdict == Verdict.CONNECT_FAILED:  # ask until it answers: only then is it known how long it was away
+            self.suspect, self.unsure = True, self.loop.now if self.unsure is None else self.unsure
         if self.strikes >= STRIKES:
             self.silent(verdict)
 
@@ -191,7 +194,7 @@
             self.ease = max(LEAST_EASE, self.ease * EASED)
         elif self.ease < 1 or self.upper:
             self.ease = min(1, self.ease / EASED ** 0.3)
-        else:
+        elif len(self.out) + 1 >= self.share_of_room() * self.ease:  # no other hit in time says that there is more
             self.ease = max(1, min(ROOM * self.lanes / self.share_of_room(), self.ease / EASED ** 0.1))
 
     def alive(self, at):
--- a/tests/fleet_stories.py
+++ b/tests/fleet_stories.py
@@ -53,3 +53,25 @@
     fleet.forward = watched
     fleet.run(SECOND)
     assert fleet.ids > 1000 and 30 < len(fetches) < 100  # 238 where each began with its share of the link
+
+
+def test_a_parent_that_was_away_and_comes_back_empty_is_not_asked_as_if_it_were_warm():
+    fleet = Fleet(fronts=120, caches=12, rate=120, seed=2, held=0.3, uneven=0.5)
+    fleet.run(4 * SECOND)
+    parent = fleet.members[11]
+    usual = sum(at > 2 * SECOND for at, _, _ in parent.work) / 2
+    parent.down = True
+    fleet.run(6 * SECOND)
+    parent.down, back = False, fleet.now
+    fleet.run(2 * SECOND)
+    came = sum(at > back for at, _, _ in parent.work) / 2
+    assert usual > 30 and came < 0.35 * usual  # 0.64 to 0.79 where three failed probes had to come first
+    fleet.run(12 * SECOND)
+    assert sum(at > fleet.now - SECOND for at, _, _ in parent.work) > 0.5 * usual  # and it is used again
+
+
+def test_room_that_is_never_full_does_not_grow():
+    fleet = Fleet(fronts=6, caches=12, rate=60, seed=1, held=1.0, uneven=0.0)
+    fleet.run(30 * SECOND)
+    eases = [cache.ease for front in fleet.fronts for cache in front.caches.values() if cache.id >= 100]
+    assert sum(ease > 1.2 for ease in eases) < len(eases) / 5  # 69 of 72 where each hit in time counted, now 8
