--- a/limepath/cli/__init__.py
+++ b/limepath/cli/__init__.py
@@ -9,6 +9,7 @@
     click = None
 
 COMMANDS = {"run": "Run one front.", "duties": "Periodic duties that instances divide among themselves.",
+            "listing": "The list of caches, told once to a fleet.", "coldstart": "Many fronts that start at once.",
             "peers": "The instances that share.", "opening": "Settings files.",
             "keys": "Certificates and keys for TLS to servers."}
 
--- /dev/null
+++ b/limepath/cli/coldstart.py
@@ -0,0 +1,48 @@
+"""limepath coldstart"""
+
+import click
+
+from limepath.cli.duties import Share, Span, conclude, json_option, named_kinds, seed_option
+
+
+@click.group("coldstart")
+def command():
+    """Many fronts that start at once with nothing: the list told once to a fleet, under a budget of calls."""
+
+
+@command.command("drill")
+@click.option("--fronts", type=click.IntRange(2, 400), default=12, show_default=True)
+@click.option("--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise.")
+@click.option("--alone", is_flag=True, help="The same fronts without any of it, for comparison; no faults then.")
+@click.option("--down", type=Span(), default="12s", show_default=True, help="For which the list service refuses at first.")
+@seed_option
+@json_option
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep settings and logs in this folder.")
+def drill(fronts, kinds, alone, down, seed, as_json, keep):
+    """Start real fronts on loopback while the list service is away, cause faults, look at calls, streams and who knows what."""
+    from limepath.testbed.coldstart import KINDS, drilled
+    if kinds == "help":
+        return click.echo(", ".join(KINDS))
+    chosen = () if kinds == "none" else named_kinds(kinds, KINDS, "--faults")
+    found = drilled(fronts, seed, chosen, alone, down, keep=keep)
+    conclude(found.rows, as_json, found.said, seed=seed, alone=alone)
+
+
+@command.command("simulate")
+@click.option("--fronts", type=click.IntRange(2, 2000), default=200, show_default=True)
+@click.option("--zones", type=click.IntRange(1, 50), default=2, show_default=True)
+@click.option("--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise.")
+@click.option("--alone", is_flag=True, help="Each front calls for itself, for comparison; no faults then.")
+@click.option("--down", type=Span(), default="12s", show_default=True, help="For which the list service refuses at first.")
+@click.option("--loss", type=Share(), default="0", help="Share of datagrams that is lost.")
+@click.option("--saved", type=Share(), default="0", help="Share of fronts that hold a saved list, at different numbers.")
+@seed_option
+@json_option
+def simulate(fronts, zones, kinds, alone, down, loss, saved, seed, as_json):
+    """The same logic in virtual time; the same seed gives the same table."""
+    from limepath.listing.simulate import KINDS, simulated
+    if kinds == "help":
+        return click.echo(", ".join(KINDS))
+    chosen = () if kinds == "none" or alone else named_kinds(kinds, KINDS, "--faults")
+    found = simulated(fronts, zones, seed, down, loss, alone, chosen, saved=saved)
+    conclude(found.rows, as_json, found.said, seed=seed, alone=alone, loss=loss)
--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -10,7 +10,7 @@
 from limepath.peers import control
 from limepath.peers.host import Line, Unopened
 from limepath.peers.identity import identity_of, kept_ceiling
-from limepath.peers.interface import MESSAGES, REFUTALS, Depart, Departed, GiveWay, News, Say, Send
+from limepath.peers.interface import MESSAGES, REFUTALS, Depart, Departed, GiveWay, News, Passed, Say, Send
 from limepath.store import DAMAGED, NEW, Held, Store, Unusable
 
 REPORT = 10_000_000  # between lines on what was dropped
@@ -32,7 +32,11 @@
         self.reactor, self.turn, self.caches, self.log, self.told = reactor, turn, caches, log, told
         try:
             self.store = Store(told.store)
-            self.line = Line(reactor, told.listen, told.keys, MESSAGES + DUTY_MESSAGES, log, self.gather)
+            types = MESSAGES + DUTY_MESSAGES
+            if told.listing:
+                from limepath.listing.interface import MESSAGES as LISTING_MESSAGES
+                types += LISTING_MESSAGES
+            self.line = Line(reactor, told.listen, told.keys, types, log, self.gather)
         except (Held, Unusable, OSError) as flaw:
             raise Unopened(str(flaw)) from None
         identity, rows = identity_of(self.store.all(), drawn)
@@ -45,6 +49,7 @@
         self.members, self.notes, self.called, self.timer, self.over = {}, [], False, None, False
         self.serving, self.asked, self.control, self.looked, self.said = {}, set(), None, clock(), clock()
         self.plain_probe = turn.carriers[c.Probe]
+        self.guests, self.views = [], {"peers": self.shown}  # who hears other messages; what the control socket tells
         self.counts = {"probes_asked": 0, "probes_shared": 0, "probes_sent": 0, "rounds": 0, "too_late": 0}
         turn.listener = self.overheard
         turn.carriers[c.Probe] = self.probe
@@ -61,7 +66,7 @@
         try:
             self.line.open()
             if self.told.control:
-                self.control = control.listen(self.reactor, self.told.control, {"peers": self.shown})
+                self.control = control.listen(self.reactor, self.told.control, self.views)
         except Exception as flaw:  # the front goes on alone; whoever reads the log mends the file
             self.log.say("sharing-off", str(flaw), file=self.told.file)
             return self.stop()
@@ -104,6 +109,9 @@
                 self.store.put(kept_ceiling(order.ceiling))
             elif isinstance(order, Say):
                 self.log.say(order.event, **order.fields)
+            elif isinstance(order, Passed):
+                for guest in self.guests:
+                    guest.heard(order.sender, order.message)
             elif isinstance(order, GiveWay):
                 self.log.say("gives-way", order.why + "; this front shares nothing any more", name=order.other.name,
                              other=f"{order.other.host}:{order.other.port}", life=order.other.life)
@@ -118,6 +126,14 @@
             self.timer.cancel()
         self.timer = due is not None and self.reactor.callLater(max(0, due - clock()) / 1e6, self.gather)
 
+    def reach(self, token, message):
+        """Send a message of another logic to one that lives."""
+        members = self.instance.members
+        members.agenda.now = clock()
+        members.reach(token, message)
+        for order in members.agenda.taken():
+            self.line.send(members.me, order)
+
     # Between the instance and the front
 
     def overheard(self, notes):
--- a/limepath/duties/instance.py
+++ b/limepath/duties/instance.py
@@ -17,6 +17,7 @@
 from limepath.peers.members import Members
 
 FEW = 3  # changes of the view up to which its ring is changed rather than built anew
+GATHERED = 100_000  # microseconds in which a view that changes much (a cold start) has its ring built once
 LEASE_MESSAGES = (Claim, Vote, Release, AskEpochs, Epochs)
 
 
@@ -68,7 +69,7 @@
         self.members = Members(me, seeds, spans, seed, speaks)
         self.agenda, self.plans, self.leasing, self.token = Agenda(seed ^ 0x5EED), plans, leasing, me.token
         self.whole, self.names, self.over, self.leaving = Ring.of([me.token]), {}, False, False
-        self.came, self.went = [], []
+        self.came, self.went, self.divided = [], [], None
         leased = [duty for duty, plan in enumerate(plans) if plan.mode == Mode.ONE_OWNER]
         self.slot_keys = [(key_of(slot + 1), slot) for slot in range(leasing.slots)]
         self.leases = Leases(self.agenda, me.name, me.door, leasing, leased, self.wanted, self.lease_changed,
@@ -126,8 +127,8 @@
         self.agenda.now = now
         while True:
             for order in orders:
-                if isinstance(order, Passed):
-                    self.passed(order.sender, order.message)
+                if isinstance(order, Passed) and self.passed(order.sender, order.message):
+                    pass
                 elif isinstance(order, Joined):
                     self.joined(order.news)
                 elif isinstance(order, Parted):
@@ -143,7 +144,7 @@
                 self.leases.heard(self.members.me.name, self.members.me.door, message)
             self.agenda.run(now)
             for share in self.shares:
-                if share.stale and not self.leaving:
+                if share.stale and not self.leaving and self.may_divide():
                     share.divide(self.ring, self.token)
             self.agenda.run(now)
             for order in self.agenda.taken():
@@ -155,12 +156,25 @@
             if not orders and not self.looped:
                 return out
 
+    def may_divide(self):
+        now = self.agenda.now
+        if len(self.came) + len(self.went) > FEW:
+            if self.divided is not None and now < self.divided + GATHERED:
+                self.agenda.at(self.divided + GATHERED, int)  # looked at again then
+                return False
+            self.divided = now
+        return True
+
     def passed(self, sender, message):
+        """Take a message in; False where it is not of the duties, and goes on to the host."""
         if isinstance(message, Results):
             for result, at in self.learnt.heard(message.results):
                 self.shares[result.duty].rounds.served(result.target, at)
         elif self.leases and isinstance(message, LEASE_MESSAGES):
             self.leases.heard(sender.name, sender.door, message)
+        else:
+            return False
+        return True
 
     def to_voter(self, name, message):
         if name == self.members.me.name:
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -207,7 +207,7 @@
         self.buffer, self.head, self.moved, self.asked = bytearray(), None, clock(), True
         self.last |= b"close" in fields.get(b"connection", b"").lower()
         if target == HEALTH and method == b"GET":
-            self.write(503 if self.clients.leaving else 200)
+            self.write(503 if self.clients.leaving or self.clients.unready else 200)
         else:
             self.clients.arrived(self, method, target, fields, body)
 
@@ -252,6 +252,7 @@
         self.reactor, self.turn, self.limits, self.log, self.services = reactor, turn, limits, log, services
         self.connections, self.open, self.ids, self.txns = set(), {}, count(1), set()
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
+        self.unready = False  # the list is not known yet
         self.last_call, self.done = None, []
 
     def listen(self, endpoint):
--- a/limepath/front/start.py
+++ b/limepath/front/start.py
@@ -56,7 +56,13 @@
             cooperation = Cooperation(reactor, turn, caches, log, shared, told)
         except Unopened as flaw:
             raise BadSetting(f"{shared.file}: {flaw}") from None
-    changes = ChangeLog(reactor, turn, caches, limits, log, told.settings, told.seed)
+    if cooperation and shared.listing:
+        from limepath.listing.host import guided  # nothing of it is loaded where each front follows the log by itself
+        changes = guided(reactor, turn, caches, limits, log, told, cooperation, shared.listing)
+        changes.confirmed = lambda: confirmed()
+        clients.unready = True
+    else:
+        changes = ChangeLog(reactor, turn, caches, limits, log, told.settings, told.seed)
     try:
         changes.known(told.known)
     except BadEvent as flaw:
@@ -94,13 +100,20 @@
         clients.leave()
 
     def ready(_):
-        changes.follow(*told.changelog)
         LoopingCall(sweep).start(limits.sweep / 1e6, now=False)
         on((signal.SIGTERM, signal.SIGINT), leave)
         on((signal.SIGHUP,), reload)
         if cooperation:
             cooperation.start()
+        changes.follow(*told.changelog)
         gc.freeze()
+        if clients.unready:
+            log.say("waits-for-list", listening=f"{told.listen[0]}:{told.listen[1]}")
+        else:
+            confirmed()
+
+    def confirmed():
+        clients.unready = False
         log.say("ready", members=len(changes.entries), listening=f"{told.listen[0]}:{told.listen[1]}")
 
     host, port = told.listen
--- /dev/null
+++ b/limepath/listing/calls.py
@@ -0,0 +1,63 @@
+"""When a front may call the list service, so that all fronts together keep to a number of calls a second without a leader.
+
+Each draws its time out of a span that grows with how many share the budget. The budget has two halves, one for relays
+(few, so each calls often) and one for all others, who call only when no relay tells them anything. Until the view has
+stood still for a while nobody knows how many there are: the larger of what the settings tell and what has been seen
+counts, and nobody is a relay to the budget. Free of I/O.
+"""
+
+SETTLED = 2_000_000  # for which a view must not have changed in size
+PART = 0.4  # of the budget for each half; the rest is for views that differ
+LEAST = 300_000  # between calls of one front
+
+
+class Budget:
+    """`chance()` gives a number from 0 to 1, drawn."""
+
+    def __init__(self, terms, chance):
+        self.terms, self.chance = terms, chance
+        self.seen, self.since, self.due, self.span, self.share, self.first = 1, None, None, None, 0.0, True
+
+    def view(self, now, size):
+        """So many instances live, this one among them."""
+        if size != self.seen or self.since is None:
+            self.seen, self.since = size, now
+
+    def settled(self, now):
+        return self.since is not None and now - self.since >= SETTLED
+
+    def sharing(self, now, relays):
+        """How many share the half of the budget that this front calls under; `relays` are those of all zones, 0 where it
+        is none of them."""
+        if relays and self.settled(now):
+            return relays
+        return max(self.terms.fronts, self.seen)
+
+    def span_of(self, sharing):
+        """The mean time between two calls of one of so many.
+
+        >>> from limepath.listing.interface import Terms
+        >>> budget = Budget(Terms(fronts=200, rate=20.0), lambda: 0.5)
+        >>> budget.span_of(200), budget.span_of(2)
+        (25000000, 300000)
+        """
+        return max(LEAST, int(sharing / (PART * self.terms.rate) * 1e6))
+
+    def may_call(self, now, relays):
+        """Whether to call now; asked again and again while a call is wanted. The time drawn moves along when the span
+        changes, so that whoever turns out to be one of few need not wait as one of many."""
+        span = self.span_of(self.sharing(now, relays))
+        if self.due is None or span != self.span:
+            if self.due is None:
+                self.since_wanted = now
+                self.share = self.chance() if self.first else 0.5 + self.chance()
+            self.span, self.due = span, self.since_wanted + int(span * self.share)
+        return now >= self.due
+
+    def called(self):
+        """A call goes out now."""
+        self.due, self.first = None, False
+
+    def unwanted(self):
+        """No call is wanted any more."""
+        self.due = None
--- /dev/null
+++ b/limepath/listing/host.py
@@ -0,0 +1,207 @@
+"""Beside a front that shares: the list comes by `relay`'s word, from the service's stream or from other fronts; carried out here."""
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.error import ConnectingCancelledError
+from twisted.internet.protocol import Factory
+
+from limepath import contract as c
+from limepath.duties.host import clock
+from limepath.front.changelog import BadEvent, ChangeLog, Stream
+from limepath.listing.interface import (Call, Confirmed, FromPeer, HangUp, Moved, Reach, Save, Say, StreamEvent, StreamLost,
+                                        StreamSays, StreamUp, Take)
+from limepath.listing.relay import Listing
+
+ROW = "list"  # of the store
+
+
+class GuidedStream(Stream):
+    """A stream that tells when the service has accepted the call, and each time it says that it is alive."""
+
+    def dataReceived(self, data):
+        before, events = self.body, self.feed.events_heard
+        super().dataReceived(data)
+        if self.body and not before:
+            self.feed.gather(StreamUp())
+        elif self.body and self.feed.events_heard == events and not (self.reader.rest or self.reader.data):
+            self.feed.gather(StreamSays())
+
+
+class GuidedChangeLog(ChangeLog):
+    """The list of a front that shares. `cooperation` carries messages to other instances and keeps the store."""
+
+    def __init__(self, reactor, turn, caches, limits, log, settings, seed, cooperation, terms):
+        super().__init__(reactor, turn, caches, limits, log, settings, seed)
+        self.cooperation, self.terms = cooperation, terms
+        members = cooperation.instance.members
+        self.logic = Listing(members.me.token, terms, seed, lambda: members.ring, cooperation.store.all().get(ROW))
+        self.notes, self.timer, self.due, self.called, self.over = [], None, None, False, False
+        self.serial, self.events_heard, self.oldest = 0, 0, -1
+        self.confirmed = None  # called once the front's list is the service's
+
+    def known(self, known):
+        """What the configuration holds is as old as its file; the service or a relay tells."""
+
+    def follow(self, host, port):
+        """The address of the service; the logic says when to call."""
+        moved, self.host, self.port = hasattr(self, "host"), host, port
+        if moved:
+            self.gather(Moved())
+        else:
+            self.carry(self.logic.start(clock()))
+
+    def gather(self, *notes):
+        self.notes += notes
+        if not self.called and not self.over:
+            self.called = True
+            self.reactor.callLater(0, self.run)
+
+    def run(self):
+        if self.over:
+            return
+        notes, self.notes, self.called = self.notes, [], False
+        self.due = None
+        try:
+            self.carry(self.logic.handle(clock(), notes))
+        except Exception as flaw:  # GETs go on with the list as it is; the next beat tries again
+            self.log.fault("listing", flaw)
+            self.arm()
+
+    def heard(self, sender, message):
+        """A message of another instance that is not of the duties."""
+        self.gather(FromPeer(sender.token, message))
+
+    def carry(self, orders):
+        for order in orders:
+            if isinstance(order, Reach):
+                self.cooperation.reach(order.token, order.message)
+            elif isinstance(order, Take):
+                self.give(order)
+            elif isinstance(order, Call):
+                self.call_after(order.after)
+            elif isinstance(order, HangUp):
+                self.hang_up()
+            elif isinstance(order, Save):
+                if not self.cooperation.over:
+                    self.cooperation.store.put({ROW: order.data})
+            elif isinstance(order, Confirmed):
+                self.log.say("list-confirmed", number=order.place.number, generation=order.place.generation,
+                             age_ms=order.age // 1000)
+                if self.confirmed:
+                    self.confirmed()
+            elif isinstance(order, Say):
+                self.log.say(order.event, **order.fields)
+        self.arm()
+
+    def arm(self):
+        due = self.logic.next()
+        if due is None or due == self.due and self.timer and self.timer.active():
+            return
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+        self.due = due
+        self.timer = self.reactor.callLater(max(0, due - clock()) / 1e6, self.gather)
+
+    def give(self, order):
+        self.oldest = order.oldest
+        try:
+            self.take(order.told)
+        except BadEvent as flaw:  # its form was checked; what it names this front does not know
+            self.log.say("changelog", f"{flaw}; skipped", number=order.told["seq"])
+        self.last = order.told["seq"]
+
+    def invalidated(self, told):
+        """A purge is no older than this front's list was up to date, whatever the clocks say."""
+        if self.oldest < 0:
+            return super().invalidated(told)
+        plain, self.turn = self.turn, _Capped(self.turn, self.oldest)
+        try:
+            super().invalidated(told)
+        finally:
+            self.turn = plain
+
+    # The stream
+
+    def call_after(self, after):
+        self.last_asked, self.serial = after, self.serial + 1
+        serial = self.serial
+        endpoint = TCP4ClientEndpoint(self.reactor, self.host, self.port, timeout=self.limits.connect / 1e6)
+        feed = _Called(self, serial, after)
+        self.coming = endpoint.connect(Factory.forProtocol(lambda: GuidedStream(feed)))
+        self.coming.addCallbacks(self.came_up, lambda failure: self.did_not_come(failure, serial))
+
+    def did_not_come(self, failure, serial):
+        self.coming = None
+        if not failure.check(ConnectingCancelledError) and serial == self.serial:
+            self.gather(StreamLost(failure.getErrorMessage()[:120]))
+
+    def hang_up(self):
+        self.serial += 1  # what still comes of the former call is nobody's
+        if self.coming:
+            self.coming.cancel()
+        if self.stream:
+            self.stream.transport.abortConnection()
+        self.stream = self.coming = None
+
+    def sweep(self):
+        """Silence is the logic's to judge."""
+
+    def stop(self):
+        self.over = True
+        self.hang_up()
+        if self.timer and self.timer.active():
+            self.timer.cancel()
+
+    def shown(self):
+        self.logic.agenda.now = clock()
+        return self.logic.shown()
+
+
+def guided(reactor, turn, caches, limits, log, front, cooperation, terms):
+    """The GuidedChangeLog of a front, whose Opening is `front`; it hears what instances tell each other of the list."""
+    zone = front.settings["areas"][front.settings["az"]]
+    changes = GuidedChangeLog(reactor, turn, caches, limits, log, front.settings, front.seed, cooperation,
+                              terms._replace(zone=zone))
+    cooperation.guests.append(changes)
+    cooperation.views["listing"] = changes.shown
+    return changes
+
+
+class _Called:
+    """What one stream knows of its change log: so that a former call's bytes reach nobody."""
+
+    def __init__(self, changes, serial, last):
+        self.changes, self.serial, self.last, self.pauses, self.events_heard = changes, serial, last, 0, 0
+        self.host, self.limits, self.log = changes.host, changes.limits, changes.log
+
+    @property
+    def stream(self):
+        return self.changes.stream
+
+    @stream.setter
+    def stream(self, stream):
+        if self.serial == self.changes.serial:
+            self.changes.stream = stream
+
+    def event(self, number, text):
+        self.events_heard += 1
+        self.gather(StreamEvent(text, number))
+
+    def gather(self, *notes):
+        if self.serial == self.changes.serial:
+            self.changes.gather(*notes)
+
+    def lost(self, stream):
+        if self.changes.stream is stream:
+            self.changes.stream = None
+        self.gather(StreamLost("the stream ended"))
+
+
+class _Capped:
+    """A turn to which no purge is older than so many microseconds."""
+
+    def __init__(self, turn, oldest):
+        self.turn, self.oldest = turn, oldest
+
+    def gather(self, *notes):
+        self.turn.gather(*(note._replace(age=min(note.age, self.oldest)) if isinstance(note, c.Purge) else note
+                           for note in notes))
--- /dev/null
+++ b/limepath/listing/interface.py
@@ -0,0 +1,174 @@
+"""The interface of the listing logic: what it is told at start, notes in, orders out, and messages between fronts.
+
+Times are whole microseconds of the instance's own monotonic clock, ages included; a purge's `time` is the service's Unix
+clock in milliseconds and is believed only as far as it fits what this front has seen itself.
+"""
+
+from enum import IntEnum
+from typing import NamedTuple
+
+import msgspec
+
+from limepath.peers.interface import Message
+
+
+class Place(NamedTuple):
+    """Where a list stands: a later generation follows when the service's own numbers ran backwards."""
+
+    generation: int = 0
+    number: int = 0
+
+
+class Terms(NamedTuple):
+    """What the settings tell. `rate` is calls a second of the whole fleet at the list service, `fronts` how many share
+    it at the least; a zone has `relays`."""
+
+    zone: str = ""
+    fronts: int = 1
+    rate: float = 20.0
+    relays: int = 2
+    beat: int = 500_000
+    patience: int = 1_500_000
+    silence: int = 2_500_000
+    save: int = 1_000_000
+    longest: int = 4_000_000  # bytes of a list, unpacked
+
+
+class Role(IntEnum):
+    FOLLOWS = 0
+    RELAYS = 1  # one of its zone's first by hash: holds a stream, or tries to
+    ALONE = 2  # hears of no relay that is up to date: calls for itself
+
+
+# Messages
+
+
+class Where(Message, tag="lw"):
+    """In which zone I am; `asks` for the same."""
+
+    zone: str
+    asks: bool = False
+
+
+class Follow(Message, tag="lf"):
+    """Go on telling me, from where I am."""
+
+    zone: str
+    generation: int
+    number: int
+
+
+class Beat(Message, tag="lb"):
+    """Where my list stands, and how long ago the service itself last confirmed that (-1: never). `tries`: how long I
+    have been calling in vain. `followers` share me."""
+
+    zone: str
+    generation: int
+    number: int
+    digest: int
+    age: int
+    tries: int = 0
+    followers: int = 0
+
+
+class Events(Message, tag="le"):
+    """Events `first`, `first` + 1, ... as the service worded them; up to date as of `age` ago."""
+
+    generation: int
+    first: int
+    texts: tuple[str, ...]
+    age: int
+
+
+class AskPiece(Message, tag="lq"):
+    """A piece of the whole list; from the one at that place, or, with number -1, from the newest."""
+
+    generation: int
+    number: int
+    piece: int
+
+
+class Piece(Message, tag="lp"):
+    """`of` is how many there are, 0 where that list is not held any more; `mark` is the digest of all together."""
+
+    generation: int
+    number: int
+    piece: int
+    of: int
+    mark: bytes = b""
+    data: bytes = b""
+
+
+MESSAGES = (Where, Follow, Beat, Events, AskPiece, Piece)
+
+
+# Notes in
+
+
+class FromPeer(NamedTuple):
+    token: int
+    message: msgspec.Struct
+
+
+class StreamUp(NamedTuple):
+    """The service has accepted the call and begun its answer."""
+
+
+class StreamSays(NamedTuple):
+    """It is alive: a comment, or a part of an event."""
+
+
+class StreamEvent(NamedTuple):
+    """`number` is the stream's own word for it, told in the log only."""
+
+    text: str
+    number: str = ""
+
+
+class StreamLost(NamedTuple):
+    why: str
+
+
+class Moved(NamedTuple):
+    """The service has another address now."""
+
+
+# Orders out
+
+
+class Call(NamedTuple):
+    """Open a stream; `after` is the last event known, 0 to be told all."""
+
+    after: int
+
+
+class HangUp(NamedTuple):
+    why: str
+
+
+class Reach(NamedTuple):
+    token: int
+    message: msgspec.Struct
+
+
+class Take(NamedTuple):
+    """Give this event to the front. A purge in it is at most `oldest` old, whatever the clocks say; -1: not known."""
+
+    told: dict
+    oldest: int = -1
+
+
+class Save(NamedTuple):
+    data: bytes
+
+
+class Confirmed(NamedTuple):
+    """From now on the front may be ready: its list is the service's, `age` microseconds ago."""
+
+    place: Place
+    age: int
+
+
+class Say(NamedTuple):
+    event: str
+    fields: dict
--- a/limepath/opening/peers.py
+++ b/limepath/opening/peers.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from limepath.duties.interface import Leasing, Mode, Plan
+from limepath.listing.interface import Terms
 from limepath.log import FORMS
 from limepath.opening import ini
 from limepath.opening.ini import BadSetting, Key, Section
@@ -31,6 +32,10 @@
         "voters": Key(ini.many(ini.word), ()), "span": span(3 * SECOND, 200 * MS, 600 * SECOND),
         "drift": Key(ini.share, 0.01, 0.0, 0.2), "slots": Key(ini.whole, 32, 1, 256)}),
     "sharing": Section({"batch": span(250 * MS, 20 * MS, 10 * SECOND), "copies": Key(ini.whole, 2, 1, 10)}),
+    "listing": Section({
+        "fronts": Key(ini.whole, ini.NEEDED, 1, 10_000), "calls": Key(ini.whole, 20, 1, 10_000), "relays": Key(ini.whole, 2, 1, 8),
+        "beat": span(500 * MS, 50 * MS, 10 * SECOND), "patience": span(1500 * MS, 150 * MS, 60 * SECOND),
+        "silence": span(2500 * MS, 500 * MS, 60 * SECOND), "save": span(SECOND, 100 * MS, 60 * SECOND)}),
     "duty *": Section({
         "mode": Key(ini.one_of(*MODES), "at-least-once"), "interval": span(5 * SECOND, 100 * MS, 24 * 3600 * SECOND),
         "targets": Key(ini.many(ini.one_of(*KINDS)), KINDS)}),
@@ -54,6 +59,7 @@
     leasing: Leasing
     plans: tuple
     kinds: dict  # a duty's name to the kinds of its targets
+    listing: Terms = None  # None: each front follows the change log by itself
 
 
 def read(file):
@@ -74,6 +80,12 @@
     if not plans:
         raise BadSetting(f"{file}: [duty NAME]: missing; without a duty there is nothing to share")
 
+    listing = told["listing"]
+    if listing and listing["patience"] < 2 * listing["beat"]:
+        raise BadSetting(f"{file}: [listing] patience: at least twice beat is wanted, or one lost datagram passes for a silent relay")
+    terms = listing and Terms("", listing["fronts"], float(listing["calls"]), *(
+        listing[name] for name in ("relays", "beat", "patience", "silence", "save")))
+
     def resolved(path):
         return os.path.join(where, path) if path else ""
 
@@ -84,4 +96,4 @@
               suspicion=peers["suspicion"], forget=peers["forget"]),
         Leasing(voters=leases["voters"], span=leases["span"], drift=leases["drift"], slots=leases["slots"],
                 batch=sharing["batch"], copies=sharing["copies"]),
-        plans, {name: values["targets"] for name, values in duties.items()})
+        plans, {name: values["targets"] for name, values in duties.items()}, terms)
--- a/limepath/peers/interface.py
+++ b/limepath/peers/interface.py
@@ -12,7 +12,7 @@
 from limepath.agenda import MIX, mixed
 
 REFUTALS = 20  # bits
-GENERATION, NEWEST = 1, 2  # of what is spoken; version 2 brought the digest of the view
+GENERATION, NEWEST = 1, 3  # of what is spoken; version 2 brought the digest of the view, 3 digests by range
 
 
 class State(IntEnum):
@@ -90,9 +90,11 @@
 
 
 class Pull(Message, tag="l"):
-    """Tell me whom you know alive, in the order of tokens, after this one."""
+    """Tell me whom you know alive, in the order of tokens, after this one; where I tell my digests by range of
+    tokens (version 3), only what lies in ranges that differ."""
 
     after: int = -1
+    buckets: tuple[int, ...] = ()
 
 
 class Page(Message, tag="g"):
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -2,8 +2,9 @@
 
 Each period an instance checks its ring successor and one more, alternately the successor's successor and one in
 a shuffled round. No answer within `direct`: others are asked to check. None by the end of the period: it is
-suspected, and declared dead when the suspicion's time is over and nobody has heard it refute. News travels on the
-checks. Whoever does not know the life it speaks to says Hello and learns it: what is meant for a former life
+suspected, and when the suspicion's time is over and nobody has heard it refute, checked once more, with the suspicion
+told to it, and then declared dead: by those that missed its answers themselves; all others leave them the time for
+that. So many that were parted and refute at once need not outrun old suspicions as news. News travels on the checks. Whoever does not know the life it speaks to says Hello and learns it: what is meant for a former life
 changes nothing. Free of I/O; docs/duties.md has the options weighed.
 """
 
@@ -17,7 +18,8 @@
                                       Parted, Passed, Ping, PingFor, Pull, Say, Send, State, Welcome)
 
 CARRIED = 8  # news on one message
-PAGE, PAGES = 12, 8  # news on a page, pages in a row
+PAGE, PAGES = 12, 8  # news on a page; pages in a row that bring no member
+BUCKETS = 32  # ranges of tokens, each with a digest, so that of two views only what differs is pulled
 DIFFERING = 1  # looks at another digest in a row before a page is pulled
 COPIES = 3  # times log2 of the view, that a piece of news is passed on
 CONFIRMED = 3  # others that suspect the same, at which the shortest suspicion holds
@@ -51,9 +53,9 @@
 
     Its ring predecessor checks it within a period and suspects it by the end of the next, or ILL later if it has missed
     answers itself; where nobody confirms the suspicion it is at its longest; `together` neighbours on the ring are
-    found one after another.
+    found one after another. The last check before it is declared takes a period.
     """
-    one = (2 + ILL) * spans.period + LONGEST * shortest(spans, live)
+    one = (3 + ILL) * spans.period + LONGEST * shortest(spans, live)
     return one * together + spread(spans, live)
 
 
@@ -61,13 +63,22 @@
     return mixed(news.token ^ news.incarnation * 0x9E3779B97F4A7C15 & (1 << 64) - 1)
 
 
+def bucket_of(token):
+    """Tokens have 63 bits; a bucket is a range of them.
+
+    >>> bucket_of(0), bucket_of((1 << 63) - 1)
+    (0, 31)
+    """
+    return token * BUCKETS >> 63
+
+
 class Suspicion:
-    """Who suspects one at one incarnation, and since when we do."""
+    """Who suspects one at one incarnation, and since when we do; whether its last check is under way."""
 
-    __slots__ = ("incarnation", "since", "by")
+    __slots__ = ("incarnation", "since", "by", "last")
 
     def __init__(self, incarnation, since, by):
-        self.incarnation, self.since, self.by = incarnation, since, {by}
+        self.incarnation, self.since, self.by, self.last = incarnation, since, {by}, False
 
 
 class Members:
@@ -81,6 +92,8 @@
         self.ring, self.round, self.periods, self.seq, self.ill = [], [], 0, 0, 0
         self.checks, self.relays, self.greeted, self.digest = {}, {}, {}, digest_of(me)
         self.leaving = self.over = False
+        self.buckets = [0] * BUCKETS
+        self.buckets[bucket_of(me.token)] = self.digest
         self.cursor, self.pulled, self.joining, self.differing, self.pages = -1, -1, True, 0, 0
         self.counts = {"misaddressed": 0, "former": 0, "refuted": 0, "suspected": 0, "declared": 0}
         self.desks = {Ping: self.pinged, Ack: self.acked, PingFor: self.asked_to_check, Hello: self.greeted_by,
@@ -221,7 +234,7 @@
             doubt = self.suspicions[news.token] = Suspicion(news.incarnation, self.agenda.now, by)
             self.counts["suspected"] += by == self.me.token
             self.put(news._replace(state=State.SUSPECT, by=by))
-        elif by not in doubt.by and len(doubt.by) <= CONFIRMED:
+        elif by not in doubt.by and (len(doubt.by) <= CONFIRMED or by == self.me.token):
             doubt.by.add(by)
             self.pass_on(news._replace(state=State.SUSPECT, by=by))
         else:
@@ -230,11 +243,25 @@
         able = min(CONFIRMED, max(0, len(self.ring) - 1))
         part = log(len(doubt.by)) / log(able + 1) if able else 1.0
         until = doubt.since + int(max(least, LONGEST * least - (LONGEST - 1) * least * part))
+        if self.me.token not in doubt.by:  # who missed its answers looks once more and tells; time for that and the news
+            until += 2 * self.spans.period + spread(self.spans, len(self.ring) + 1)
         self.agenda.at(max(self.agenda.now, until), self.declare, news.token, news.incarnation, len(doubt.by))
 
     def declare(self, token, incarnation, confirmed):
         doubt, news = self.suspicions.get(token), self.table.get(token)
-        if not doubt or doubt.incarnation != incarnation or len(doubt.by) != confirmed or self.over:
+        if not doubt or doubt.incarnation != incarnation or len(doubt.by) != confirmed or doubt.last or self.over:
+            return
+        doubt.last = True
+        self.seq += 1
+        self.checks[self.seq] = news
+        self.send(news, Ping(self.seq, self.told(token), self.shown()))  # `told` bears the suspicion: it can refute
+        self.agenda.at(self.agenda.now + self.spans.direct, self.unanswered, self.seq)
+        self.agenda.at(self.agenda.now + self.spans.period, self.checked_last, self.seq, token, incarnation)
+
+    def checked_last(self, seq, token, incarnation):
+        self.checks.pop(seq, None)
+        doubt, news = self.suspicions.get(token), self.table.get(token)
+        if not doubt or doubt.incarnation != incarnation or self.over:
             return
         self.counts["declared"] += 1
         self.agenda.order(Say("peer-dead", {"peer": news.name, "incarnation": incarnation, "suspected_by": len(doubt.by)}))
@@ -266,9 +293,9 @@
         was, now_live = old is not None and old.state <= State.SUSPECT, news.state <= State.SUSPECT
         self.table[token] = news
         if was:
-            self.digest ^= digest_of(old)
+            self.mark(old)
         if now_live:
-            self.digest ^= digest_of(news)
+            self.mark(news)
         if news.state != State.SUSPECT:
             self.suspicions.pop(token, None)
         if now_live and not was:
@@ -287,6 +314,12 @@
             self.table_since.setdefault(token, self.agenda.now)
         self.pass_on(news)
 
+    def mark(self, news):
+        """Put a living one into the digests, or take it out."""
+        digest = digest_of(news)
+        self.digest ^= digest
+        self.buckets[bucket_of(news.token)] ^= digest
+
     def apply(self, news):
         """Take one piece of news in, if it is newer than what is known (the order of SWIM, section 4.2)."""
         if news.token == self.me.token:
@@ -325,9 +358,9 @@
             self.renew(news.incarnation + 1)
 
     def renew(self, incarnation):
-        self.digest ^= digest_of(self.me)
+        self.mark(self.me)
         self.me = self.me._replace(incarnation=incarnation)
-        self.digest ^= digest_of(self.me)
+        self.mark(self.me)
         self.pass_on(self.me)
 
     def speaks_for(self, sender):
@@ -389,7 +422,7 @@
         """The sender meant this life, so it lives; its view is pulled while ours is new, else as digests differ."""
         self.take(message.news)
         if self.joining:
-            self.send(sender, Pull(self.cursor))
+            self.pull(sender)
         else:
             self.send(sender, Ping(0, self.told(sender.token), self.shown()))
 
@@ -403,7 +436,7 @@
         if news := self.checks.pop(message.seq, None):
             self.ill = max(0, self.ill - (news.token == sender.token))
         elif relay := self.relays.pop(message.seq, None):
-            self.send(relay[0], Ack(relay[1]))
+            self.send(relay[0], Ack(relay[1], (self.table[sender.token],) if sender.token in self.table else ()))
         self.compare(sender, message.digest)
 
     def asked_to_check(self, sender, message):
@@ -421,27 +454,37 @@
         self.differing = self.differing + 1 if digest and digest != self.digest else 0
         if (self.joining or self.differing > DIFFERING) and self.pulled != self.periods:
             self.pulled, self.pages = self.periods, 0
-            self.send(sender, Pull(self.cursor))
+            self.pull(sender)
+
+    def pull(self, sender):
+        self.send(sender, Pull(self.cursor, tuple(self.buckets)))
 
     def pulled_from(self, sender, message):
-        whole = sorted([*self.ring, self.me.token])
+        """A page of what lies in the buckets that differ; of all, to one that tells no buckets."""
+        whole = self.ring.copy()
+        insort(whole, self.me.token)
+        if len(message.buckets) == BUCKETS:
+            differs = [one != other for one, other in zip(self.buckets, message.buckets)]
+            whole = [token for token in whole if differs[bucket_of(token)]]
         at = bisect_left(whole, message.after + 1)
         page = tuple(self.me if token == self.me.token else self.table[token] for token in whole[at:at + PAGE])
         self.send(sender, Page(page, at + PAGE >= len(whole)))
 
     def paged(self, sender, message):
         """Go on to the next page while pages bring news. What they bring is not passed on: others pull it too."""
-        before, known = self.digest, set(self.gossip)
+        before, known, count = self.digest, set(self.gossip), len(self.ring)
         self.take(message.news)
         for one in message.news:
             if one.token not in known:
                 self.gossip.pop(one.token, None)
         self.cursor = -1 if message.last or not message.news else message.news[-1].token
-        self.pages += 1
+        grew = len(self.ring) > count
+        self.pages += not grew
         if message.last:
             self.joining = False
-        elif self.joining or self.digest != before and self.pages < PAGES:
-            self.send(sender, Pull(self.cursor))
+            self.pulled = -1 if grew else self.pulled  # a view that grows is compared again before the period is over
+        elif self.joining or grew or self.digest != before and self.pages < PAGES:
+            self.pull(sender)
 
     # Leaving
 
--- /dev/null
+++ b/limepath/testbed/coldstart.py
@@ -0,0 +1,384 @@
+"""The drill of a cold start: many real fronts that start at once with nothing, the list service away, faults between them.
+
+Each front is `limepath run --peers FILE` in a process of its own. Every datagram between two fronts and every call at the
+list service passes a way of the testbed. In the second of each fault a cache is drained and an object purged; what is
+looked at is when every living front knows. Bounds are those of `listing.bounds`. `alone`: the same fronts without any
+of it, for comparison.
+"""
+
+import json
+import os
+import signal
+import socket
+import tempfile
+import time
+from random import Random
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.task import LoopingCall
+
+from limepath.listing.bounds import bounds
+from limepath.listing.interface import Terms
+from limepath.listing.simulate import most_in
+from limepath.listing.state import List
+from limepath.peers.control import Unanswered, ask
+from limepath.testbed.duties import SETTINGS
+from limepath.testbed.faults import Fault as Way
+from limepath.testbed.faults import Faults, Kind, both_ways
+from limepath.testbed.process import HOST, NotStarted, Process, free_ports, raise_descriptors
+from limepath.testbed.stand_ins import StandInCache, StandInListService
+from limepath.testbed.ways import Connections, Datagrams
+from limepath.verdicts import Row, at_most, seconds
+
+MS, SECOND = 1000, 1_000_000
+SERVICE = "service"  # a party of the ways
+KINDS = ("relays-killed", "relays-stopped", "relay-held", "cut-from-service", "cut-from-peers", "one-way", "loss", "silent",
+         "slow", "breaking", "still", "restored", "half-killed", "stores-cut")
+LASTING = ("relay-held", "cut-from-service", "cut-from-peers", "one-way", "loss")
+ZONES = ("sur", "norte")
+SLACK = 2 * SECOND  # for a machine that is busy with so many processes at once
+START = 90  # seconds that all may take
+
+
+class Found(NamedTuple):
+    rows: list
+    said: list
+
+
+class ColdFront(Process):
+    """One front of the drill."""
+
+    def __init__(self, drill, who):
+        super().__init__(drill.folder, who)
+        self.drill, self.zone = drill, ZONES[who % len(ZONES)]
+
+    def prepare(self):
+        drill, who = self.drill, self.who
+        seeds = [f"{HOST}:{drill.ways.reached_at(seed)}" for seed in range(min(3, drill.count)) if seed != who]
+        self.replace("peers.keys", drill.key + "\n")
+        self.replace("peers.ini", f"""[instance]
+name = {self.name}
+store = peers.db
+control = peers.sock
+[log]
+form = json
+[peers]
+listen = {HOST}:{drill.listens[who]}
+advertise = {HOST}:{drill.ways.reached_at(who)}
+seeds = {', '.join(seeds)}
+keys = peers.keys
+[duty probe]
+interval = 20s
+[listing]
+fronts = {drill.count}
+calls = {drill.terms.rate:g}
+""")
+        self.replace("front.json", json.dumps({
+            "name": self.name, "listen": f"{HOST}:{drill.fronts[who]}", "seed": f"{drill.seed * 1000 + who:x}",
+            "changelog": f"{HOST}:{drill.calls[who]}", "limits": {"memory_mb": 192, "sockets": 256, "leaving_ms": 300},
+            "settings": SETTINGS | {"areas": list(ZONES), "az": ZONES.index(self.zone)}, "known": {"seq": 0, "results": []}}))
+
+    def words(self):
+        return super().words() + ([] if self.drill.alone else ["--peers", self.path("peers.ini")])
+
+    def shown(self):
+        try:
+            return ask(self.path("peers.sock"), "listing", 2)
+        except Unanswered:
+            return None
+
+    def said_at(self, event):
+        """When this life's log first said that, seconds of the wall clock."""
+        lines = [line for line in self.lines() if line.get("event") == event]
+        return stamp(lines[-1]) if lines else None
+
+
+def stamp(line):
+    from datetime import datetime
+    return datetime.fromisoformat(line["time"].replace("Z", "+00:00")).timestamp()
+
+
+class Asking(Protocol):
+    """One GET of a client at a front: its status goes to `done`."""
+
+    def __init__(self, done, words):
+        self.done, self.words, self.data = done, words, b""
+
+    def connectionMade(self):
+        self.transport.write(self.words)
+
+    def dataReceived(self, data):
+        self.data += data
+        if b"\r\n\r\n" in self.data and self.done:
+            done, self.done = self.done, None
+            done.callback(int(self.data.split(b" ", 2)[1]))
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason):
+        if self.done:
+            self.done.callback(0)
+
+
+class Drill:
+    def __init__(self, reactor, folder, fronts, seed, alone, down, caches):
+        self.reactor, self.folder, self.count, self.seed, self.alone, self.down = reactor, folder, fronts, seed, alone, down
+        self.chance, self.terms = Random(seed), Terms(fronts=fronts)
+        self.zero = time.monotonic_ns() // 1000
+        self.listens, self.fronts = free_ports(socket.SOCK_DGRAM, fronts), free_ports(socket.SOCK_STREAM, fronts)
+        self.upon = Faults(Random(seed))
+        self.ways, self.passages = Datagrams(reactor, self.listens, self.upon), Connections(reactor, self.upon)
+        self.service = StandInListService(reactor, fronts, lambda who: ZONES[who % len(ZONES)],
+                                          lambda who: not self.nodes[who].stopped)
+        self.calls = [self.passages.open(who, SERVICE, port) for who, port in enumerate(self.service.port_of)]
+        self.caches = {f"s-{index}": StandInCache(reactor) for index in range(caches)}
+        self.upper = {"p-1": StandInCache(reactor), "o-1": StandInCache(reactor)}
+        self.key = f"{self.chance.getrandbits(256):064x}"
+        self.nodes = [ColdFront(self, who) for who in range(fronts)]
+        self.drained, self.answers, self.early, self.rows, self.said, self.gets = {}, {}, 0, [], [], 0
+        self.let_in = False
+
+    def now(self):
+        return time.monotonic_ns() // 1000 - self.zero
+
+    def pause(self, span):
+        done = Deferred()
+        self.reactor.callLater(max(0, span) / 1e6, done.callback, None)
+        return done
+
+    def members(self):
+        """The whole list as it stands, one zone's caches in each half."""
+        told = [self.member(name) for name in self.caches]
+        return told + [self.member("p-1", "parent"), self.member("o-1", "origin")]
+
+    def member(self, name, flavor="box"):
+        cache = self.caches.get(name) or self.upper[name]
+        return {"id": name, "host_port": f"{HOST}:{cache.port}", "flavor": flavor, "cell": 0, "size": 6, "up_since_ms": 0,
+                "locality": ZONES[int(name[2:]) % len(ZONES)],
+                "phase": "terminating" if name in self.drained else "in_service"}
+
+    # GETs
+
+    def ask_front(self, node):
+        """A GET of a client at one front."""
+        self.gets += 1
+        done = Deferred()
+        words = (f"GET /invoke/video/{self.chance.getrandbits(64):016x} HTTP/1.1\r\nHost: x\r\nX-Txn: {self.gets:016x}\r\n"
+                 "X-Ttl-Ms: 1500\r\nX-Family: 17\r\nConnection: close\r\n\r\n").encode()
+        TCP4ClientEndpoint(self.reactor, HOST, self.fronts[node.who], timeout=2).connect(
+            Factory.forProtocol(lambda: Asking(done, words))).addErrback(lambda _: done.called or done.callback(0))
+        return done.addCallback(self.answered, node, node.lives, self.let_in)
+
+    def answered(self, status, node, life, let_in):
+        if node.lives == life and node.running() and not node.stopped:
+            self.answers[status] = self.answers.get(status, 0) + 1
+            self.early += status == 200 and not let_in
+
+    def load(self):
+        for node in self.chance.sample(self.nodes, min(len(self.nodes), 12)):
+            if node.running() and not node.stopped:
+                self.ask_front(node)
+
+    # The script
+
+    @inlineCallbacks
+    def play(self, kinds):
+        service = self.service
+        service.add({"fleet": {"revision": 1, "complete": True, "members": self.members()}})
+        service.turn("refusing")
+        for node in self.nodes:
+            node.prepare()
+        self.zero = time.monotonic_ns() // 1000
+        for node in self.nodes:
+            node.start()
+        loading = LoopingCall(self.load)
+        loading.start(0.25)
+        yield self.pause(self.down)
+        if not self.alone:
+            yield self.wait(lambda: all(node.shown() for node in self.nodes), START * SECOND)
+        self.let_in, back = True, time.time()
+        service.turn("up")
+        if not self.alone:
+            yield self.wait(self.all_know, START * SECOND)
+            yield self.pause(500 * MS)
+            ready = sorted(node.said_at("ready") - back if node.said_at("ready") else START for node in self.nodes)
+            bound = self.bound()
+            self.rows += [Row("ready after the service's return, median, s", round(ready[len(ready) // 2], 2)),
+                          Row("the same, 95%, s", round(ready[len(ready) * 95 // 100], 2)),
+                          at_most("the same, all, s", round(ready[-1], 2), seconds(bound.ready + SLACK))]
+        else:
+            yield self.pause(8 * SECOND)
+        for kind in () if self.alone else kinds:
+            yield self.fail(kind)
+        loading.stop()
+        yield self.pause(2 * SECOND)
+
+    def bound(self):
+        return bounds(self.terms, self.count, len(ZONES))
+
+    @inlineCallbacks
+    def wait(self, so, span):
+        """Until it is so; give how long that took."""
+        since = self.now()
+        while not so() and self.now() < since + span:
+            for node in self.nodes:
+                if node.process.poll() not in (None, -9):
+                    raise NotStarted(f"{node.name}: {[line for line in node.lines()][-3:]}")
+            yield self.pause(100 * MS)
+        return self.now() - since
+
+    def all_know(self):
+        """Whether every living front holds the service's list, and knows it."""
+        held = List()
+        for text in self.service.events:
+            held.take(json.loads(text))
+        for node in self.nodes:
+            if not node.running() or node.stopped:
+                continue
+            told = node.shown()
+            if not told or told["confirmed_us_ago"] is None or (
+                    told["number"], told["digest"]) != (held.place.number, f"{held.digest:016x}"):
+                return False
+        return True
+
+    def relays(self, zone):
+        return [self.nodes[stream.who] for stream in self.service.streams if self.nodes[stream.who].zone == zone]
+
+    def tell(self):
+        """A drain and a purge; give the number of the last."""
+        left = [name for name in self.caches if name not in self.drained]
+        if len(left) > len(ZONES):
+            name = self.chance.choice(left)
+            self.drained[name] = self.reactor.seconds(), len(self.service.events) + 1
+            self.service.add({"fleet": {"revision": 2, "complete": False, "members": [self.member(name)]}})
+        return self.service.add({"invalidate": {"object": f"{self.chance.getrandbits(64):016x}", "time": int(time.time() * 1000)}})
+
+    @inlineCallbacks
+    def fail(self, kind):
+        """Cause one fault, tell a drain and a purge in it, wait until all that live know, end it."""
+        service, bound, zone = self.service, self.bound(), self.chance.choice(ZONES)
+        relays = self.relays(zone) or [node for node in self.nodes if node.zone == zone][:1]
+        one, everyone = relays[0], frozenset(range(self.count))
+        since, limit, ends = self.now(), bound.relays_gone, []
+        name = f"{kind} at {since / 1e6:.1f}"
+        if kind in ("relays-killed", "half-killed", "stores-cut"):
+            gone = relays if kind == "relays-killed" else self.chance.sample(self.nodes, self.count // 2)
+            for node in gone:
+                node.signal(signal.SIGKILL)
+                if kind == "stores-cut":
+                    with open(node.path("peers.db"), "r+b") as file:
+                        file.truncate(os.path.getsize(node.path("peers.db")) // 2 + 7)
+            if kind != "relays-killed":  # they are back at once, and must come to the same
+                for node in gone:
+                    node.start()
+                limit += 10 * SECOND  # to start so many processes
+            else:
+                ends.append(lambda: [node.start() for node in gone])
+        elif kind == "relays-stopped":
+            for node in relays:
+                node.signal(signal.SIGSTOP)
+            ends.append(lambda: [node.signal(signal.SIGCONT) for node in relays])
+        elif kind == "relay-held":  # what it says lies in the network, and comes when others have gone on
+            self.upon.begin(Way(name, Kind.HOLD, frozenset((one.who,)), everyone - {one.who}))
+            ends.append(lambda: self.ways.end(name))
+        elif kind == "cut-from-service":
+            self.upon.begin(Way(name, Kind.CUT, frozenset((SERVICE,)), frozenset((one.who,))))
+            ends.append(lambda: (self.ways.end(name), self.passages.end()))
+            limit = bound.stream_still
+        elif kind == "cut-from-peers":
+            self.upon.begin(*both_ways(name, Kind.CUT, (one.who,), everyone - {one.who}))
+            ends.append(lambda: self.ways.end(f"{name}>", f"{name}<"))
+        elif kind == "one-way":
+            self.upon.begin(Way(name, Kind.CUT, frozenset((one.who,)), everyone - {one.who}))
+            ends.append(lambda: self.ways.end(name))
+        elif kind == "loss":
+            self.upon.begin(Way(name, Kind.LOSE, everyone, everyone, 0.3))
+            ends.append(lambda: self.ways.end(name))
+        elif kind in ("silent", "slow", "breaking", "still"):
+            if kind != "still":  # these are of a service that is called
+                service.turn("refusing")
+            service.turn(kind)
+            self.reactor.callLater(4, service.turn, "up")
+            limit = 4 * SECOND + bound.stream_still
+        elif kind == "restored":
+            service.restore(len(service.events) - 2)
+            self.drained = {name: (at, number) for name, (at, number) in self.drained.items() if number <= len(service.events)}
+            limit = bound.restored
+        self.tell()
+        took = yield self.wait(self.all_know, limit + 30 * SECOND)
+        if kind in LASTING:  # what is told while the others have long gone round it
+            yield self.pause(since + 6 * SECOND - self.now())
+            self.tell()
+            later = yield self.wait(self.all_know, limit + 30 * SECOND)
+            took = max(took, later)
+        for end in ends:
+            end()
+        if ends:
+            yield self.wait(self.all_know, START * SECOND)
+            yield self.pause(SECOND)
+        self.said.append(f"at {since / 1e6:6.1f} s  {kind}  {', '.join(node.name for node in relays)} of {zone}")
+        self.rows.append(at_most(f"{kind}: a drain and a purge told then, at the last living front, s", seconds(took),
+                                 seconds(limit + SLACK)))
+        for node in self.nodes:
+            if not node.running():
+                node.start()
+
+    def close(self):
+        for node in self.nodes:
+            if node.running():
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGKILL)
+        self.ways.close()
+        self.passages.close()
+        self.service.close()
+        for cache in [*self.caches.values(), *self.upper.values()]:
+            cache.close()
+
+
+def drilled(fronts, seed=1, kinds=KINDS, alone=False, down=12 * SECOND, caches=24, keep=None):
+    """Run a drill in this process's reactor, once; give what was Found."""
+    from twisted.internet import reactor
+    raise_descriptors()
+    flaws = []
+    with tempfile.TemporaryDirectory(prefix="limepath-cold-") as scratch:
+        drill = Drill(reactor, keep or scratch, fronts, seed, alone, down, caches)
+        beat = LoopingCall(drill.service.beat)
+        beat.start(1.0)
+
+        def over(result):
+            beat.stop()
+            drill.close()
+            reactor.callLater(0.1, reactor.stop)
+            return result
+
+        reactor.callWhenRunning(lambda: drill.play(kinds).addBoth(over).addErrback(flaws.append))
+        reactor.run(installSignalHandlers=False)
+        if flaws:
+            raise flaws[0].value
+        return concluded(drill)
+
+
+def concluded(drill):
+    bound, service = drill.bound(), drill.service
+    calls = sorted(int(at * 1e6) for at, _, to in drill.passages.history if to == SERVICE)
+    late = [at - drill.drained[name][0] for name, cache in drill.caches.items() if name in drill.drained
+            for at, _ in cache.forwards if at > drill.drained[name][0]]
+    connected = max(most_in(sorted(int(at * 1e6) for at in cache.connected), SECOND // 10)
+                    for cache in [*drill.caches.values(), *drill.upper.values()])
+    rows = [Row("fronts", drill.count), Row("zones", len(ZONES)), *drill.rows,
+            at_most("most calls at the list service in a second", most_in(calls, SECOND), int(drill.terms.rate)),
+            at_most("most calls in 100 ms", most_in(calls, SECOND // 10), int(drill.terms.rate) // 2),
+            at_most("most streams of one zone, those of stopped processes aside", max(service.most_streams.values(), default=0), bound.streams),
+            Row("bytes that the list service sent", service.bytes),
+            at_most("GETs answered before any list was confirmed", drill.early, 0),
+            Row("GETs answered, shed, errored or not taken", ", ".join(
+                f"{status or 'none'}: {count}" for status, count in sorted(drill.answers.items()))),
+            Row("latest forward to a cache after its drain was told, s", round(max(late, default=0), 2)),
+            Row("most new connections at one cache in 100 ms", connected)]
+    if not drill.alone:
+        limit = max([bound.relays_gone, *(4 * SECOND + bound.stream_still,)]) + SLACK
+        rows[-2] = at_most("latest forward to a cache after its drain was told, s", round(max(late, default=0), 2), seconds(limit))
+        rows.append(Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt()))
+    return Found(rows, drill.said + [f"took no effect: {name}" for name in drill.upon.unfelt()])
--- a/limepath/testbed/stand_ins.py
+++ b/limepath/testbed/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for drills and stories of several processes: caches that count probes, and a change log.
+"""Stand-ins for drills and stories of several processes: caches that count probes, caches that answer GETs, change logs.
 
 Caches answer the probe words of the platform's protocol (FIT) and turn an older epoch away (UNFIT). A cache listens
 once for each instance, so that it is known who asks. All on loopback.
@@ -6,6 +6,7 @@
 
 import json
 import re
+import time
 
 from twisted.internet.protocol import Factory, Protocol
 from twisted.protocols.basic import LineReceiver
@@ -113,3 +114,159 @@
             port.stopListening()
         for stream in list(self.streams):
             stream.transport.abortConnection()
+
+
+class Listening(Protocol):
+    """One call of the list service by front `who`."""
+
+    def __init__(self, service, who):
+        self.service, self.who, self.head, self.told, self.greeted = service, who, b"", None, False
+
+    def connectionMade(self):
+        self.service.came(self)
+
+    def dataReceived(self, data):
+        self.head += data
+        if b"\r\n\r\n" in self.head and self.told is None:
+            self.told = int(re.search(rb"Last-Event-ID: (\d+)", self.head)[1])
+            if self.service.mode != "silent":
+                self.greet()
+
+    def greet(self):
+        self.greeted = True
+        self.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        self.go_on()
+
+    def go_on(self):
+        """Tell what is new; a slow service one event each 200 ms, one that breaks off half of the first."""
+        service = self.service
+        if service.mode == "breaking" and self.told < len(service.events):
+            self.write(service.said(self.told)[:-9])
+            return self.transport.loseConnection()
+        while self.greeted and self.told < len(service.events) and service.mode not in ("silent", "still"):
+            self.write(service.said(self.told))
+            self.told += 1
+            if service.mode == "slow" and self.told < len(service.events):
+                service.reactor.callLater(0.2, self.go_on)
+                return
+        if self.greeted and service.mode not in ("silent", "still"):
+            self.write(b": here\n\n")
+
+    def write(self, data):
+        if self.transport.connected:
+            self.service.bytes += len(data)
+            self.transport.write(data)
+
+    def connectionLost(self, reason):
+        self.service.streams.discard(self)
+
+
+class StandInListService:
+    """The list service; each front has a port of its own there, so that it is known who calls. `mode`: up, refusing,
+    silent (accepts and says nothing), slow, breaking (off in an event) or still (says nothing more). `runs` tells whether
+    a front is not stopped: one that is holds its stream until the service ends it, and is not counted."""
+
+    def __init__(self, reactor, fronts, zone_of, runs=lambda who: True):
+        self.reactor, self.mode, self.events, self.streams, self.bytes = reactor, "up", [], set(), 0
+        self.runs, self.zone_of, self.most_streams, self.calls, self.ports = runs, zone_of, {}, [], []
+        self.port_of = []
+        for who in range(fronts):
+            self.ports.append(reactor.listenTCP(0, self.factory(who), interface=HOST))
+            self.port_of.append(self.ports[who].getHost().port)
+
+    def factory(self, who):
+        factory = Factory.forProtocol(lambda: Listening(self, who))
+        factory.noisy = False
+        return factory
+
+    def came(self, stream):
+        self.calls.append(self.reactor.seconds())
+        if self.mode == "refusing":
+            return stream.transport.abortConnection()
+        self.streams.add(stream)
+        zone = self.zone_of(stream.who)
+        self.most_streams[zone] = max(self.most_streams.get(zone, 0),
+                                      sum(self.zone_of(one.who) == zone and self.runs(one.who) for one in self.streams))
+
+    def said(self, at):
+        return b"id: %d\ndata: %s\n\n" % (at + 1, self.events[at])
+
+    def add(self, told):
+        """Tell an event; give its number."""
+        self.events.append(json.dumps({"seq": len(self.events) + 1} | told).encode())
+        for stream in list(self.streams):
+            stream.go_on()
+        return len(self.events)
+
+    def turn(self, mode):
+        """Behave otherwise from now on; refusing ends the streams too, and after `still` those are of no more use."""
+        before, self.mode = self.mode, mode
+        if mode == "refusing" or before in ("still", "silent"):
+            for stream in list(self.streams):
+                stream.transport.abortConnection()
+
+    def restore(self, number):
+        """Go back to an older state: its numbers run backwards."""
+        del self.events[number:]
+        for stream in list(self.streams):
+            stream.transport.abortConnection()
+
+    def beat(self):
+        for stream in list(self.streams):
+            if stream.greeted and self.mode in ("up", "slow"):
+                stream.write(b": here\n\n")
+
+    def close(self):
+        for port in self.ports:
+            port.stopListening()
+        for stream in list(self.streams):
+            stream.transport.abortConnection()
+
+
+class Answering(LineReceiver):
+    """One connection of a front to a cache that holds all: probes and forwards are answered at once."""
+
+    delimiter, MAX_LENGTH = b"\r\n", 4096
+
+    def __init__(self, cache):
+        self.cache, self.body = cache, None
+
+    def connectionMade(self):
+        self.cache.connected.append(self.cache.reactor.seconds())
+        self.cache.connections.add(self)
+
+    def connectionLost(self, reason):
+        self.cache.connections.discard(self)
+
+    def lineReceived(self, line):
+        words = line.split(b" ")
+        if words[0] == b"ASK" and len(words) == 4:
+            self.asked = words[1]
+            self.body = int(words[3])
+            self.setRawMode()
+        elif words[0] in (b"INFO", b"NOOP") and len(words) == 2:
+            self.transport.write(words[1] + b" FIT use=inflight:1;util:0.1 0\r\n\r\n")
+
+    def rawDataReceived(self, data):
+        self.body -= len(data)
+        if self.body <= -2:  # the line end behind the body
+            rest = data[len(data) + self.body + 2:]
+            self.cache.forwards.append((self.cache.reactor.seconds(), self.asked))
+            self.transport.write(b"%b DONE rev=4be0,since=%d 4\r\nbody\r\n" % (self.asked, time.time() * 1000))
+            self.setLineMode(rest)
+
+
+class StandInCache:
+    """A cache, parent or origin that answers GETs; it counts connections and forwards with their times."""
+
+    def __init__(self, reactor):
+        self.reactor, self.connections, self.connected, self.forwards = reactor, set(), [], []
+        factory = Factory.forProtocol(lambda: Answering(self))
+        factory.noisy = False
+        self.listening = reactor.listenTCP(0, factory, interface=HOST, backlog=512)
+        self.port = self.listening.getHost().port
+
+    def close(self):
+        self.listening.stopListening()
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
--- a/limepath/testbed/ways.py
+++ b/limepath/testbed/ways.py
@@ -88,7 +88,7 @@
 
     def __init__(self, reactor, faults):
         self.reactor, self.faults, self.ports, self.halves = reactor, faults, [], set()
-        self.accepted, self.waiting = 0, []
+        self.accepted, self.waiting, self.history = 0, [], []  # of history: (seconds, source, to) of each connection
 
     def open(self, source, to, port):
         factory = Factory.forProtocol(lambda: None)
@@ -100,6 +100,7 @@
     def passage(self, source, to, port):
         """One accepted connection and its way on; where it is cut it stays open and silent, like a machine that vanished."""
         self.accepted += 1
+        self.history.append((self.reactor.seconds(), source, to))
         near, far = Half(self, source, to), Half(self, to, source)
         endpoint = TCP4ClientEndpoint(self.reactor, HOST, port, timeout=5)
         coming = endpoint.connect(Factory.forProtocol(lambda: far))
