--- a/tests/limits_stories.py
+++ b/tests/test_limits.py
@@ -14,7 +14,7 @@
 from limepath.tallies.interface import CARRIED, MOST, Ask, AskTally, Counted, FromPeer, Learn, Reach, Tally
 from limepath.tallies.newcomer import ASKED, HALF, PATIENCE, TRIES, Newcomer
 from tests.fake_host import PARENT, SECOND, FakeHost
-from tests.listing_stories import PEERS
+from tests.test_listing import PEERS
 
 MS = 1000
 
