What is still owed when something ends: waits, closes, shutdown and start, one end each

At fault and mended: - Peer.send_waiting sent what waited for a connection by an order that news had overtaken: its client had left (PUT and any class where nothing may be withdrawn), its cache or fill source drains, its object was purged, the window for its token was over. News and clients that leave now call such forwards back (MOOT, the module decides anew, nobody is passed for it); Forward.within bounds the wait of a repeat, and the wait is looked at again at the send. - Peer.came_up took a connection to the address of a member that had gone or started anew. - CacheConnection.give_up left half a command in the buffer, to become whole later, and connections in the middle of an answer that broke off, or holding half a line, took the next forward, whose answer could then not be read (a PUT: 502). - ClientConnection.finish closed over unread bytes: the reset took held answers along. Now a lingering close, bounded to 1 s. - Clients.close_up closed the listener over connections that the system had accepted; the process left 2 s after the last answer whether it was taken or not; SIGHUP during the start was ignored (the new change log never followed), SIGTERM killed. - Half-read requests were closed last under a flood, so 40 slow senders shut all others out. Turn hands news of one pass over before what is decided by it. One state machine and one end for each kind of connection. Doctests of front/ moved to tests/.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -338,11 +338,13 @@
         join = self.allowance.joins and source is not cache and not get.direct
         member = self.members[cache.id][0]
         get.out = (get.id, get.sent)
+        tokened = get.ran_at is not None and get.ds.repeats == Repeats.TOKENED
+        within = get.ran_at + get.ds.window - self.loop.now if tokened else 0  # it may yet wait for a connection
         if get.ran_at is None:
             get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
         get.sent += 1
         self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join,
-                                        get.held and not get.direct))
+                                        get.held and not get.direct, within=within))
         self.loop.put(self.door, "left_for", get, cache, source)
 
     def final(self, get, come_back):
@@ -490,7 +492,8 @@
             return self.fall_back(get)
         get.filling = note.verdict == Verdict.MISS and source is cache
         broken = note.verdict in BROKEN  # says nothing of the source, and once, nothing of the cache
-        if not get.filling and not (broken and cache.struck in (None, self.loop.now)):
+        moot = note.verdict == Verdict.MOOT  # called off by news before it was sent: nobody is at fault
+        if not get.filling and not moot and not (broken and cache.struck in (None, self.loop.now)):
             get.passed.update((cache,) if broken else (cache, source))
         self.step(get)
 
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -253,7 +253,8 @@
 
 
 class Forward(NamedTuple):
-    """`source` equal to `cache` asks for no fill; `oldest` 0 leaves the age to the delivery service."""
+    """`source` equal to `cache` asks for no fill; `oldest` 0 leaves the age to the delivery service. With `within` it
+    may be sent for that long only, wherever it waits (0: as long as the host lets forwards wait)."""
 
     id: int
     cache: int
@@ -265,6 +266,7 @@
     held_only: bool = False
     no_copy_above: bool = False
     renew: bool = False
+    within: int = 0
 
 
 class Shed(NamedTuple):
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -1,6 +1,7 @@
 """Caches, parents and the origin: connections to them, forwards and probes on those, and how each ended."""
 
 from collections import deque
+from enum import Enum
 from itertools import count
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -26,25 +27,7 @@
 
 
 def read_answer(line, longest):
-    """Give (tag, word, fields, length) of an answer's first line, without its end.
-
-    >>> read_answer(b"9b1f DONE rev=4be0,since=1764576000123 5", 10)
-    (b'9b1f', b'DONE', {b'rev': b'4be0', b'since': b'1764576000123'}, 5)
-    >>> read_answer(b"9b1f LACK - 0", 10)
-    (b'9b1f', b'LACK', {}, 0)
-    >>> for line in (b"x", b"x MAYBE - 0", b"x DONE - eleven", b"x DONE - 11", b"x DONE rev 1",
-    ...              b"x DONE - -1"):
-    ...     try:
-    ...         read_answer(line, 10)
-    ...     except Unreadable as flaw:
-    ...         print(flaw)
-    1 of 4 words
-    unknown word b'MAYBE'
-    length b'eleven'
-    length b'11'
-    field b'rev'
-    length b'-1'
-    """
+    """Give (tag, word, fields, length) of an answer's first line, without its end."""
     words = line.split(b" ")
     if len(words) != 4:
         raise Unreadable(f"{len(words)} of 4 words")
@@ -64,13 +47,7 @@
 
 
 def read_load(told):
-    """Give the load report that `use` holds, by the contract's names.
-
-    >>> read_load(b"inflight:7;util:0.61")
-    {'inflight': 7.0, 'util': 0.61}
-    >>> read_load(b"rif:x;busy:1")
-    {'util': 1.0}
-    """
+    """Give the load report that `use` holds, by the contract's names."""
     load = {}
     for field in told.decode("ascii", "replace").split(";"):
         name, _, value = field.partition(":")
@@ -100,12 +77,13 @@
     """One forward on its way."""
 
     __slots__ = ("get", "number", "order", "at", "limit", "connection", "tag", "timer", "end",
-                 "source")
+                 "source", "send_by")
 
-    def __init__(self, get, order, name_of):
+    def __init__(self, get, order, name_of, wait):
         self.get, self.order, self.number, self.tag = get, order, get.sent, get.txn
         self.source = b"" if order.source == order.cache else name_of[order.source]
         self.at, self.connection, self.timer = clock(), None, None
+        self.send_by = self.at + min(wait, order.within or wait)  # what its rules let it wait, wherever it does
         self.limit = min(get.due, self.at + order.limit) if order.limit else get.due
 
     def words(self):
@@ -131,10 +109,21 @@
 class Probing:
     """One probe on its way."""
 
-    __slots__ = ("cache", "at", "tag", "timer", "connection", "end")
+    __slots__ = ("cache", "at", "tag", "timer", "connection", "end", "send_by")
 
-    def __init__(self, cache, tag):
+    def __init__(self, cache, tag, wait):
         self.cache, self.at, self.tag, self.timer, self.connection = cache, clock(), tag, None, None
+        self.send_by = self.at + wait
+
+
+class State(Enum):
+    """Of a connection to a cache (docs/front.md tells what is owed in each)."""
+
+    CONNECTING = 0
+    OPEN = 1
+    RETIRED = 2  # takes nothing new, closes once nothing is out
+    CLOSING = 3  # closed by this front; what is out ends once the transport has said so
+    CLOSED = 4
 
 
 @implementer(IPushProducer)
@@ -143,12 +132,12 @@
 
     def __init__(self, peer):
         self.peer, self.out, self.past, self.queued = peer, {}, deque(maxlen=peer.limits.past), 0
-        self.buffer, self.answer = bytearray(), None
-        self.up = self.full = self.retired = self.silent = False
-        self.heard = clock()
+        self.leads_to = (peer.address, peer.since)
+        self.buffer, self.answer = bytearray(), None  # of what is unfinished, the bytes and the first line as read
+        self.state, self.full, self.silent, self.heard = State.CONNECTING, False, False, clock()
 
     def connectionMade(self):
-        self.up = True
+        self.state = State.OPEN
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
@@ -165,9 +154,13 @@
     def takes(self, tag):
         """Whether one more may go out here; a second or late answer to an id that was out here before could
         be taken for its next forward's."""
-        return (self.up and not (self.full or self.retired or self.silent) and tag not in self.out
+        return (self.state is State.OPEN and not (self.full or self.silent or self.stray()) and tag not in self.out
                 and tag not in self.past and len(self.out) < self.peer.limits.streams)
 
+    def stray(self):
+        """Whether bytes have come here that belong to nothing out: the next answer would be read behind them."""
+        return bool(self.buffer or self.answer) and (not self.out or bool(self.answer) and self.answer[0] not in self.out)
+
     def send(self, flight, *pieces):
         if not self.out:
             self.peer.idle.remove(self)
@@ -193,58 +186,75 @@
         held = self.transport
         return len(held.dataBuffer) - held.offset + sum(map(len, held._tempDataBuffer))
 
+    def written(self, flight):
+        """Whether all of it was handed to the system; what was not can't have run."""
+        return flight.end <= self.queued - self.unsent()
+
     def give_up(self, flight, unanswered=False):
-        """Tell the cache that nobody waits. Where it has been silent since, nothing more is sent here until
-        it speaks again."""
+        """Tell the cache that nobody waits; give whether it may have run. Where the cache has been silent since,
+        nothing more is sent here until it speaks again, and nothing behind an answer that has begun."""
         self.done(flight.tag)
+        if not self.out and not self.written(flight):  # half a command: closed, it never becomes a whole one
+            self.end(abort=True)
+            return False
         if isinstance(flight, Flight):
             line = b"QUIT %b\r\n" % flight.tag
             self.queued += len(line)
             self.transport.write(line)
         self.silent |= unanswered and self.heard < flight.at
+        if self.stray():
+            self.retire()
         self.close_if_done()
+        return True
 
     def retire(self):
-        self.retired = True
+        if self.state is State.OPEN:
+            self.state = State.RETIRED
         self.close_if_done()
 
     def close_if_done(self):
-        if (self.retired or self.silent) and not self.out and self.up:
-            self.transport.abortConnection() if self.full or self.silent else self.transport.loseConnection()
+        if (self.state is State.RETIRED or self.silent) and not self.out:
+            self.end(abort=self.full or self.silent or bool(self.buffer))
+
+    def end(self, abort=False):
+        """The one way in which this front closes a connection to a cache. Aborted, what is out on it has broken."""
+        if self.state in (State.OPEN, State.RETIRED):
+            self.state = State.CLOSING
+            self.transport.abortConnection() if abort else self.transport.loseConnection()
 
     def dead(self, heard):
         """Another connection was answered a while ago, this one has not spoken: what is out has broken."""
         if self.silent and self.heard == heard:
-            self.transport.abortConnection()
+            self.end(abort=True)
 
     def dataReceived(self, data):
         self.heard, self.silent = clock(), False
         self.buffer += data
-        at, whole = 0, len(self.buffer)
         try:
-            while True:
-                if self.answer is None:
-                    end = self.buffer.find(b"\r\n", at, at + self.peer.limits.line)
-                    if end < 0:
-                        if whole - at >= self.peer.limits.line:
-                            raise Unreadable("over-long line")
-                        break
-                    self.answer = read_answer(bytes(self.buffer[at:end]), self.peer.limits.answer)
-                    at = end + 2
-                size = self.answer[3]
-                if whole - at < size + 2:
-                    break
-                if self.buffer[at + size:at + size + 2] != b"\r\n":
-                    raise Unreadable("no line end where the length puts it")
-                (tag, word, fields, _), self.answer = self.answer, None
-                body = bytes(self.buffer[at:at + size])
-                at += size + 2
-                self.answered(tag, word, fields, body)
+            while self.state is not State.CLOSING and (answer := self.next_answer()):
+                self.answered(*answer)
         except Unreadable as flaw:
             self.peer.log.say("cache", f"{flaw}; connection closed", cache=self.peer.name)
-            self.transport.abortConnection()
-            return
-        del self.buffer[:at]
+            self.end(abort=True)
+
+    def next_answer(self):
+        """Take the next whole answer out of what has come: (tag, word, fields, body), or None."""
+        if self.answer is None:
+            end = self.buffer.find(b"\r\n", 0, self.peer.limits.line)
+            if end < 0:
+                if len(self.buffer) >= self.peer.limits.line:
+                    raise Unreadable("over-long line")
+                return None
+            self.answer = read_answer(bytes(self.buffer[:end]), self.peer.limits.answer)
+            del self.buffer[:end + 2]
+        tag, word, fields, size = self.answer
+        if len(self.buffer) < size + 2:
+            return None
+        if self.buffer[size:size + 2] != b"\r\n":
+            raise Unreadable("no line end where the length puts it")
+        body, self.answer = bytes(self.buffer[:size]), None
+        del self.buffer[:size + 2]
+        return tag, word, fields, body
 
     def answered(self, tag, word, fields, body):
         flight = self.out.get(tag)
@@ -263,8 +273,8 @@
         self.close_if_done()
 
     def connectionLost(self, reason):
-        self.up = False
-        self.peer.lost(self, self.queued - self.unsent())
+        self.state = State.CLOSED
+        self.peer.lost(self)
 
 
 class Peer:
@@ -293,7 +303,7 @@
         connection = self.fit_for(flight)
         if connection is None:
             self.waiting.append(flight)
-            self.caches.time(flight, self.limits.wait, self.overdue)
+            self.caches.time(flight, flight.send_by - clock(), self.overdue)
             self.connect()
         elif isinstance(flight, Probing):
             connection.send(flight, self.caches.probe_word + b" %b\r\n" % flight.tag)
@@ -320,7 +330,9 @@
     def send_waiting(self):
         for _ in range(len(self.waiting)):
             flight = self.waiting.popleft()
-            if self.fit_for(flight):
+            if clock() >= flight.send_by:  # its timer is late: the loop was busy, or the process stood still
+                self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
+            elif self.fit_for(flight):
                 self.caches.still(flight)
                 self.send(flight)
             else:
@@ -353,10 +365,14 @@
 
     def came_up(self, connection):
         self.coming -= 1
-        if connection.up:
+        if connection.state is State.OPEN:
             self.connections.append(connection)
             self.idle.append(connection)
+            if self.gone is not None or connection.leads_to != (self.address, self.since):
+                connection.retire()  # to what has gone since, or to another that has its address now
             self.send_waiting()
+            if self.waiting:
+                self.connect()
 
     def never_came_up(self, failure):
         """The first that waits has failed; all have, where no other connection is there or coming."""
@@ -378,7 +394,7 @@
         self.waiting.remove(flight)
         self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
 
-    def lost(self, connection, sent):
+    def lost(self, connection):
         self.caches.held -= 1
         if connection in self.connections:
             self.connections.remove(connection)
@@ -388,7 +404,7 @@
             self.caches.paced.look()
         out, connection.out = connection.out, {}
         for flight in out.values():  # what was not written whole has not run
-            self.caches.ended(flight, c.Verdict.RESET if flight.end <= sent else c.Verdict.CONNECT_FAILED)
+            self.caches.ended(flight, c.Verdict.RESET if connection.written(flight) else c.Verdict.CONNECT_FAILED)
         if self.waiting:
             self.connect()
 
@@ -414,7 +430,7 @@
         return self.held < self.limits.all_cache_connections or bool(self.idle())
 
     def idle(self):
-        return [one for peer in self.peers.values() for one in peer.idle if not one.retired]
+        return [one for peer in self.peers.values() for one in peer.idle if one.state is State.OPEN]
 
     def make_room(self):
         if self.held >= self.limits.all_cache_connections:
@@ -428,9 +444,21 @@
             self.peers[ident], self.names[ident] = Peer(self, ident, name), name.encode()
         self.peers[ident].kind = kind
         self.peers[ident].listed(address, since, standing)
+        if standing != c.Standing.READY:
+            self.recall(lambda order, get: ident in (order.cache, order.source))
+
+    def recall(self, concerned):
+        """What still waits for a connection when news makes its order stale has not run: the module decides anew.
+        Sent by the old order, it could go out past the grace, which counts from when the news was told."""
+        for peer in self.peers.values():
+            for flight in [one for one in peer.waiting if isinstance(one, Flight) and concerned(one.order, one.get)]:
+                self.stop(flight, c.Verdict.MOOT)
+
+    def purged(self, purge):
+        self.recall(lambda order, get: get.note.obj == purge.obj if purge.obj else get.note.group == purge.group)
 
     def forward(self, order, get):
-        flight = Flight(get, order, self.names)
+        flight = Flight(get, order, self.names, self.limits.wait)
         get.sent += 1
         get.flights[flight.number] = flight
         if get.closed or flight.limit <= flight.at:
@@ -441,7 +469,7 @@
     def probe(self, order, epoch=0):
         """A probe under a lease tells its epoch in its tag, so that a member can turn an older one away."""
         tag = b"p%d-e%d" % (next(self.tags), epoch) if epoch else b"p%d" % next(self.tags)
-        self.peers[order.cache].send(Probing(order.cache, tag))
+        self.peers[order.cache].send(Probing(order.cache, tag, self.limits.wait))
 
     def close_idle(self, order):
         for connection in list(self.peers[order.cache].connections):
@@ -455,16 +483,23 @@
         self.stop(flight, c.Verdict.TIMED_OUT)
 
     def stop(self, flight, verdict):
-        """Give a forward up; one that was never written did not run."""
+        """Give a forward up; one that was never written whole did not run, and a cache that does not even read is
+        out of reach."""
         connection, peer = flight.connection, self.peers[flight.order.cache]
         if connection is None:
             if flight in peer.waiting:
                 peer.waiting.remove(flight)
             verdict = c.Verdict.MOOT
-        else:
-            connection.give_up(flight, verdict == c.Verdict.TIMED_OUT)
+        elif not connection.give_up(flight, verdict == c.Verdict.TIMED_OUT):
+            verdict = c.Verdict.CONNECT_FAILED if verdict == c.Verdict.TIMED_OUT else c.Verdict.MOOT
         self.ended(flight, verdict)
 
+    def abandoned(self, get):
+        """The client has left: what has not gone out whole goes no more, whether its effect could be repeated or not."""
+        for flight in list(get.flights.values()):
+            if flight.connection is None or not flight.connection.written(flight) and len(flight.connection.out) == 1:
+                self.stop(flight, c.Verdict.MOOT)
+
     def unanswered(self, probing):
         probing.connection.give_up(probing, unanswered=True)
         self.ended(probing, c.Verdict.TIMED_OUT)
@@ -495,6 +530,6 @@
             for connection in list(peer.connections):
                 if not connection.out and now - connection.heard > self.limits.cache_idle:
                     connection.retire()
-                elif connection.answer and now - connection.heard > self.limits.stall:
+                elif (connection.answer or connection.buffer) and now - connection.heard > self.limits.stall:
                     self.log.say("cache", "an answer stands still; connection closed", cache=peer.name)
-                    connection.transport.abortConnection()
+                    connection.end(abort=True)
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -21,11 +21,7 @@
 
 
 def ident_of(name):
-    """The member's number, the same at every front and start.
-
-    >>> ident_of("s-00c41f7a") == ident_of("s-00c41f7a") != ident_of("s-00c41f7b")
-    True
-    """
+    """The member's number, the same at every front and start."""
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
@@ -48,13 +44,7 @@
 
 
 class EventReader:
-    """Server-sent events out of a stream split anywhere.
-
-    >>> reader = EventReader(100)
-    >>> stream = b": hi\\n\\nid: 4\\ndata: {\\ndata: }\\n\\nid:5\\r\\ndata:x\\r\\n\\r\\n"
-    >>> [event for i in range(len(stream)) for event in reader.feed(stream[i:i + 1])]
-    [('4', '{\\n}'), ('5', 'x')]
-    """
+    """Server-sent events out of a stream split anywhere."""
 
     def __init__(self, longest):
         self.longest, self.rest, self.id, self.data = longest, b"", "", []
@@ -83,12 +73,7 @@
 
 
 class Chunks:
-    """Undoes the chunked transfer coding.
-
-    >>> chunks = Chunks()
-    >>> b"".join(chunks.feed(bytes((b,))) for b in b"3\\r\\nabc\\r\\n2;x\\r\\nde\\r\\n0\\r\\n\\r\\n")
-    b'abcde'
-    """
+    """Undoes the chunked transfer coding."""
 
     def __init__(self):
         self.rest, self.left = b"", 0
@@ -226,10 +211,9 @@
 
     def invalidated(self, told):
         age = max(0, unix_clock() - int(told["time"]) * 1000)
-        if "object" in told:
-            self.turn.gather(c.Purge(0, age, int(told["object"], 16)))
-        else:
-            self.turn.gather(c.Purge(int(told["bucket"]), age, 0))
+        purge = c.Purge(0, age, int(told["object"], 16)) if "object" in told else c.Purge(int(told["bucket"]), age, 0)
+        self.caches.purged(purge)
+        self.turn.gather(purge)
 
     def follow(self, host, port):
         """Follow the log at this address, from the last event taken in, and none before it any more."""
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -1,9 +1,10 @@
 """Clients: their GETs in, one final answer to each out."""
 
+from enum import Enum
 from itertools import count
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IPushProducer
+from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
 from twisted.internet.protocol import Factory, Protocol
 from zope.interface import implementer
 
@@ -31,29 +32,7 @@
 
 
 def read_head(buffer, longest, most):
-    """Parse a head where it lies: (method, target, fields, its length), or None while it is not whole.
-
-    >>> whole = b"GET /a?block=1 HTTP/1.1\\r\\nHost: x\\r\\nX-Txn:  9b\\r\\n\\r\\n"
-    >>> read_head(bytearray(whole), 100, 9)
-    (b'GET', b'/a?block=1', {b'host': b'x', b'x-txn': b'9b'}, 48)
-    >>> {read_head(bytearray(whole[:i]), 100, 9) for i in range(len(whole))}
-    {None}
-    >>> def status(head):
-    ...     try:
-    ...         return read_head(bytearray(head), 60, 2)
-    ...     except Flaw as flaw:
-    ...         return flaw.status
-    >>> status(b"GET / HTTP/1.1\\r\\na: " + b"x" * 60)
-    431
-    >>> status(b"GET / HTTP/1.1\\r\\na:\\r\\nb:\\r\\nc:\\r\\n\\r\\n")
-    431
-    >>> status(b"GET /\\r\\n\\r\\n"), status(b"GET / HTTP/2.0\\r\\n\\r\\n")
-    (400, 505)
-    >>> status(b"GET / HTTP/1.1\\r\\na b\\r\\n\\r\\n"), status(b"G\\0T / HTTP/1.1\\r\\na : 1\\r\\n\\r\\n")
-    (400, 400)
-    >>> status(b"GET / HTTP/1.1\\r\\nhost: 1\\r\\nHost: 2\\r\\n\\r\\n")
-    400
-    """
+    """Parse a head where it lies: (method, target, fields, its length), or None while it is not whole."""
     end = buffer.find(b"\r\n\r\n", 0, longest)
     if end < 0:
         if len(buffer) >= longest:
@@ -129,14 +108,24 @@
         self.note = c.Get(ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes)
 
 
-@implementer(IPushProducer)
+class State(Enum):
+    """Of a client's connection (docs/front.md tells what is owed in each)."""
+
+    RESTING = 0  # new, or kept after an answer
+    READING = 1  # a part of a request has come
+    OPEN = 2  # a request is owed its answer
+    LINGERING = 3  # nothing more is taken: what is held goes out, then the end, then what still comes is dropped
+    CLOSED = 4
+
+
+@implementer(IPushProducer, IHalfCloseableProtocol)
 class ClientConnection(Protocol):
     """One client's connection: one GET at a time."""
 
     def __init__(self, clients):
-        self.clients, self.buffer, self.get = clients, bytearray(), None
+        self.clients, self.buffer, self.get, self.state = clients, bytearray(), None, State.RESTING
         self.head, self.last, self.stuck, self.moved = None, False, False, clock()
-        self.asked, self.dropped = False, None
+        self.asked, self.dropped, self.flushed = False, 0, False
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -157,25 +146,24 @@
         self.stuck = False
 
     def dataReceived(self, data):
-        if self.dropped is not None:  # what comes behind a refusal
+        if self.state is State.LINGERING:  # its client sends it again, or it is what comes behind a refusal
             self.dropped += len(data)
             if self.dropped > self.clients.limits.dropped:
                 self.transport.pauseProducing()
             return
-        if self.get is None and self.last:
-            return
         if not self.buffer and self.asked:
             self.moved = clock()
         self.buffer += data
         try:
             if self.get is not None:
                 raise Flaw(400, "bytes behind an open GET")  # more body than was said, or another's GET
+            self.state = State.READING
             self.read()
         except Flaw as flaw:
             self.clients.log.say("client", str(flaw), status=flaw.status)
             if self.get is not None:
                 self.clients.left(self.get)
-            self.last, self.dropped, self.buffer = True, 0, bytearray()
+            self.last, self.buffer = True, bytearray()
             self.write(flaw.status)
 
     def read(self):
@@ -185,6 +173,7 @@
                 del self.buffer[:2]
             self.head = read_head(self.buffer, limits.head, limits.fields)
             if self.head is None:
+                self.state = State.READING if self.buffer else State.RESTING
                 return
         method, target, fields, length = self.head
         if b"transfer-encoding" in fields:
@@ -209,40 +198,75 @@
         if target == HEALTH and method == b"GET":
             self.write(503 if self.clients.leaving or self.clients.unready else 200)
         else:
+            self.state = State.OPEN
             self.clients.arrived(self, method, target, fields, body)
 
     def write(self, status, fields=b"", body=b""):
         """Write one whole answer, head and body in one gathered write."""
-        self.get, self.moved = None, clock()
+        self.get, self.moved, self.state = None, clock(), State.RESTING
         self.last |= self.clients.leaving
         length = b"" if status == 304 else b"Content-Length: %d\r\n" % len(body)
         head = b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (status, REASONS[status], length, fields,
                                                   b"Connection: close\r\n" if self.last else b"")
         self.transport.writeSequence((head, body) if body else (head,))
-        if self.dropped is not None:  # closing on what it still sends would drop the answer on its way
-            self.transport.unregisterProducer()
-            self.transport.loseWriteConnection()
-        elif self.last:
+        if self.last:
             self.finish()
 
-    def standing(self, young):
-        """What is closed first: the silent, the idle, those who have just come, those half read."""
-        return bool(self.buffer), not self.asked and young, self.asked, self.moved
+    def standing(self, now):
+        """What is closed first where room is wanted: those that have their end, the silent, what has been half read for a
+        while (a flood of slow senders must not keep all others out), the idle, those who have just come, and last those
+        that still take an answer."""
+        young = now - self.moved < self.clients.limits.young
+        if self.state is State.LINGERING:
+            place = 0 if self.flushed else 5
+        elif young and (self.buffer or not self.asked):
+            place = 4
+        else:
+            place = 2 if self.buffer else 3 if self.asked else 1
+        return place, self.moved
 
     def finish(self):
-        """Close once all is written; a producer that stays registered would keep the connection. What this
-        pass of the reactor still reads is not taken: the client sends it again."""
-        self.last = True
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        """A lingering close: all that is held goes out, then the end; what still comes is read and dropped for a
+        bounded time, as a close on unread bytes would reset the connection and take the answer along. What was not
+        read before is not taken: its client sends it again. It costs the descriptor for that time."""
+        if self.state in (State.LINGERING, State.CLOSED):
+            return
+        self.state, self.last, self.moved, self.dropped, self.buffer = State.LINGERING, True, clock(), 0, bytearray()
+        self.transport.unregisterProducer()  # one that stays registered would keep the connection
+        self.transport.loseWriteConnection()
+
+    def close(self, abort):
+        """End it now: after what is held has gone out, or at once. Nothing is owed, or for too long not taken."""
+        if self.state is not State.CLOSED:
+            self.state = State.LINGERING
+            self.transport.unregisterProducer()
+            self.transport.abortConnection() if abort else self.transport.loseConnection()
+
+    def writeConnectionLost(self):
+        """All has gone out, and the end behind it: now the client has a while to close."""
+        self.moved, self.flushed, self.stuck = clock(), True, False
+        self.transport.resumeProducing()
+
+    def readConnectionLost(self):
+        """The client has closed. With a GET open it has left; half closed is taken for that too, as the two look alike.
+        Otherwise it may still take what is held."""
+        if self.get is not None:
+            self.gone()
+            self.close(abort=True)
+        else:
+            self.close(abort=False)
+
+    def gone(self):
+        get, self.get = self.get, None
+        if get is not None:
+            self.clients.left(get)
 
     def connectionLost(self, reason):
+        self.state = State.CLOSED
         self.clients.connections.discard(self)
+        self.gone()
         self.clients.counted()
         self.clients.leave_if_done()
-        if self.get is not None:
-            self.clients.left(self.get)
-            self.get = None
 
 
 class Clients:
@@ -253,13 +277,17 @@
         self.connections, self.open, self.ids, self.txns = set(), {}, count(1), set()
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
         self.unready = False  # the list is not known yet
-        self.last_call, self.done = None, []
+        self.last_call, self.done, self.accepted = None, [], 0
 
     def listen(self, endpoint):
         """Give a Deferred that fires once clients can connect."""
-        listening = endpoint.listen(Factory.forProtocol(lambda: ClientConnection(self)))
+        listening = endpoint.listen(Factory.forProtocol(self.accept))
         return listening.addCallback(self.listening)
 
+    def accept(self):
+        self.accepted += 1
+        return ClientConnection(self)
+
     def listening(self, port):
         self.port = port
 
@@ -269,9 +297,9 @@
         if over > 0:
             idle = [one for one in self.connections if one.get is None]
             self.log.say("descriptors", clients=len(self.connections), idle=len(idle))
-            now, young = clock(), self.limits.young
-            for one in sorted(idle, key=lambda one: one.standing(now - one.moved < young))[:over]:
-                one.finish()
+            now = clock()
+            for one in sorted(idle, key=lambda one: one.standing(now))[:over]:
+                one.close(abort=one.state is State.LINGERING)
         if self.port and (over > 0) != self.full:
             self.full = over > 0
             self.port.stopReading() if self.full else self.port.startReading()
@@ -281,7 +309,7 @@
         stuck = [one for one in self.connections if one.stuck]
         if len(stuck) > self.limits.all_stuck:
             self.log.say("memory", "clients do not take their answers", clients=len(stuck))
-            min(stuck, key=lambda one: one.moved).transport.abortConnection()
+            min(stuck, key=lambda one: one.moved).close(abort=True)
 
     def arrived(self, connection, method, target, fields, body):
         get = OpenGet(next(self.ids), connection, method, target, fields, body, self.services)
@@ -313,6 +341,7 @@
     def left(self, get):
         get.closed, get.connection = True, None
         self.txns.discard(get.txn)
+        self.caches.abandoned(get)
         self.turn.gather(c.Left(get.id))
         self.settled(get)
 
@@ -363,14 +392,21 @@
 
     def sweep(self):
         """Close what is idle, half sent or not taken for long."""
-        now, limits = clock(), self.limits
+        now = clock()
         for one in list(self.connections):
-            if one.get is None:
-                spent = now - one.moved
-                if spent > (limits.stuck if one.stuck else limits.linger if one.dropped is not None
-                            else limits.slow if one.buffer or one.last or not one.asked
-                            else limits.viewer_idle):
-                    one.transport.abortConnection()
+            if one.get is None and now - one.moved > self.patience(one):
+                if one.state is State.RESTING and one.asked and not one.stuck:
+                    one.finish()
+                else:
+                    one.close(abort=True)
+
+    def patience(self, one):
+        limits = self.limits
+        if one.stuck or one.state is State.LINGERING and not one.flushed:
+            return limits.stuck
+        if one.state is State.LINGERING:
+            return limits.linger
+        return limits.slow if one.buffer or not one.asked else limits.viewer_idle
 
     def leave(self):
         """Take GETs for the time in which they still come and answer all; then the Deferred `gone` fires."""
@@ -380,18 +416,31 @@
             self.reactor.callLater(self.limits.leaving / 1e6, self.close_up)
 
     def close_up(self):
+        """Nothing new from here on. What the system has accepted for this front is taken over first, and what has come
+        on connections is read once more: a GET in there counts as taken."""
+        fruitless = 0
+        for _ in range(self.limits.backlog):
+            accepted = self.accepted
+            self.port.doRead()
+            fruitless = fruitless + 1 if self.accepted == accepted else 0
+            if fruitless > 1:  # one look may take none: Twisted adapts how many it accepts at once
+                break
         self.port.stopListening()
         self.port = None
+        self.reactor.callLater(0, self.close_resting)
+
+    def close_resting(self):
         for one in list(self.connections):
-            if one.get is None:
+            if one.state is State.RESTING:
                 one.finish()
         self.leave_if_done()
 
     def leave_if_done(self):
-        """All answered and all connections closed, or not taken for long: the front may end."""
+        """All answered and all connections closed, or not taken for the longest time that an answer may take: the
+        front may end."""
         if self.leaving and self.port is None and not self.open and not self.gone.called:
             if not self.connections:
                 self.gone.callback(None)
             elif not self.last_call:
                 self.last_call = self.reactor.callLater(
-                    self.limits.slow / 1e6, lambda: self.gone.called or self.gone.callback(None))
+                    self.limits.last_call / 1e6, lambda: self.gone.called or self.gone.callback(None))
--- a/limepath/front/start.py
+++ b/limepath/front/start.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.logger import globalLogBeginner
 
+from limepath import early
 from limepath.choice import Front
 from limepath.front.caches import Caches
 from limepath.front.changelog import BadEvent, ChangeLog
@@ -22,8 +23,11 @@
 
 
 def on(numbers, act):
+    """Act on these signals from now on, and on those that came during the start."""
     for number in numbers:
         signal.signal(number, lambda *_: reactor.callFromThread(act))
+    if not early.held.isdisjoint(numbers):
+        reactor.callFromThread(act)
 
 
 def build(told, shared=None, form="person", secured=None):
@@ -35,7 +39,7 @@
     turn = Turn(reactor, Front(seed=told.seed, **told.arguments), limits, log)
     clients = Clients(reactor, turn, limits, log, told.services)
     probe_word = b"INFO" if told.reports else b"NOOP"
-    caches = clients.caches = Caches(reactor, turn, clients, limits, log, probe_word)
+    caches = Caches(reactor, turn, clients, limits, log, probe_word)
     turn.joined(clients, caches)
     cooperation = None
     if secured:
@@ -129,7 +133,7 @@
         flawed.append(f"listen: {failure.value.socketError}")
         reactor.callWhenRunning(reactor.stop)
 
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the front is ready: what it reads is new anyway
+    early.hold()
     try:
         shared = secured = None
         if tls:
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -4,6 +4,7 @@
 
 from limepath import contract as c
 
+NEWS = (c.Roster, c.Purge)
 
 def clock():
     """The front's clock, in whole microseconds; it does not follow steps of the system's."""
@@ -26,7 +27,7 @@
         }
 
     def joined(self, clients, caches):
-        self.clients = clients
+        self.clients, clients.caches = clients, caches
         self.carriers |= {c.Forward: lambda order: caches.forward(order, clients.open.get(order.id)),
                           c.Withdraw: lambda order: clients.withdraw(order, caches),
                           c.Probe: caches.probe, c.CloseIdle: caches.close_idle,
@@ -42,7 +43,8 @@
             self.reactor.callLater(0, self.run)
 
     def run(self):
-        notes, self.notes, self.called = self.notes, [], False
+        # what one pass brought has no order in time: news of members and purges comes before what is decided by it
+        notes, self.notes, self.called = sorted(self.notes, key=lambda note: not isinstance(note, NEWS)), [], False
         try:
             orders = self.front.handle(clock(), notes)
         except Exception as flaw:  # whatever it is, the GETs concerned are answered and the front lives on
@@ -51,7 +53,7 @@
                 if isinstance(note, (c.Get, c.Outcome)):
                     self.clients.errored(note)
             # drains and purges must not be lost with the rest; they are told once more, which is harmless
-            told = {note for note in notes if isinstance(note, (c.Roster, c.Purge))} - self.retold
+            told = {note for note in notes if isinstance(note, NEWS)} - self.retold
             self.retold = told
             again = [note for note in notes if note in told] + [c.Due(0)]
             self.reactor.callLater(self.limits.fault_pause / 1e6, self.gather, *again)
--- a/limepath/opening/limits.py
+++ b/limepath/opening/limits.py
@@ -32,7 +32,8 @@
     backstop: int = 25_000  # after a GET's time is over, until the front errors it by itself
     viewer_idle: int = 5_000_000  # after an answer
     slow: int = 2_000_000  # for a head and body to come in, from connecting for the first
-    linger: int = 1_000_000  # for a close, after a refusal
+    linger: int = 1_000_000  # for the client to close, after the front has
+    last_call: int = 5_000_000  # for last answers to be taken, after SIGTERM
     dropped: int = 256_000  # behind a refusal, until no more is read
     young: int = 300_000  # in which one that has just connected sends its GET
     stuck: int = 10_000_000  # for an answer to be taken
@@ -50,14 +51,7 @@
 
 def planned(sockets, memory_mb, streams, **told):
     """Share the descriptors out: clients four tenths (the usual ones hold a third at most), the rest among
-    the members. Half of the memory beside the program's own may be answers that clients do not take.
-
-    >>> limits = planned(1024, 192, 32, open_gets=20_000)
-    >>> limits.viewers, limits.all_cache_connections, limits.all_stuck
-    (409, 551, 316)
-    >>> planned(1024, 64, 32, open_gets=20_000).all_stuck
-    50
-    """
+    the members. Half of the memory beside the program's own may be answers that clients do not take."""
     viewers = max(1, sockets * 4 // 10)
     stuck = max(8, (memory_mb - FOOTING) * 500_000 // Limits._field_defaults["answer"])
     return Limits(viewers, max(8, sockets - viewers - KEPT_BACK), streams, all_stuck=stuck, **told)
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -138,7 +138,7 @@
     connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
     limits = planned(sockets, memory_mb, allowed.get("streams-per-conn", 1),
                      open_gets=allowed.get("max-open", 20_000),
-                     leaving=leaving, connect=connect, come_back=arguments["allowance"].come_back // 10,
+                     leaving=leaving, last_call=max(one.viewer_timeout for one in arguments["services"]), connect=connect, come_back=arguments["allowance"].come_back // 10,
                      wait=min(connect, grace.drain, grace.purge or connect),
                      cache_idle=us(allowed.get("conn-idle", 30_000_000_000)) * 8 // 10)
     return Opening(environ.get(NAME) or part(told, "name", str, "front"),
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -38,6 +38,20 @@
     return "127.0.0.1:%d" % listener.getsockname()[1]
 
 
+def until(holds):
+    """Wait until it holds."""
+    end = time.monotonic() + BOUND
+    while not holds():
+        assert time.monotonic() < end, "it never held"
+        time.sleep(0.005)
+
+
+def connections():
+    """The system's TCP connections, their columns as proc(5) tells: local and remote address, state, ..."""
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        return [line.split() for line in file.readlines()[1:]]
+
+
 def accepting(listener, serve):
     """Hand each connection that comes to `serve`, until that says to accept no more."""
     def run():
@@ -130,6 +144,19 @@
             except TimeoutError:
                 return
 
+    def called_in_vain(self):
+        """Wait until somebody's connection to the crowded listener is under way: the system shows its first packet as sent."""
+        port = ":%04X" % self.listener.getsockname()[1]
+        until(lambda: any(words[2].endswith(port) and words[3] == "02" for words in connections()))
+
+    def uncrowd(self):
+        """Accept again. Who called meanwhile comes up when the system sends its first packet again, a second after the first."""
+        self.crowded = False
+        self.listener.listen(128)
+        for one in self.crowding:
+            one.close()
+        accepting(self.listener, self.serve)
+
     def next(self, word="ASK"):
         asked = self.asked.get(timeout=BOUND)
         assert asked.word == word, (asked.word, asked.fields)
@@ -146,7 +173,13 @@
     def serve(self, connection):
         head = b""
         while b"\r\n\r\n" not in head:
-            head += connection.recv(4096)
+            try:
+                data = connection.recv(4096)
+            except ConnectionResetError:
+                data = b""
+            if not data:
+                return  # the front has let it go
+            head += data
         connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: here\n\n")
         self.stream = connection
         (last,) = [line.split(b":")[1] for line in head.split(b"\r\n") if line.startswith(b"Last-Event-ID")]
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,16 +3,18 @@
 import contextlib
 import io
 import json
+import re
 import time
 from types import SimpleNamespace
 
+import pytest
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from limepath import contract as c
-from limepath.front.caches import CacheConnection, Caches, Probing
-from limepath.front.changelog import ChangeLog
-from limepath.front.clients import ClientConnection, Clients
+from limepath.front.caches import CacheConnection, Caches, Probing, Unreadable, read_answer, read_load
+from limepath.front.changelog import ChangeLog, Chunks, EventReader, ident_of
+from limepath.front.clients import ClientConnection, Clients, Flaw, read_head
 from limepath.opening.limits import planned
 from limepath.front.turn import Turn
 from limepath.log import Log
@@ -405,6 +407,7 @@
     clients = Clients(Clock(), Turn(Clock(), front, limits, Log("n1", 0, 1)), limits, Log("n1", 0, 1), {})
     connection, transport = ClientConnection(clients), StringTransport()
     transport.setTcpNoDelay = lambda on: None
+    transport.loseWriteConnection = lambda: None
     connection.makeConnection(transport)
     connection.finish()
     connection.dataReceived(b"GET /_health HTTP/1.1\r\n\r\n")  # read in the pass in which it was closed
@@ -519,18 +522,62 @@
     assert purge in front.told and not clients.open
 
 
+def test_a_cache_s_answer_line_is_read_or_named_as_what_it_is():
+    assert read_answer(b"9b1f DONE rev=4be0,since=1764576000123 5", 10) == (
+        b"9b1f", b"DONE", {b"rev": b"4be0", b"since": b"1764576000123"}, 5)
+    assert read_answer(b"9b1f LACK - 0", 10) == (b"9b1f", b"LACK", {}, 0)
+    for line, said in ((b"x", "1 of 4 words"), (b"x MAYBE - 0", "unknown word b'MAYBE'"),
+                       (b"x DONE - eleven", "length b'eleven'"), (b"x DONE - 11", "length b'11'"),
+                       (b"x DONE rev 1", "field b'rev'"), (b"x DONE - -1", "length b'-1'")):
+        with pytest.raises(Unreadable, match=re.escape(said)):
+            read_answer(line, 10)
+    assert read_load(b"inflight:7;util:0.61") == {"inflight": 7.0, "util": 0.61}
+    assert read_load(b"rif:x;busy:1") == {"util": 1.0}
+
+
+def test_a_head_is_read_once_whole_and_refused_for_what_is_wrong():
+    whole = b"GET /a?block=1 HTTP/1.1\r\nHost: x\r\nX-Txn:  9b\r\n\r\n"
+    assert read_head(bytearray(whole), 100, 9) == (b"GET", b"/a?block=1", {b"host": b"x", b"x-txn": b"9b"}, 48)
+    assert {read_head(bytearray(whole[:i]), 100, 9) for i in range(len(whole))} == {None}
+    for head, status in ((b"GET / HTTP/1.1\r\na: " + b"x" * 60, 431), (b"GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\n\r\n", 431),
+                         (b"GET /\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505),
+                         (b"GET / HTTP/1.1\r\na b\r\n\r\n", 400), (b"G\0T / HTTP/1.1\r\na : 1\r\n\r\n", 400),
+                         (b"GET / HTTP/1.1\r\nhost: 1\r\nHost: 2\r\n\r\n", 400)):
+        with pytest.raises(Flaw) as flaw:
+            read_head(bytearray(head), 60, 2)
+        assert flaw.value.status == status, head
+
+
+def test_a_member_has_the_same_number_at_every_front():
+    assert ident_of("s-00c41f7a") == ident_of("s-00c41f7a") != ident_of("s-00c41f7b")
+
+
+def test_events_and_chunks_may_be_split_at_any_byte():
+    reader, chunks = EventReader(100), Chunks()
+    stream = b": hi\n\nid: 4\ndata: {\ndata: }\n\nid:5\r\ndata:x\r\n\r\n"
+    events = [event for i in range(len(stream)) for event in reader.feed(stream[i:i + 1])]
+    assert events == [("4", "{\n}"), ("5", "x")]
+    assert b"".join(chunks.feed(bytes((b,))) for b in b"3\r\nabc\r\n2;x\r\nde\r\n0\r\n\r\n") == b"abcde"
+
+
+def test_descriptors_are_shared_out_and_untaken_answers_bounded():
+    limits = planned(1024, 192, 32, open_gets=20_000)
+    assert (limits.viewers, limits.all_cache_connections, limits.all_stuck) == (409, 551, 316)
+    assert planned(1024, 64, 32, open_gets=20_000).all_stuck == 50
+
+
 def test_an_answer_may_be_split_at_any_byte():
     stream = b"aa DONE rev=1,since=2 4\r\nx\r\ny\r\nbb LACK - 0\r\n\r\np7 FIT use=util:0.5 0\r\n\r\n"
     for split in range(len(stream) + 1):
         heard = []
-        told = SimpleNamespace(limits=planned(1024, 192, 32, open_gets=9), send_waiting=lambda: None,
+        told = SimpleNamespace(limits=planned(1024, 192, 32, open_gets=9), send_waiting=lambda: None, address=None, since=0,
                                answered_probe=lambda: None, caches=SimpleNamespace(
                                    ended=lambda *told: heard.append((told[2], told[4]))))
         connection = CacheConnection(told)
         flight = SimpleNamespace(get=SimpleNamespace(note=SimpleNamespace(write=False)),
                                  order=SimpleNamespace(oldest=0))
         told.idle, told.waiting = [], []
-        connection.out = {b"aa": flight, b"bb": flight, b"p7": Probing(1, b"p7")}
+        connection.out = {b"aa": flight, b"bb": flight, b"p7": Probing(1, b"p7", 1)}
         connection.dataReceived(stream[:split])
         connection.dataReceived(stream[split:])
         assert heard == [(b"DONE", b"x\r\ny"), (b"LACK", b""), (b"FIT", b"")], (split, heard)
