--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -94,6 +94,8 @@
         self.rank, self.sent, self.out, self.at, self.passed = 0, 0, None, None, set()
         self.closed = self.filling = self.direct = self.stale = self.held = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
+        known = get.keyed or ds.repeats != Repeats.TOKENED  # without a token nobody can tell that it is a repeat
+        self.repeats = ds.repeats if known else Repeats.NON_IDEMPOTENT
         self.claim = LIGHT if own < ds.objective / 2 else HEAVY if get.size_kb and own > ds.objective else 1
 
 
@@ -318,9 +320,9 @@
             return "answer", cache
         if get.out is not None and not self.allowance.overlap:
             return "effect", cache
-        if get.ran_at is not None and ds.repeats != Repeats.IDEMPOTENT:
+        if get.ran_at is not None and get.repeats != Repeats.IDEMPOTENT:
             group = (cache.member.zone, cache.member.cell)[:ds.scope] == get.ran_in[:ds.scope]
-            if ds.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
+            if get.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect", cache
         for actor in dict.fromkeys((cache, source)):
             if actor.id not in self.members or self.members[actor.id][0].standing != Standing.READY:
@@ -338,7 +340,7 @@
         join = self.allowance.joins and source is not cache and not get.direct
         member = self.members[cache.id][0]
         get.out = (get.id, get.sent)
-        tokened = get.ran_at is not None and get.ds.repeats == Repeats.TOKENED
+        tokened = get.ran_at is not None and get.repeats == Repeats.TOKENED
         within = get.ran_at + get.ds.window - self.loop.now if tokened else 0  # it may yet wait for a connection
         if get.ran_at is None:
             get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
@@ -352,8 +354,8 @@
         if get.closed:
             return
         get.closed = True
-        harmless = get.ran_at is None or get.ds.repeats == Repeats.IDEMPOTENT or (
-            get.ds.repeats == Repeats.TOKENED and get.ds.scope == Scope.ALL)
+        harmless = get.ran_at is None or get.repeats == Repeats.IDEMPOTENT or (
+            get.repeats == Repeats.TOKENED and get.ds.scope == Scope.ALL)
         self.loop.orders.append(Shed(get.id, come_back) if harmless else Errored(get.id))
 
 
@@ -504,7 +506,7 @@
 
     def recall(self, member):
         for get, cache, source in list(self.flights.values()):
-            if member in (cache, source) and get.ds.repeats == Repeats.IDEMPOTENT and not get.closed:
+            if member in (cache, source) and get.repeats == Repeats.IDEMPOTENT and not get.closed:
                 self.withdraw(get)
 
     def withdraw(self, get):
@@ -514,7 +516,7 @@
     def left(self, note):
         if get := self.open.pop(note.id, None):
             get.closed = True
-            if get.ds.repeats == Repeats.IDEMPOTENT and isinstance(note, Left):  # a stream that began goes on
+            if get.repeats == Repeats.IDEMPOTENT and isinstance(note, Left):  # a stream that began goes on
                 self.withdraw(get)
 
 
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -175,6 +175,7 @@
     part: int
     repeat: bool
     write: bool
+    keyed: bool = True  # it bears a token, where its delivery service is tokened
 
 
 class Left(NamedTuple):
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -103,6 +103,8 @@
             told.append(b"do=%b" % how.encode())
         if get.have:
             told.append(b"inm=%b" % get.have)
+        if get.key:
+            told.append(b"uniq=%b" % get.key)
         return b"ASK %b %b %d\r\n" % (get.txn, b",".join(told), len(get.body))
 
 
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -19,7 +19,7 @@
 PATH = b"/invoke/"
 HEALTH = b"/_health"
 READ = frozenset((b"host", b"connection", b"content-length", b"transfer-encoding", b"x-txn", b"x-ttl-ms",
-                  b"x-family", b"if-none-match", b"expect"))
+                  b"x-family", b"x-txn-key", b"if-none-match", b"expect"))
 HEX = frozenset(b"0123456789abcdef")
 
 
@@ -72,7 +72,7 @@
 class OpenGet:
     """One GET as the client worded it, and what has become of it."""
 
-    __slots__ = ("id", "connection", "txn", "service", "object", "part", "have", "body", "note", "due",
+    __slots__ = ("id", "connection", "txn", "key", "service", "object", "part", "have", "body", "note", "due",
                  "sent", "flights", "closed", "timer")
 
     def __init__(self, ident, connection, method, target, fields, body, services):
@@ -102,10 +102,13 @@
             raise Flaw(400, "X-Ttl-Ms")
         group = whole_number(fields.get(b"x-family", b""), 255, "X-Family")
         number = whole_number(part, 1 << 24, "block") if part is not None else 0
+        self.key = fields.get(b"x-txn-key", b"")  # goes on unchanged, as all that makes the request what it is
+        if self.key and (len(self.key) > 64 or not self.key.isalnum()):
+            raise Flaw(400, "X-Txn-Key")
         self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
         self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
         self.sent, self.flights, self.closed, self.timer = 0, {}, False, None
-        self.note = c.Get(ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes)
+        self.note = c.Get(ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key))
 
 
 class State(Enum):
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -1,31 +1,50 @@
 """The configuration: read, checked and given defaults here and nowhere else."""
 
 import json
+import math
 from typing import NamedTuple
 
 from limepath import opening_values
 from limepath.opening.addresses import address_of
 from limepath.opening.limits import Limits, planned
+from limepath.opening_values import LATERAL, REPEATS, SCOPES
 
 NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
-NUMBER = (int, float)
 FIXED = ("name", "listen", "seed", "settings", "limits")  # `known` is of the start, the log tells more
-NEEDED = {"": {"az": int, "replicas-of-me": int, "areas": list, "models": list, "classes": list,
+
+
+class Number(NamedTuple):
+    """What a number may be; none may be infinite, and NaN is none."""
+
+    least: float = 0.0
+    over: bool = False  # it has to be over the least
+    most: float = math.inf
+    whole: bool = False
+
+
+ANY, SOME, COUNT, SHARE = Number(), Number(over=True), Number(1, whole=True), Number(most=1.0)
+KIND = Number(-1, whole=True)  # a place in `models`; -1 where the site has none
+NEEDED = {"": {"az": Number(whole=True), "replicas-of-me": COUNT, "areas": list, "models": list, "classes": list,
                "safety": dict},
-          "safety.": dict.fromkeys(("cold-share", "cold", "overload-factor", "tip-after", "answer-slack",
-                                    "drain-grace"), NUMBER),
-          "classes[].": {"name": str, "aim": NUMBER, "deadline": NUMBER, "idempotency": str}}
+          "safety.": {"cold-share": SHARE} | dict.fromkeys(("cold", "overload-factor", "tip-after", "answer-slack",
+                                                            "drain-grace"), ANY),
+          "classes[].": {"name": str, "aim": SOME, "deadline": SOME, "idempotency": tuple(REPEATS)}}
 OPTIONAL = {"": {"family-info": dict, "limits": dict, "stats": dict},
-            "classes[].": {"aim-stretch": NUMBER, "worth": NUMBER, "late-worth": NUMBER, "key-scope": str,
-                           "repeat-window": NUMBER},
+            "classes[].": {"aim-stretch": ANY, "worth": ANY, "late-worth": ANY, "key-scope": tuple(SCOPES),
+                           "repeat-window": ANY, "stream": bool},
             "family-info.": dict.fromkeys(
                 ("hub-of", "pipe-kb-per-s", "zone-balancers", "max-age", "class-grace", "class-stale-worth",
                  "never-kept", "segmented"), list) | dict.fromkeys(
-                ("mid-kind", "master-kind", "one-flow-kb-per-s", "heed-within", "gone-everywhere",
-                 "parent-floor", "parent-cold", "upper-fall-multiple"), NUMBER),
-            "limits.": dict.fromkeys(("max-attempts", "max-retry-after", "max-open", "streams-per-conn",
-                                      "connect-timeout", "conn-idle"), NUMBER),
+                ("one-flow-kb-per-s", "heed-within", "gone-everywhere", "parent-cold", "upper-fall-multiple"), ANY) | {
+                "parent-floor": SHARE, "mid-kind": KIND, "master-kind": KIND, "lateral": tuple(LATERAL),
+                "direct": bool, "shares-fills": bool},
+            "limits.": {"max-attempts": COUNT, "max-open": COUNT, "streams-per-conn": COUNT, "connect-timeout": SOME,
+                        "conn-idle": SOME, "max-retry-after": ANY} | dict.fromkeys(
+                ("cancel", "probing", "peers", "retry-after", "second-copies"), bool),
             "stats.": {"fields": list}}
+# lists of the family, by what they have an entry for, and what the entries may be
+PER_CLASS = dict.fromkeys(("max-age", "class-grace"), ANY) | {"class-stale-worth": ANY, "never-kept": bool, "segmented": bool}
+PER_ZONE = {"hub-of": Number(-1, whole=True), "pipe-kb-per-s": ANY, "zone-balancers": Number(whole=True)}
 
 
 class BadConfiguration(Exception):
@@ -46,17 +65,33 @@
 
 
 def part(told, key, kind, default=None, where=""):
+    """The value at this key, which has to be of this kind: a type, a Number, or one of the words of a tuple."""
     value = told.get(key, default)
     if value is None:
         raise BadConfiguration(f"{where}{key}: missing")
-    if not isinstance(value, kind) or isinstance(value, bool):
-        name = "number" if kind is NUMBER else kind.__name__
-        raise BadConfiguration(f"{where}{key}: {str(value)[:60]!r} is no {name}")
+    return checked(value, kind, where + key)
+
+
+def checked(value, kind, name):
+    shown = f"{name}: {str(value)[:60]!r}"
+    if isinstance(kind, tuple) and not isinstance(kind, Number):
+        if value not in kind:
+            raise BadConfiguration(f"{shown} is none of {', '.join(kind)}")
+    elif isinstance(kind, Number):
+        if isinstance(value, bool) or not isinstance(value, (int, float)) or not math.isfinite(value):
+            raise BadConfiguration(f"{shown} is no number")
+        if value < kind.least or kind.over and value == kind.least or value > kind.most:
+            least = f"over {kind.least:g}" if kind.over else f"{kind.least:g} or more"
+            raise BadConfiguration(f"{shown} has to be {least}" + (f" and {kind.most:g} at most" if kind.most < math.inf else ""))
+        if kind.whole and value != int(value):
+            raise BadConfiguration(f"{shown} is no whole number")
+    elif not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+        raise BadConfiguration(f"{shown} is no {kind.__name__}")
     return value
 
 
-def check(told, section):
-    where = "settings." + section
+def check(told, section, where=None):
+    where = "settings." + (where or section)
     for key, kind in NEEDED.get(section, {}).items():
         part(told, key, kind, where=where)
     for key, kind in OPTIONAL.get(section, {}).items():
@@ -69,12 +104,30 @@
     check(settings, "")
     for key in ("safety", "family-info", "limits", "stats"):
         check(settings.get(key, {}), key + ".")
-    for entry in settings["classes"]:
+    classes, family = settings["classes"], settings.get("family-info", {})
+    if not classes:
+        raise BadConfiguration("settings.classes: there is none")
+    for number, entry in enumerate(classes):
         if not isinstance(entry, dict):
-            raise BadConfiguration("settings.classes: an entry is no object")
-        check(entry, "classes[].")
-    if not 0 <= settings["az"] < len(settings["areas"]):
+            raise BadConfiguration(f"settings.classes[{number}]: {str(entry)[:60]!r} is no dict")
+        check(entry, "classes[].", f"classes[{number}].")
+        name = entry["name"]
+        if not name or set(name) & set("/?# ") or name in [other["name"] for other in classes[:number]]:
+            raise BadConfiguration(f"settings.classes[{number}].name: {name!r} is empty, can't stand in a target or is there twice")
+    for lists, entries, what in ((PER_CLASS, classes, "classes"), (PER_ZONE, settings["areas"], "areas")):
+        for key, kind in lists.items():
+            told = family.get(key, [])
+            if len(told) not in (0, len(entries)):
+                raise BadConfiguration(f"settings.family-info.{key}: {len(told)} entries for {len(entries)} of settings.{what}")
+            for number, value in enumerate(told):
+                checked(value, kind, f"settings.family-info.{key}[{number}]")
+    if settings["az"] >= len(settings["areas"]):
         raise BadConfiguration("settings.az: no place in settings.areas")
+    for key in ("mid-kind", "master-kind"):
+        if family.get(key, -1) >= len(settings["models"]):
+            raise BadConfiguration(f"settings.family-info.{key}: no place in settings.models")
+    if family.get("mid-kind", -1) == family.get("master-kind", -1) != -1:
+        raise BadConfiguration("settings.family-info.mid-kind: the same as settings.family-info.master-kind")
 
 
 def address(told, key, default=None):
@@ -117,7 +170,7 @@
         raise BadConfiguration(f"seed: {seed!r} is no hexadecimal number") from None
     settings = part(told, "settings", dict)
     known = part(told, "known", dict, {"seq": 0, "results": []})
-    part(known, "seq", int, where="known.")
+    part(known, "seq", Number(whole=True), where="known.")
     part(known, "results", list, where="known.")
     check_settings(settings)
     try:
@@ -130,9 +183,9 @@
     except (TypeError, ValueError, AttributeError, IndexError) as flaw:
         raise BadConfiguration(f"settings: {flaw}") from None
     machine = part(told, "limits", dict, {})
-    sockets = part(machine, "sockets", int, 1024, "limits.")
-    memory_mb = part(machine, "memory_mb", int, 192, "limits.")
-    leaving = part(machine, "leaving_ms", int, 1200, "limits.") * 1000
+    sockets = int(part(machine, "sockets", COUNT, 1024, "limits."))
+    memory_mb = int(part(machine, "memory_mb", COUNT, 192, "limits."))
+    leaving = int(part(machine, "leaving_ms", Number(whole=True), 1200, "limits.")) * 1000
     allowed = settings.get("limits", {})
     us = opening_values.us
     connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
--- a/limepath/opening_values.py
+++ b/limepath/opening_values.py
@@ -11,7 +11,7 @@
 
 
 def us(ns):
-    return ns // 1000
+    return int(ns) // 1000
 
 
 def service_of(entry, i, family):
@@ -30,6 +30,11 @@
         segmented=bool(per_class("segmented", False)))
 
 
+def warmup(share, span, factor, window):
+    """A multiple or a time of 0 says that nothing topples: then there is no budget to keep."""
+    return c.Warmup(share, us(span) if factor and window else 0, factor, us(window))
+
+
 def start_of(settings):
     """Turn the settings into the keyword arguments of `Front`; bad ones raise Key-, Type- or ValueError."""
     family, limits, safety = settings.get("family-info", {}), settings.get("limits", {}), settings["safety"]
@@ -50,11 +55,10 @@
         direct=family.get("direct", False), joins=family.get("shares-fills", False),
         lateral=LATERAL[family.get("lateral", "none")],
         subscribe=settings.get("membership-mode") == "subscribe")
-    cache_warmup = c.Warmup(safety["cold-share"], us(safety["cold"]), safety["overload-factor"],
-                            us(safety["tip-after"]))
-    parent_warmup = c.Warmup(
-        family.get("parent-floor", safety["cold-share"]), us(family.get("parent-cold", safety["cold"])),
-        family.get("upper-fall-multiple", safety["overload-factor"]), us(safety["tip-after"]))
+    cache_warmup = warmup(safety["cold-share"], safety["cold"], safety["overload-factor"], safety["tip-after"])
+    parent_warmup = warmup(
+        family.get("parent-floor", safety["cold-share"]), family.get("parent-cold", safety["cold"]),
+        family.get("upper-fall-multiple", safety["overload-factor"]), safety["tip-after"])
     grace = c.Grace(us(safety["answer-slack"]), us(safety["drain-grace"]), us(family.get("heed-within", 0)),
                     us(family.get("gone-everywhere", 0)), us(safety.get("must-ask-in", 0)))
     return {"services": services, "footprint": footprint, "allowance": allowance,
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+pytest_plugins = ["tests.known_red", "pytester"]
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,110 @@
+"""Settings of any customer: what can't be used ends the start with its key, and nothing else does."""
+
+import copy
+import json
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from limepath import contract as c
+from limepath.opening.addresses import address_of
+from limepath.opening.platform import BadConfiguration, opening_of
+from tests.stand_ins import MS, SETTINGS, Site, configuration, free_address
+
+NAN, INFINITE = float("nan"), float("inf")
+
+
+def told(path, value):
+    """The configuration with this value at the path; None takes the key out."""
+    whole = configuration(free_address(), settings=copy.deepcopy(SETTINGS))
+    *way, last = path
+    place = whole["settings"]
+    for step in way:
+        place = place.setdefault(step, {}) if isinstance(place, dict) else place[step]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    return whole
+
+
+BAD = [
+    (("classes",), [], "settings.classes"), (("classes", 1), "tarea", r"settings.classes\[1\]"),
+    (("classes", 1, "name"), "video", r"settings.classes\[1\].name"), (("classes", 0, "name"), "a/b", r"settings.classes\[0\].name"),
+    (("classes", 0, "deadline"), None, r"settings.classes\[0\].deadline: missing"),
+    (("classes", 0, "deadline"), 0, r"settings.classes\[0\].deadline"), (("classes", 0, "aim"), -1, r"settings.classes\[0\].aim"),
+    (("classes", 0, "aim"), NAN, r"settings.classes\[0\].aim"), (("classes", 0, "deadline"), INFINITE, r"settings.classes\[0\].deadline"),
+    (("classes", 1, "idempotency"), "often", r"settings.classes\[1\].idempotency: 'often' is none of free, guarded, single_shot"),
+    (("classes", 1, "key-scope"), "town", r"settings.classes\[1\].key-scope"),
+    (("classes", 1, "repeat-window"), -5, r"settings.classes\[1\].repeat-window"),
+    (("classes", 1, "worth"), True, r"settings.classes\[1\].worth"),
+    (("replicas-of-me",), 0, "settings.replicas-of-me"), (("replicas-of-me",), 1.5, "settings.replicas-of-me"),
+    (("az",), 2, "settings.az"), (("az",), -1, "settings.az"),
+    (("safety", "cold-share"), 1.2, "settings.safety.cold-share"), (("safety", "drain-grace"), -1, "settings.safety.drain-grace"),
+    (("safety", "tip-after"), None, "settings.safety.tip-after: missing"),
+    (("limits", "max-attempts"), 0, "settings.limits.max-attempts"), (("limits", "streams-per-conn"), 0, "settings.limits.streams-per-conn"),
+    (("limits", "connect-timeout"), 0, "settings.limits.connect-timeout"), (("limits", "cancel"), "yes", "settings.limits.cancel"),
+    (("family-info", "mid-kind"), 3, "settings.family-info.mid-kind"), (("family-info", "mid-kind"), 2, "settings.family-info.mid-kind"),
+    (("family-info", "lateral"), "up", "settings.family-info.lateral"),
+    (("family-info", "never-kept"), [True], "settings.family-info.never-kept: 1 entries for 2 of settings.classes"),
+    (("family-info", "never-kept"), [0, 1], r"settings.family-info.never-kept\[0\]"),
+    (("family-info", "pipe-kb-per-s"), [1.0, -1.0], r"settings.family-info.pipe-kb-per-s\[1\]"),
+    (("family-info", "zone-balancers"), [1, 1, 1], "settings.family-info.zone-balancers: 3 entries for 2 of settings.areas"),
+    (("stats", "fields"), "rif", "settings.stats.fields"),
+]
+
+
+@pytest.mark.parametrize(("path", "value", "named"), BAD)
+def test_a_setting_that_cannot_be_used_is_named(path, value, named):
+    with pytest.raises(BadConfiguration, match=named):
+        opening_of(told(path, value), {})
+
+
+@pytest.mark.parametrize(("path", "value"), [
+    (("classes", 1, "idempotency"), "guarded"), (("classes", 1, "repeat-window"), 0), (("classes", 0, "worth"), 0),
+    (("family-info", "mid-kind"), -1), (("family-info", "never-kept"), []), (("family-info", "heed-within"), 0),
+    (("limits", "max-retry-after"), 0), (("safety", "drain-grace"), 0), (("a-key-of-next-year",), {"x": 1}), (("tenants",), [])])
+def test_zero_and_absent_are_taken_where_they_have_a_meaning(path, value):
+    assert opening_of(told(path, value), {}).arguments
+
+
+def test_a_fleet_in_which_nothing_topples_has_no_cold_budget():
+    for key in ("overload-factor", "tip-after"):
+        arguments = opening_of(told(("safety", key), 0), {}).arguments
+        assert arguments["cache_warmup"].span == 0  # once a division by zero at the first forward to a new cache
+    assert opening_of(told(("safety", "tip-after"), MS), {}).arguments["cache_warmup"].span > 0
+
+
+def test_times_are_whole_microseconds_however_they_are_told():
+    service = opening_of(told(("classes", 0, "deadline"), 2.5e9), {}).arguments["services"][0]
+    assert service.viewer_timeout == 2_500_000 and isinstance(service.viewer_timeout, int)
+    assert service.repeats is c.Repeats.IDEMPOTENT
+
+
+def test_a_reload_with_settings_that_cannot_be_used_changes_nothing():
+    with Site() as site:
+        assert site.log.called() == 1
+        site.reload(json.dumps(site.configuration | {"changelog": "127.0.0.1:9", "settings": SETTINGS | {"replicas-of-me": 0}}))
+        line = site.heard("event=reload ")
+        assert "settings.replicas-of-me" in line and "the running values stay" in line
+        viewer = site.viewer().send()
+        site.cache.next().answer("DONE", "rev=4be0,since=1764576000123", b"x")
+        assert viewer.answer()[2] == b"x" and site.log.calls.empty()
+
+
+def test_addresses_have_a_host_and_a_port():
+    assert address_of("127.1.0.9:8080") == ("127.1.0.9", 8080)
+    for text in ("8080", ":8080", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:99999"):
+        with pytest.raises(ValueError):
+            address_of(text)
+
+
+def test_the_variants_differ_where_the_program_could_have_assumed():
+    sites = [tomllib.loads(path.read_text()) for path in sorted(Path("deploy/sites").glob("*/*.toml"))]
+    effects = [[entry["effect"] for entry in site["class"]] for site in sites]
+    assert [len(each) for each in effects] == [5, 2] and all(each.count("unsafe") == 1 for each in effects)
+    assert ["tenant" in site for site in sites] == [True, False]
+    names = [entry["name"] for site in sites for entry in site["class"]]
+    text = "".join(path.read_text() for path in Path("limepath").rglob("*.py"))
+    assert not [name for name in names if f'"{name}"' in text]
