--- a/tests/fleet_host.py
+++ b/tests/fleet_host.py
@@ -23,16 +23,20 @@
         self.silent = self.down = False
         self.work = []  # (time, front, microseconds of sending) that came
 
-    def sending(self, mean):
-        """How long a transfer takes here now."""
-        return int(self.chance.lognormvariate(0, 0.6) / 1.2 * mean * max(1, self.out / self.member.weight))
+    def sending(self, mean, size=None):
+        """How long a transfer takes here now; `size` in place of one that is drawn."""
+        size = self.chance.lognormvariate(0, 0.6) / 1.2 if size is None else size
+        return int(size * mean * max(1, self.out / self.member.weight))
 
 
 class Fleet:
     """`rate` is GETs a second of all fronts; `held` the share of looks that find their object."""
 
     def __init__(self, fronts, caches, seed=1, rate=100.0, held=0.6, weight=6.0, services=(VIDEO, ENTREGA), writes=0.03,
-                 mean=400_000, upper=150_000, link=None, warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND), uneven=1.0):
+                 mean=400_000, upper=150_000, link=None, warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND), uneven=1.0,
+                 told=0.0):
+        """`told`: sizes are told, of this spread (sigma of their logarithm)."""
+        self.told, self.sizes = told, {}
         self.chance, self.now, self.serial, self.calendar = Random(seed), 0, 0, []
         self.rate, self.held, self.writes, self.mean, self.upper, self.services = rate, held, writes, mean, upper, services
         fleet = [member(100 + i, weight=weight) for i in range(caches)]
@@ -47,7 +51,7 @@
                                   parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0, weighted=True),
             grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND)) for i in range(fronts)]
         self.shares = [self.chance.lognormvariate(0, uneven) for _ in range(fronts)]
-        self.ids, self.gets, self.ends = 0, {}, []  # an end: (time, front, ds, word, took)
+        self.ids, self.gets, self.ends, self.words = 0, {}, [], {}  # an end: (time, front, ds, word, took); words by GET
         self.forwards = 0
         for front in range(fronts):
             self.hear(front, c.Roster(c.Listing.CACHED, 1, tuple(fleet)))
@@ -71,7 +75,10 @@
         self.ids += 1
         ds = int(self.chance.random() < self.writes)
         told = self.services[ds]
-        get = c.Get(self.ids, ds, 0, self.chance.randrange(1, 1 << 40), told.viewer_timeout, 0.0, 0, 0, False, bool(ds))
+        if self.told and not ds:
+            self.sizes[self.ids] = self.chance.lognormvariate(-self.told ** 2 / 2, self.told)
+        size_kb = self.sizes.get(self.ids, 0.0) * self.mean / 1000  # at 1000 KB a second
+        get = c.Get(self.ids, ds, 0, self.chance.randrange(1, 1 << 40), told.viewer_timeout, size_kb, 0, 0, False, bool(ds))
         self.gets[self.ids] = [front, ds, self.now, 0, False]
         self.at(self.now + told.viewer_timeout, self.over, self.ids)
         self.hear(front, get)
@@ -87,6 +94,7 @@
         if not get[4]:
             get[4] = True
             self.ends.append((self.now, get[0], get[1], word, self.now - get[2]))
+            self.words[ident] = word
 
     def hear(self, front, *notes):
         for order in self.fronts[front].handle(self.now, notes):
@@ -127,7 +135,7 @@
             verdict = V.FULL
         else:
             busy = {cache, source}
-            took += cache.sending(mean)
+            took += cache.sending(mean, self.sizes.get(order.id))
             if source is not cache:
                 took += int(self.chance.expovariate(1) * self.upper)
         for one in busy:
@@ -148,6 +156,13 @@
     def probes(self, since=0):
         return sum(at >= since for one in self.members.values() for at, _ in one.probes)
 
+    def answered_of_largest(self, part):
+        """The share answered of the largest `part` of the sized GETs, over the share of all of them."""
+        ended = sorted((ident for ident in self.sizes if ident in self.words), key=self.sizes.get)
+        largest = ended[-int(len(ended) * part):]
+        share = lambda some: sum(self.words[ident] == "returned" for ident in some) / len(some)  # noqa: E731
+        return share(largest) / share(ended)
+
     def share(self, word, since=0, ds=None):
         ends = [end for end in self.ends if end[0] >= since and ds in (None, end[2])]
         return sum(end[3] == word for end in ends) / len(ends)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,7 @@
 """What is harmless at one front and not at many: stories of a fleet on one fake set of members (virtual time)."""
 
+import pytest
+
 from limepath.choice import hash_order
 from tests.fake_host import SECOND
 from tests.fleet_host import Fleet
@@ -75,3 +77,12 @@
     fleet.run(30 * SECOND)
     eases = [cache.ease for front in fleet.fronts for cache in front.caches.values() if cache.id >= 100]
     assert sum(ease > 1.2 for ease in eases) < len(eases) / 5  # 69 of 72 where each hit in time counted, now 8
+
+
+@pytest.mark.parametrize(("rate", "link", "least"), [(60, None, 2 / 3), (300, 20_000.0, 1 / 2)])
+def test_the_largest_objects_get_their_part_of_what_their_class_is_answered(rate, link, least):
+    fleet = Fleet(fronts=10, caches=12, rate=rate, held=0.6, link=link, told=1.0, seed=3)
+    fleet.run(20 * SECOND)
+    assert rate < 100 or fleet.share("returned", ds=0) < 0.85  # the link is jammed, somebody is turned away
+    for part in (0.1, 0.3):
+        assert fleet.answered_of_largest(part) >= least
