Without probes a silent cache is found out, and a member in doubt is tried again

Assumption that held only where probes are allowed: Cache.tick asked nobody and Cache.offer declined for ever, since only a probe's answer or a forward's (of which there were none) ended a doubt. Seen in the code, forced in tests/test_choice.py (3 fail without). In their place, where settings forbid probes: a silence four times as long counts as one probe unanswered, and one GET that may run again is let through after 1, 2, 4, then every 8 s. Holds against any silence or broken way; may hurt where answers are slow for long. Deployments with probes run the same code as before.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -29,6 +29,7 @@
 LANES = 5.0  # transfers at full pace that a member of untold size is taken for
 QUIET, PACE = 200_000, 1_000_000  # least silence with an answer owed before a probe, and between probes
 SILENCE = 2  # times that in which something out should be heard of, until silence is one
+UNPROBED = 4  # times that again where no probe can tell a slow answer from none
 DOUBT_AFTER, STRIKES = 2, 3  # probes unanswered in a row before a recall, connections broken before doubt
 SATED, LONG_GONE = 0.95, 2_000_000  # load above which room shrinks; silence after which one is back empty
 MARGIN, SPREAD = 0.8, 2  # share of the cold budget spent; deviations left free where forwards fall by chance
@@ -174,12 +175,21 @@
         room = self.share_of_room()
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease ** (1 / get.claim)
-        away = self.missed or self.unsure is not None and self.strikes > 1 or not (self.way or get.filling)
-        if away or len(self.out) >= room or room < 1 and self.loop.chance() > room:
+        doubted = self.missed or self.unsure is not None and self.strikes > 1
+        if doubted and not self.tries(get) or not (self.way or get.filling) or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
+    def tries(self, get):
+        """Whether this GET goes to a doubted member in a probe's place, where there are none: now and then one that may
+        run again, more seldom the longer it has been away. Nothing else would ever bring the member back."""
+        due = max(self.asked, self.doubted) + (PACE << min(3, max(0, self.missed - 1)))
+        if self.probing or get.repeats != Repeats.IDEMPOTENT or self.loop.now < due:
+            return False
+        self.asked = self.loop.now
+        return True
+
     def took(self, flight, sending):
         self.heard = self.heard if self.out else self.loop.now
         self.out[flight] = sending
@@ -237,6 +247,8 @@
         if able and waiting and self.probe_at is None and (self.missed == 1 or now - self.asked > PACE):
             self.probe_at, self.asked, self.suspect = now, now, False
             self.loop.orders.append(Probe(self.id, now - max(self.heard, self.doubted)))
+        elif not self.probing and self.out and now - max(self.heard, self.doubted) > UNPROBED * self.patience():
+            self.silent(Verdict.TIMED_OUT)  # nothing can be asked: the silence itself has to tell
 
     def probed(self, report):
         sent, self.probe_at = self.probe_at, None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -516,3 +516,74 @@
     for obj in range(3, 40):
         fill(host, obj, V.RETURNED)
     assert host.front.door.window > 10
+
+
+def test_without_probes_a_silent_cache_is_found_out_and_tried_again_more_and_more_seldom():
+    host = FakeHost(probing=False)
+    (look,) = host.get(patience=40 * SECOND)
+    (back,) = [o for o in host.wait(12 * SECOND) if isinstance(o, c.Withdraw)]  # its GET is called back, nothing asked
+    assert back.id == look.id and not probed(host.told)
+    (again,) = forwards(host.end(look, V.CANCELLED))
+    assert again.cache != look.cache
+    host.end(again, V.RETURNED, 1, closed=True)
+    tried = []
+    for _ in range(300):  # a GET each tenth of a second
+        host.wait(SECOND // 10)
+        (forward,) = forwards(host.get())
+        if forward.cache == look.cache:
+            tried.append(host.now)
+            host.wait(5 * SECOND)
+            host.end(forward, V.TIMED_OUT, took=5 * SECOND, closed=True)
+        else:
+            host.end(forward, V.RETURNED, closed=True)
+    assert 2 <= len(tried) <= 6  # never, where only a probe brought a member back
+
+
+def test_without_probes_an_answer_to_a_try_brings_a_member_back():
+    host = FakeHost(probing=False)
+    (look,) = (forward,) = host.get()
+    while forward.cache == look.cache:  # its connections break until it is in doubt
+        number = 0
+        while forward.cache == look.cache:
+            host.wait(1000)
+            (forward,) = forwards(host.end(forward, V.RESET, number))
+            number += 1
+        host.end(forward, V.RETURNED, number, closed=True)
+        (forward,) = forwards(host.get())
+    host.end(forward, V.RETURNED, closed=True)
+    caches = []
+    for _ in range(30):
+        host.wait(SECOND // 10)
+        (forward,) = forwards(host.get())
+        caches.append(forward.cache)
+        host.end(forward, V.RETURNED, closed=True)
+    assert caches[0] != look.cache and caches[-10:] == [look.cache] * 10 and not probed(host.told)
+
+
+def test_what_may_not_run_again_is_never_the_try_of_a_doubted_member():
+    host = FakeHost(probing=False, services=(service(repeats=c.Repeats.NON_IDEMPOTENT),))
+    (look,) = host.get(patience=20 * SECOND)
+    host.wait(6 * SECOND)
+    host.end(look, V.TIMED_OUT, took=6 * SECOND, closed=True)
+    for _ in range(100):
+        host.wait(SECOND // 10)
+        (forward,) = forwards(host.get())
+        assert forward.cache != look.cache
+        host.end(forward, V.RETURNED, closed=True)
+
+
+def test_news_calls_a_forward_back_and_no_member_is_passed_for_it():
+    host = FakeHost()
+    (look,) = host.get()
+    (again,) = forwards(host.end(look, V.MOOT))
+    assert again.cache == look.cache
+
+
+def test_a_get_without_its_token_is_not_repeated_by_a_tokened_service():
+    told = service(repeats=c.Repeats.TOKENED, window=60 * SECOND)
+    for keyed in (False, True):
+        host = FakeHost(services=(told,))
+        (look,) = host.hear(c.Get(1, 0, 0, 5, 5 * SECOND, 0.0, 0, 0, False, False, keyed))
+        orders = host.end(look, V.RESET)
+        assert kinds(orders) == (["Forward"] if keyed else ["Errored"])
+        assert not keyed or 0 < orders[0].within <= 60 * SECOND
