--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -95,7 +95,7 @@
         self.rank, self.sent, self.out, self.at, self.passed = 0, 0, None, None, set()
         self.closed = self.filling = self.direct = self.stale = self.held = False
         self.ran_at = self.ran_by = self.ran_in = None  # first forward that may have run: when, which, where
-        known = get.keyed or ds.repeats != Repeats.TOKENED  # without a token nobody can tell that it is a repeat
+        known = get.keyed or ds.repeats != Repeats.TOKENED  # without a token nobody can tell a repeat
         self.repeats = ds.repeats if known else Repeats.NON_IDEMPOTENT
         self.claim = LIGHT if own < ds.objective / 2 else HEAVY if get.size_kb and own > ds.objective else 1
 
@@ -176,14 +176,15 @@
         if not get.ds.uncacheable:  # what can go nowhere else is not turned away for fills
             room *= self.ease ** (1 / get.claim)
         doubted = self.missed or self.unsure is not None and self.strikes > 1
-        if doubted and not self.tries(get) or not (self.way or get.filling) or len(self.out) >= room or room < 1 and self.loop.chance() > room:
+        away = doubted and not self.tries(get) or not (self.way or get.filling)
+        if away or len(self.out) >= room or room < 1 and self.loop.chance() > room:
             self.loop.put(self.door, "declined", get, self)
         else:
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
     def tries(self, get):
-        """Whether this GET goes to a doubted member in a probe's place, where there are none: now and then one that may
-        run again, more seldom the longer it has been away. Nothing else would ever bring the member back."""
+        """Whether this GET goes to a doubted member in a probe's place, where there are none: now and then one
+        that may run again, more seldom the longer it has been away. Nothing else would bring the member back."""
         due = max(self.asked, self.doubted) + (PACE << min(3, max(0, self.missed - 1)))
         if self.probing or get.repeats != Repeats.IDEMPOTENT or self.loop.now < due:
             return False
@@ -247,8 +248,9 @@
         if able and waiting and self.probe_at is None and (self.missed == 1 or now - self.asked > PACE):
             self.probe_at, self.asked, self.suspect = now, now, False
             self.loop.orders.append(Probe(self.id, now - max(self.heard, self.doubted)))
-        elif not self.probing and self.out and now - max(self.heard, self.doubted) > UNPROBED * self.patience():
-            self.silent(Verdict.TIMED_OUT)  # nothing can be asked: the silence itself has to tell
+        elif not self.probing and self.out:  # nothing can be asked: the silence itself has to tell
+            if now - max(self.heard, self.doubted) > UNPROBED * self.patience():
+                self.silent(Verdict.TIMED_OUT)
 
     def probed(self, report):
         sent, self.probe_at = self.probe_at, None
@@ -353,7 +355,7 @@
         member = self.members[cache.id][0]
         get.out = (get.id, get.sent)
         tokened = get.ran_at is not None and get.repeats == Repeats.TOKENED
-        within = get.ran_at + get.ds.window - self.loop.now if tokened else 0  # it may yet wait for a connection
+        within = get.ran_at + get.ds.window - self.loop.now if tokened else 0  # it may wait for a connection
         if get.ran_at is None:
             get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
         get.sent += 1
