--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -183,8 +183,8 @@
             self.loop.put(self.door, "accepted", get, self, self.loop.now < self.warm_at)
 
     def tries(self, get):
-        """Whether this GET goes to a doubted member in a probe's place, where there are none: now and then one
-        that may run again, more seldom the longer it has been away. Nothing else would bring the member back."""
+        """Whether this GET goes to a doubted member in a probe's place, where there are none: now and then
+        one that may run again, more seldom the longer it is away. Nothing else would bring it back."""
         due = max(self.asked, self.doubted) + (PACE << min(3, max(0, self.missed - 1)))
         if self.probing or get.repeats != Repeats.IDEMPOTENT or self.loop.now < due:
             return False
