--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -21,6 +21,7 @@
 READ = frozenset((b"host", b"connection", b"content-length", b"transfer-encoding", b"x-txn", b"x-ttl-ms",
                   b"x-family", b"x-txn-key", b"if-none-match", b"expect"))
 HEX = frozenset(b"0123456789abcdef")
+KEY = frozenset(b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_.:")
 
 
 class Flaw(Exception):
@@ -103,7 +104,7 @@
         group = whole_number(fields.get(b"x-family", b""), 255, "X-Family")
         number = whole_number(part, 1 << 24, "block") if part is not None else 0
         self.key = fields.get(b"x-txn-key", b"")  # goes on unchanged, as all that makes the request what it is
-        if self.key and (len(self.key) > 64 or not self.key.isalnum()):
+        if len(self.key) > 64 or not KEY.issuperset(self.key):  # others could end the field it becomes
             raise Flaw(400, "X-Txn-Key")
         self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
         self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
@@ -254,12 +255,12 @@
         """The client has closed. With a GET open it has left; half closed is taken for that too, as the two look alike.
         Otherwise it may still take what is held."""
         if self.get is not None:
-            self.gone()
+            self.client_left()
             self.close(abort=True)
         else:
             self.close(abort=False)
 
-    def gone(self):
+    def client_left(self):
         get, self.get = self.get, None
         if get is not None:
             self.clients.left(get)
@@ -267,7 +268,7 @@
     def connectionLost(self, reason):
         self.state = State.CLOSED
         self.clients.connections.discard(self)
-        self.gone()
+        self.client_left()
         self.clients.counted()
         self.clients.leave_if_done()
 
