--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -457,6 +457,20 @@
         assert not [line for line in site.said if "fault" in line]
 
 
+def test_a_cache_that_hangs_does_not_keep_a_front_that_leaves_and_a_repeat_meanwhile_is_answered():
+    with Site(limits={"leaving_ms": 2000}) as site:
+        site.cache.deaf = site.parent.deaf = True
+        viewer = site.viewer().send(ttl=1500)
+        site.cache.next()
+        site.terminate()
+        while site.health()[0] == 200:
+            pass
+        repeat = site.viewer().send(txn="00000000000000fe", ttl=1500)
+        for answer in (viewer.answer(), repeat.answer()):
+            assert answer[0] == 503 and answer[1]["connection"] == "close"
+        assert site.process.wait(BOUND) == 0
+
+
 class Pipe:
     """A configuration file that the front gets to read only when the test lets it."""
 
