--- a/limepath/__main__.py
+++ b/limepath/__main__.py
@@ -7,6 +7,7 @@
         from limepath.cli import main
     else:
         from limepath.early import hold
+
         hold()
         from limepath.front.start import main
     sys.exit(main())
--- a/limepath/agenda.py
+++ b/limepath/agenda.py
@@ -50,7 +50,9 @@
 
     def chance(self):
         self.drawn += 1
-        return mixed(crc32(b"%d:%d" % (self.seed, self.drawn)) + 1) / 2 ** 64  # crc32 alone goes alike at all seeds
+        return (
+            mixed(crc32(b"%d:%d" % (self.seed, self.drawn)) + 1) / 2**64
+        )  # crc32 alone goes alike at all seeds
 
     def some(self, those, count):
         """So many of a list, each once, in the order drawn."""
--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -11,9 +11,33 @@
 
 from sortedcontainers import SortedList
 
-from limepath.contract import (NEVER_RAN, AskCounts, Counts, Due, Errored, Forward, Get, Learnt, Left,
-                               Listing, Outcome, Probe, ProbeReport, Purge, Repeats, Room, Roster, Scope,
-                               Shed, Standing, Streaming, Subscribe, Verdict, Wake, Withdraw)
+from limepath.contract import (
+    NEVER_RAN,
+    AskCounts,
+    Counts,
+    Due,
+    Errored,
+    Forward,
+    Get,
+    Learnt,
+    Left,
+    Listing,
+    Outcome,
+    Probe,
+    ProbeReport,
+    Purge,
+    Repeats,
+    Room,
+    Roster,
+    Scope,
+    Shed,
+    Standing,
+    Streaming,
+    Subscribe,
+    Verdict,
+    Wake,
+    Withdraw,
+)
 
 TABLE = 1024  # entries of the table (the design starts at 4096): 512 to 4096 score alike, fewer lose hits
 THIRDS = (1 / 3, 2 / 3)  # of the table by key, above which copies ask for ranks 2 and 3
@@ -78,7 +102,7 @@
 
     def chance(self):
         self.drawn += 1
-        return crc32(b"%d:%d" % (self.seed, self.drawn)) / 2 ** 32
+        return crc32(b"%d:%d" % (self.seed, self.drawn)) / 2**32
 
 
 class Actor:
@@ -135,7 +159,6 @@
         below = self.keys.bisect_left((key,)) / len(self.keys)
         return 1 + sum(below >= cut for cut in (THIRDS if size else TOPS))
 
-
     def learnt(self, note):
         """Another front's counts wait beside the table, as those do that went out of it."""
         for *name, fr in note.counts[:TABLE]:
@@ -219,9 +242,9 @@
         if strained:
             self.ease = max(LEAST_EASE, self.ease * EASED)
         elif self.ease < 1 or self.upper:
-            self.ease = min(1, self.ease / EASED ** 0.3)
+            self.ease = min(1, self.ease / EASED**0.3)
         elif len(self.out) + 1 >= self.share_of_room() * self.ease:  # only a full one tells of more
-            self.ease = max(1, min(ROOM * self.lanes / self.share_of_room(), self.ease / EASED ** 0.1))
+            self.ease = max(1, min(ROOM * self.lanes / self.share_of_room(), self.ease / EASED**0.1))
 
     def alive(self, at):
         self.heard = at
@@ -335,7 +358,7 @@
         if get.out is not None and not self.allowance.overlap:
             return "effect", cache
         if get.ran_at is not None and get.repeats != Repeats.IDEMPOTENT:
-            group = (cache.member.zone, cache.member.cell)[:ds.scope] == get.ran_in[:ds.scope]
+            group = (cache.member.zone, cache.member.cell)[: ds.scope] == get.ran_in[: ds.scope]
             if get.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect", cache
         for actor in dict.fromkeys((cache, source)):
@@ -359,8 +382,19 @@
         if get.ran_at is None:
             get.ran_at, get.ran_by, get.ran_in = self.loop.now, get.sent, (member.zone, member.cell)
         get.sent += 1
-        self.loop.orders.append(Forward(get.id, cache.id, 0, source.id, get.rank, self.oldest(get), join,
-                                        get.held and not get.direct, within=within))
+        self.loop.orders.append(
+            Forward(
+                get.id,
+                cache.id,
+                0,
+                source.id,
+                get.rank,
+                self.oldest(get),
+                join,
+                get.held and not get.direct,
+                within=within,
+            )
+        )
         self.loop.put(self.door, "left_for", get, cache, source)
 
     def final(self, get, come_back):
@@ -368,8 +402,11 @@
         if get.closed:
             return
         get.closed = True
-        harmless = get.ran_at is None or get.repeats == Repeats.IDEMPOTENT or (
-            get.repeats == Repeats.TOKENED and get.ds.scope == Scope.ALL)
+        harmless = (
+            get.ran_at is None
+            or get.repeats == Repeats.IDEMPOTENT
+            or (get.repeats == Repeats.TOKENED and get.ds.scope == Scope.ALL)
+        )
         self.loop.orders.append(Shed(get.id, come_back) if harmless else Errored(get.id))
 
 
@@ -490,8 +527,13 @@
             if in_time:
                 self.window = min(self.fill_room, self.window + min(self.window, self.grow / self.window))
                 self.fetched = self.loop.now
-            elif (note.verdict in STUCK and source.ease >= 1 and not source.missed and cache.ease > 0.5
-                  and not (others and note.verdict == Verdict.ERRORED)):  # its object errs, or one parent
+            elif (
+                note.verdict in STUCK
+                and source.ease >= 1
+                and not source.missed
+                and cache.ease > 0.5
+                and not (others and note.verdict == Verdict.ERRORED)
+            ):  # its object errs, or one parent
                 mild = note.verdict == Verdict.RETURNED or others and note.verdict == Verdict.TIMED_OUT
                 self.window = max(self.least, self.window * (YIELD if mild else LOST))
         if note.verdict == Verdict.RETURNED and source is cache and not get.size_kb:  # it was held there
@@ -544,10 +586,18 @@
         self.gate = self.door.gate = Gate(self.loop, self.door, allowance, self.warmups, grace)
         self.shelf = self.door.shelf = Shelf(self.loop, self.door)
         self.caches, self.next_tick, self.armed, self.inbox = {}, 0, None, deque()
-        self.desks = {Get: (self.door, "arrived"), Outcome: (self.door, "ended"), Left: (self.door, "left"),
-                      Streaming: (self.door, "left"), Purge: (self.gate, "purged"),
-                      Roster: (self, "roster"), ProbeReport: (self, "probed"), Room: (self, "room"),
-                      Learnt: (self.shelf, "learnt"), AskCounts: (self.shelf, "tell")}
+        self.desks = {
+            Get: (self.door, "arrived"),
+            Outcome: (self.door, "ended"),
+            Left: (self.door, "left"),
+            Streaming: (self.door, "left"),
+            Purge: (self.gate, "purged"),
+            Roster: (self, "roster"),
+            ProbeReport: (self, "probed"),
+            Room: (self, "room"),
+            Learnt: (self.shelf, "learnt"),
+            AskCounts: (self.shelf, "tell"),
+        }
 
     def handle(self, now, notes):
         """Take in what the host heard at `now`; give the orders that follow."""
@@ -577,10 +627,20 @@
             return
         place = self.footprint  # caches elsewhere are none of this front's business
         upper = (place.parent_kind, place.origin_kind)
-        gone = {} if note.listing == Listing.DELTA else {
-            ident: cache.member._replace(standing=Standing.GONE) for ident, cache in self.caches.items()}
-        members = gone | {m.cache: m for m in note.members if m.cache in self.caches or
-                          m.standing != Standing.GONE and (m.zone == place.zone or m.kind in upper)}
+        gone = (
+            {}
+            if note.listing == Listing.DELTA
+            else {
+                ident: cache.member._replace(standing=Standing.GONE) for ident, cache in self.caches.items()
+            }
+        )
+        members = gone | {
+            m.cache: m
+            for m in note.members
+            if m.cache in self.caches
+            or m.standing != Standing.GONE
+            and (m.zone == place.zone or m.kind in upper)
+        }
         known = {i: cache.member for i, cache in self.caches.items()} | members
         parents = sum(member.kind == place.parent_kind for member in known.values())
         for member in members.values():
@@ -589,10 +649,13 @@
             del self.caches[ident], self.gate.members[ident]
             self.gate.starts.pop(ident, None)
         ready = [c for c in self.caches.values() if c.member.standing == Standing.READY]
-        self.loop.put(self.door, "members",
-                      [c for c in ready if c.member.zone == place.zone and c.member.kind not in upper],
-                      [c for c in ready if c.member.kind == place.parent_kind],
-                      next((c for c in ready if c.member.kind == place.origin_kind), None))
+        self.loop.put(
+            self.door,
+            "members",
+            [c for c in ready if c.member.zone == place.zone and c.member.kind not in upper],
+            [c for c in ready if c.member.kind == place.parent_kind],
+            next((c for c in ready if c.member.kind == place.origin_kind), None),
+        )
 
     def enlist(self, member, parents):
         place = self.footprint
@@ -603,8 +666,9 @@
         carried = sum(place.link_kb_s) / (parents or 1) if upper and place.flow_kb_s else 0  # by all parents
         lanes = member.weight if place.weighted else carried / place.flow_kb_s if carried else LANES
         if member.cache not in self.caches:
-            self.caches[member.cache] = Cache(self.loop, self.door, self.gate, member.cache,
-                                              self.allowance.probing, upper, warming)
+            self.caches[member.cache] = Cache(
+                self.loop, self.door, self.gate, member.cache, self.allowance.probing, upper, warming
+            )
         cache = self.caches[member.cache]
         self.loop.put(cache, "listed", member, sharing, lanes, place.weighted)
         self.loop.put(self.gate, "listed", member, sharing, lanes, upper)
--- a/limepath/cli/__init__.py
+++ b/limepath/cli/__init__.py
@@ -8,12 +8,18 @@
 except ImportError:  # the lean set of `run` is without it
     click = None
 
-COMMANDS = {"run": "Run one front.", "duties": "Periodic duties that instances divide among themselves.",
-            "listing": "The list of caches, told once to a fleet.", "coldstart": "Many fronts that start at once.",
-            "peers": "The instances that share.", "opening": "Settings files.",
-            "keys": "Certificates and keys for TLS to servers."}
+COMMANDS = {
+    "run": "Run one front.",
+    "duties": "Periodic duties that instances divide among themselves.",
+    "listing": "The list of caches, told once to a fleet.",
+    "coldstart": "Many fronts that start at once.",
+    "peers": "The instances that share.",
+    "opening": "Settings files.",
+    "keys": "Certificates and keys for TLS to servers.",
+}
 
 if click:
+
     class Lazy(click.Group):
         def list_commands(self, context):
             return list(COMMANDS)
@@ -25,18 +31,23 @@
             with formatter.section("Commands"):
                 formatter.write_dl(list(COMMANDS.items()))
 
-    @click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+    @click.command(
+        cls=Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110}
+    )
     @click.version_option(package_name="limepath", message="limepath %(version)s")
     def root():
         """A front for caches of large objects behind thin links.
 
-        `limepath COMMAND --help` tells more of each. Exit status: 0 all well, 1 a stated bound is broken or nothing
-        was found where it was asked for, 2 settings or words on the command line that can't be used.
+        `limepath COMMAND --help` tells more of each. Exit status: 0 all well, 1 a stated bound is broken or
+        nothing was found where it was asked for, 2 settings or words on the command line that can't be used.
         """
 
 
 def main():
     if not click:
-        print("limepath: the command line needs the extra 'operator': pip install 'limepath[operator]'", file=sys.stderr)
+        print(
+            "limepath: the command line needs the extra 'operator': pip install 'limepath[operator]'",
+            file=sys.stderr,
+        )
         return 2
     return root(prog_name="limepath")
--- a/limepath/cli/coldstart.py
+++ b/limepath/cli/coldstart.py
@@ -12,15 +12,28 @@
 
 @command.command("drill")
 @click.option("--fronts", type=click.IntRange(2, 400), default=12, show_default=True)
-@click.option("--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise.")
-@click.option("--alone", is_flag=True, help="The same fronts without any of it, for comparison; no faults then.")
-@click.option("--down", type=Span(), default="12s", show_default=True, help="For which the list service refuses at first.")
+@click.option(
+    "--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise."
+)
+@click.option(
+    "--alone", is_flag=True, help="The same fronts without any of it, for comparison; no faults then."
+)
+@click.option(
+    "--down",
+    type=Span(),
+    default="12s",
+    show_default=True,
+    help="For which the list service refuses at first.",
+)
 @seed_option
 @json_option
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep settings and logs in this folder.")
 def drill(fronts, kinds, alone, down, seed, as_json, keep):
-    """Start real fronts on loopback while the list service is away, cause faults, look at calls, streams and who knows what."""
+    """Start real fronts on loopback while the list service is away, cause faults, look at calls, streams and
+    who knows what.
+    """
     from limepath.testbed.coldstart import KINDS, drilled
+
     if kinds == "help":
         return click.echo(", ".join(KINDS))
     chosen = () if kinds == "none" else named_kinds(kinds, KINDS, "--faults")
@@ -31,16 +44,27 @@
 @command.command("simulate")
 @click.option("--fronts", type=click.IntRange(2, 2000), default=200, show_default=True)
 @click.option("--zones", type=click.IntRange(1, 50), default=2, show_default=True)
-@click.option("--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise.")
+@click.option(
+    "--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise."
+)
 @click.option("--alone", is_flag=True, help="Each front calls for itself, for comparison; no faults then.")
-@click.option("--down", type=Span(), default="12s", show_default=True, help="For which the list service refuses at first.")
+@click.option(
+    "--down",
+    type=Span(),
+    default="12s",
+    show_default=True,
+    help="For which the list service refuses at first.",
+)
 @click.option("--loss", type=Share(), default="0", help="Share of datagrams that is lost.")
-@click.option("--saved", type=Share(), default="0", help="Share of fronts that hold a saved list, at different numbers.")
+@click.option(
+    "--saved", type=Share(), default="0", help="Share of fronts that hold a saved list, at different numbers."
+)
 @seed_option
 @json_option
 def simulate(fronts, zones, kinds, alone, down, loss, saved, seed, as_json):
     """The same logic in virtual time; the same seed gives the same table."""
     from limepath.listing.simulate import KINDS, simulated
+
     if kinds == "help":
         return click.echo(", ".join(KINDS))
     chosen = () if kinds == "none" or alone else named_kinds(kinds, KINDS, "--faults")
@@ -50,9 +74,14 @@
 
 @command.command("measure")
 @click.option("--out", type=click.Path(file_okay=False), default="docs/measurements", show_default=True)
-@click.option("--sizes", default="10,50,100,200,300,500,1000", show_default=True, help="Fronts, in virtual time.")
+@click.option(
+    "--sizes", default="10,50,100,200,300,500,1000", show_default=True, help="Fronts, in virtual time."
+)
 @click.option("--fronts", default="12,50,200", show_default=True, help="Fronts, real processes.")
 def measure(out, sizes, fronts):
-    """Measure a cold start over sizes, shared and alone; write a page, a chart and the raw figures. Needs the extra 'measure'."""
+    """Measure a cold start over sizes, shared and alone; write a page, a chart and the raw figures. Needs the
+    extra 'measure'.
+    """
     from limepath.listing.measure import measured
+
     click.echo(measured(out, numbers(sizes), numbers(fronts), say=lambda line: click.echo(line, err=True)))
--- a/limepath/cli/keys.py
+++ b/limepath/cli/keys.py
@@ -14,7 +14,9 @@
 from limepath.tls.making import Made
 from limepath.tls.material import BadMaterial, certificates, shown
 
-kind_option = click.option("--kind", type=click.Choice(making.KINDS), default="ec", show_default=True, help="Of the key.")
+kind_option = click.option(
+    "--kind", type=click.Choice(making.KINDS), default="ec", show_default=True, help="Of the key."
+)
 CA, CA_KEY = "ca.pem", "ca.key"
 
 
@@ -91,11 +93,17 @@
 
 @command.command("check")
 @click.argument("file", type=click.Path(dir_okay=False))
-@click.option("--days", type=click.FloatRange(min=0), default=14, show_default=True,
-              help="Status 1 when something ends sooner.")
+@click.option(
+    "--days",
+    type=click.FloatRange(min=0),
+    default=14,
+    show_default=True,
+    help="Status 1 when something ends sooner.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print as JSON.")
 def check(file, days, as_json):
-    """Check a TLS settings FILE with all that it names, without traffic: identity, chain, trust, lists, days left.
+    """Check a TLS settings FILE with all that it names, without traffic: identity, chain, trust, lists, days
+    left.
 
     Status 2 with section and reason where a front would refuse the set; 1 where something ends within --days.
     """
@@ -108,22 +116,39 @@
     rows = []
     if found.chain:
         for place, one in enumerate((found.chain.leaf, *found.chain.above)):
-            rows.append({"what": "[client] certificate" if not place else "  hangs on"} | shown(one, now)._asdict())
-    for entry, trust in zip(read_in.trusts, found.trusts):
+            rows.append(
+                {"what": "[client] certificate" if not place else "  hangs on"} | shown(one, now)._asdict()
+            )
+    for trust in found.trusts:
         rows += [{"what": f"[trust {trust.title}] root"} | shown(one, now)._asdict() for one in trust.roots]
         for one in trust.lists:
-            left = round((one.next_update_utc.timestamp() - now / 1e6) / 86_400, 2) if one.next_update_utc else None
-            rows.append({"what": f"[trust {trust.title}] list", "subject": one.issuer.rfc4514_string(), "key":
-                         f"{len(one)} revoked" + (", stale" if trust.stale else ""), "days_left": left})
-    warnings = [f"[trust {entry.title}] verify: off; whoever answers for {', '.join(entry.members)} is believed"
-                for entry in read_in.trusts if not entry.verify]
+            left = (
+                round((one.next_update_utc.timestamp() - now / 1e6) / 86_400, 2)
+                if one.next_update_utc
+                else None
+            )
+            rows.append(
+                {
+                    "what": f"[trust {trust.title}] list",
+                    "subject": one.issuer.rfc4514_string(),
+                    "key": f"{len(one)} revoked" + (", stale" if trust.stale else ""),
+                    "days_left": left,
+                }
+            )
+    warnings = [
+        f"[trust {entry.title}] verify: off; whoever answers for {', '.join(entry.members)} is believed"
+        for entry in read_in.trusts
+        if not entry.verify
+    ]
     short = [row for row in rows if row["days_left"] is not None and row["days_left"] < days]
     if as_json:
         click.echo(json.dumps({"rows": rows, "warnings": warnings, "holds": not short}, indent=1))
     else:
         for row in rows:
-            click.echo(f"{row['what']:<24}{row['subject']:<32}{row['key']:<16}{row['days_left']} days left"
-                       + (" SOON" if row in short else ""))
+            click.echo(
+                f"{row['what']:<24}{row['subject']:<32}{row['key']:<16}{row['days_left']} days left"
+                + (" SOON" if row in short else "")
+            )
         for warning in warnings:
             click.echo(f"warning: {warning}")
     sys.exit(1 if short else 0)
--- a/limepath/cli/listing.py
+++ b/limepath/cli/listing.py
@@ -37,15 +37,25 @@
     """What the settings in FILE promise: how late an event may be at any front, calls, streams."""
     from limepath.listing.bounds import bounds as computed
     from limepath.verdicts import Row, seconds
+
     terms = opened(file).listing
     told = computed(terms, fronts or terms.fronts, zones)
-    said = {"event": "an event at every front, s", "repaired": "the same, its push lost, s",
-            "relays_gone": "the same, all relays of a zone gone in that moment, s",
-            "stream_still": "the same, their streams standing still, s", "restored": "the same, the service going back to an older state, s", "alone": "the same, at a front that hears of nobody, s",
-            "known_late": "until a front knows that its list may be old, s",
-            "ready": "from the service's return until all have the list, s",
-            "calls": "calls a second of the whole fleet", "streams": "streams of a zone, at most"}
-    rows = [Row(said[name], value if name in ("calls", "streams") else seconds(value)) for name, value in told._asdict().items()]
+    said = {
+        "event": "an event at every front, s",
+        "repaired": "the same, its push lost, s",
+        "relays_gone": "the same, all relays of a zone gone in that moment, s",
+        "stream_still": "the same, their streams standing still, s",
+        "restored": "the same, the service going back to an older state, s",
+        "alone": "the same, at a front that hears of nobody, s",
+        "known_late": "until a front knows that its list may be old, s",
+        "ready": "from the service's return until all have the list, s",
+        "calls": "calls a second of the whole fleet",
+        "streams": "streams of a zone, at most",
+    }
+    rows = [
+        Row(said[name], value if name in ("calls", "streams") else seconds(value))
+        for name, value in told._asdict().items()
+    ]
     conclude(rows, as_json, fronts=fronts or terms.fronts, zones=zones)
 
 
@@ -55,7 +65,8 @@
 def show(where, as_json):
     """How a running front's list stands, whom it follows, what it passed over.
 
-    WHERE is the instance's control socket, or its peers file, which names it. Status 1 when nobody answers there.
+    WHERE is the instance's control socket, or its peers file, which names it. Status 1 when nobody answers
+    there.
     """
     try:
         told = ask(opened(where).control if where.endswith(".ini") else where, "listing")
@@ -64,11 +75,23 @@
         sys.exit(1)
     if as_json:
         return click.echo(json.dumps(told, indent=1))
-    ago = "never confirmed" if told["confirmed_us_ago"] is None else f"confirmed {told['confirmed_us_ago'] / 1e6:.1f} s ago"
-    click.echo(f"event {told['number']} (generation {told['generation']}), {told['members']} members, {ago}"
-               + (", LATE" if told["late"] else ""))
-    click.echo(f"{told['role']} in zone {told['zone']}, stream {told['stream']}, {told['followers']} followers")
+    ago = (
+        "never confirmed"
+        if told["confirmed_us_ago"] is None
+        else f"confirmed {told['confirmed_us_ago'] / 1e6:.1f} s ago"
+    )
+    click.echo(
+        f"event {told['number']} (generation {told['generation']}), {told['members']} members, {ago}"
+        + (", LATE" if told["late"] else "")
+    )
+    click.echo(
+        f"{told['role']} in zone {told['zone']}, stream {told['stream']}, {told['followers']} followers"
+    )
     for one in told["follows"]:
-        heard = "not heard yet" if one["heard_us_ago"] is None else f"heard {one['heard_us_ago'] / 1e6:.1f} s ago, at {one['number']}"
+        heard = (
+            "not heard yet"
+            if one["heard_us_ago"] is None
+            else f"heard {one['heard_us_ago'] / 1e6:.1f} s ago, at {one['number']}"
+        )
         click.echo(f"follows {one['token']}: {heard}" + (f", {one['flaw']}" if one["flaw"] else ""))
     click.echo(", ".join(f"{name} {count}" for name, count in told["counts"].items()))
--- a/limepath/cli/opening.py
+++ b/limepath/cli/opening.py
@@ -27,11 +27,18 @@
     try:
         if file.endswith(".json"):
             read = platform.read(os.environ | {platform.CONFIGURATION: file})
-            told = {"name": read.name, "listen": read.listen, "services": [name.decode() for name in read.services]}
+            told = {
+                "name": read.name,
+                "listen": read.listen,
+                "services": [name.decode() for name in read.services],
+            }
         else:
             read = peers_opening.read(file)
-            told = read._asdict() | {"spans": read.spans._asdict(), "leasing": read.leasing._asdict(),
-                                     "plans": [plan._asdict() for plan in read.plans]}
+            told = read._asdict() | {
+                "spans": read.spans._asdict(),
+                "leasing": read.leasing._asdict(),
+                "plans": [plan._asdict() for plan in read.plans],
+            }
             told["plans"] = [plan | {"mode": plan["mode"].name} for plan in told["plans"]]
     except (BadSetting, platform.BadConfiguration) as flaw:
         print(f"limepath: configuration: {flaw}", file=sys.stderr)
--- a/limepath/cli/peers.py
+++ b/limepath/cli/peers.py
@@ -18,7 +18,9 @@
 def columns(rows, names):
     drawn = [names, *([str(row.get(name, "")) for name in names] for row in rows)]
     wide = [max(len(row[i]) for row in drawn) for i in range(len(names))]
-    return "\n".join("  ".join(f"{cell:<{width}}" for cell, width in zip(row, wide)).rstrip() for row in drawn)
+    return "\n".join(
+        "  ".join(f"{cell:<{width}}" for cell, width in zip(row, wide, strict=True)).rstrip() for row in drawn
+    )
 
 
 @command.command("show")
@@ -27,7 +29,8 @@
 def show(where, as_json):
     """What a running instance sees: members, states, incarnations, duties owned, epochs.
 
-    WHERE is the instance's control socket, or its peers file, which names it. Status 1 when nobody answers there.
+    WHERE is the instance's control socket, or its peers file, which names it. Status 1 when nobody answers
+    there.
     """
     try:
         if where.endswith(".ini"):
@@ -45,9 +48,17 @@
     if as_json:
         return click.echo(json.dumps(told, indent=1))
     me = told["me"]
-    click.echo(f"{me['name']} ({me['token']}), life {me['life']}" + (", leaving" if me["leaving"] else "")
-               + ("" if me["joined"] else ", not joined yet") + (", votes" if me["votes"] else ""))
+    click.echo(
+        f"{me['name']} ({me['token']}), life {me['life']}"
+        + (", leaving" if me["leaving"] else "")
+        + ("" if me["joined"] else ", not joined yet")
+        + (", votes" if me["votes"] else "")
+    )
     click.echo("\n" + columns(told["members"], ["name", "state", "address", "life", "incarnation", "token"]))
     click.echo("\n" + columns(told["duties"], ["name", "mode", "targets", "owned", "epoch"]))
-    click.echo("\n" + columns([{"count": name, "value": value} for name, value in told["counts"].items()],
-                              ["count", "value"]))
+    click.echo(
+        "\n"
+        + columns(
+            [{"count": name, "value": value} for name, value in told["counts"].items()], ["count", "value"]
+        )
+    )
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -210,8 +210,9 @@
 
 
 class ProbeReport(NamedTuple):
-    """`load` maps 'inflight', 'queue', 'util', 'latency_ms', 'qps', 'eps', 'x0', 'x1' as far as told. `age` is how
-    long ago another front learnt it; 0 where this front's own probe did."""
+    """`load` maps 'inflight', 'queue', 'util', 'latency_ms', 'qps', 'eps', 'x0', 'x1' as far as told. `age`
+    is how long ago another front learnt it; 0 where this front's own probe did.
+    """
 
     cache: int
     verdict: Verdict
@@ -221,15 +222,18 @@
 
 
 class Room(NamedTuple):
-    """Whether there is a way to a member now: a connection, or a turn to open one. There is until it is told otherwise."""
+    """Whether there is a way to a member now: a connection, or a turn to open one. There is until it is told
+    otherwise.
+    """
 
     cache: int
     way: bool
 
 
 class Learnt(NamedTuple):
-    """What another front has counted: (object, part, count). It weighs as this front's own GETs, of objects that it has not
-    counted itself."""
+    """What another front has counted: (object, part, count). It weighs as this front's own GETs, of objects
+    that it has not counted itself.
+    """
 
     counts: tuple
 
@@ -254,8 +258,10 @@
 
 
 class Forward(NamedTuple):
-    """`source` equal to `cache` asks for no fill; `oldest` 0 leaves the age to the delivery service. With `within` it
-    may be sent for that long only, wherever it waits (0: as long as the host lets forwards wait)."""
+    """`source` equal to `cache` asks for no fill; `oldest` 0 leaves the age to the delivery service. With
+    `within` it may be sent for that long only, wherever it waits (0: as long as the host lets forwards
+    wait).
+    """
 
     id: int
     cache: int
--- a/limepath/duties/bounds.py
+++ b/limepath/duties/bounds.py
@@ -1,7 +1,8 @@
 """The bounds that the settings promise, computed where they are stated; docs/duties.md derives them.
 
-All are microseconds but `doubles`, a count. They hold for a view of `live` instances, with `together` instances dying
-within one detection, on a network that loses nothing for longer than a detection between those that live.
+All are microseconds but `doubles`, a count. They hold for a view of `live` instances, with `together`
+instances dying within one detection, on a network that loses nothing for longer than a detection between
+those that live.
 """
 
 from typing import NamedTuple
@@ -22,20 +23,30 @@
     """Give the Bounds of one plan."""
     found = detection(spans, live, together)
     if plan.mode == Mode.AT_LEAST_ONCE:
-        return Bounds(gap=2 * plan.interval + found, restart=2 * plan.interval + found,
-                      take_over=found + plan.interval, disagreement=found)
-    # the last lease of the dead may outlast its detection; two rounds of claims may be split; then the handover
+        return Bounds(
+            gap=2 * plan.interval + found,
+            restart=2 * plan.interval + found,
+            take_over=found + plan.interval,
+            disagreement=found,
+        )
+    # the last lease of the dead may outlast its detection; two rounds of claims may be split; then the
+    # handover
     handing = 3 * claim_every(leasing) + spread(spans, live)
     free = max(found, silence(leasing)) + handing
-    return Bounds(gap=2 * plan.interval + free, restart=2 * plan.interval + free + silence(leasing),
-                  take_over=free + plan.interval, disagreement=found + handing)
+    return Bounds(
+        gap=2 * plan.interval + free,
+        restart=2 * plan.interval + free + silence(leasing),
+        take_over=free + plan.interval,
+        disagreement=found + handing,
+    )
 
 
 def doubles(plan, bound, changes):
-    """How often a target may be served twice within half an interval, over changes of these lengths (microseconds).
+    """How often a target may be served twice within half an interval, over changes of these lengths
+    (microseconds).
 
-    While views differ, each side serves it once an interval; the change itself may add one each way. Where one
-    instance at most owns it, two follow each other within half an interval only at a change of owner.
+    While views differ, each side serves it once an interval; the change itself may add one each way. Where
+    one instance at most owns it, two follow each other within half an interval only at a change of owner.
     """
     if plan.mode == Mode.ONE_OWNER:
         return 2 * len(changes)
--- a/limepath/duties/check.py
+++ b/limepath/duties/check.py
@@ -1,10 +1,11 @@
-"""Model checking of the lease logic: every order of delivery, loss, doubling, pause, expiry and crash, to a depth.
-
-The logic is the program's own (`leases`), two or three instances that all want one slot, all of them voters, their
-clocks apart by the drift that the settings allow. Time goes on only as far as what is done next wants it: an instance
-whose due time passes without a turn is a paused one. It begins where one instance holds the slot. Breadth first, so
-that a trace that breaks the rule is a shortest one. The rule: at no moment do two instances hold the slot, each by its
-own clock.
+"""Model checking of the lease logic: every order of delivery, loss, doubling, pause, expiry and crash, to a
+depth.
+
+The logic is the program's own (`leases`), two or three instances that all want one slot, all of them voters,
+their clocks apart by the drift that the settings allow. Time goes on only as far as what is done next wants
+it: an instance whose due time passes without a turn is a paused one. It begins where one instance holds the
+slot. Breadth first, so that a trace that breaks the rule is a shortest one. The rule: at no moment do two
+instances hold the slot, each by its own clock.
 """
 
 import pickle
@@ -48,8 +49,18 @@
         self.life += 1
         self.agenda = Even(0)
         self.agenda.now = self.clock(now)
-        self.leases = Leases(self.agenda, self.names[self.index], self.index * 100 + self.life, Leasing(
-            tuple(self.names), SPAN, DRIFT, 1), (0,), self.wanted, self.changed, self.reach, self.ceiling, True)
+        self.leases = Leases(
+            self.agenda,
+            self.names[self.index],
+            self.index * 100 + self.life,
+            Leasing(tuple(self.names), SPAN, DRIFT, 1),
+            (0,),
+            self.wanted,
+            self.changed,
+            self.reach,
+            self.ceiling,
+            True,
+        )
         if self.broken:
             self.leases.voter.__class__ = Careless
         self.leases.start()
@@ -103,14 +114,36 @@
         here, leases = self.clock(now), self.leases
         voter, number = leases.voter, leases.round
         return (
-            self.life, self.ceiling, tuple(sorted((lease.epoch, max(-1, lease.until - here)) for lease in leases.held.values())),
-            tuple((number - of, one.sent - here, tuple(one.slots.items()), tuple(sorted(map(tuple, map(sorted, one.votes.values())))))
-                  for of, one in sorted(leases.claims.items())),
-            tuple(leases.seen.items()), tuple(max(0, until - here) for until in leases.blocked.values()),
-            tuple((grant.holder, grant.epoch, max(-1, grant.until - here)) for grant in voter.grants.values()),
-            max(0, voter.mute_until - here), voter.floor,
-            tuple(sorted((when - here, call.__name__, str([number - one if isinstance(one, int) else 0 for one in said]))
-                         for when, _, call, said in self.agenda.due)))
+            self.life,
+            self.ceiling,
+            tuple(sorted((lease.epoch, max(-1, lease.until - here)) for lease in leases.held.values())),
+            tuple(
+                (
+                    number - of,
+                    one.sent - here,
+                    tuple(one.slots.items()),
+                    tuple(sorted(map(tuple, map(sorted, one.votes.values())))),
+                )
+                for of, one in sorted(leases.claims.items())
+            ),
+            tuple(leases.seen.items()),
+            tuple(max(0, until - here) for until in leases.blocked.values()),
+            tuple(
+                (grant.holder, grant.epoch, max(-1, grant.until - here)) for grant in voter.grants.values()
+            ),
+            max(0, voter.mute_until - here),
+            voter.floor,
+            tuple(
+                sorted(
+                    (
+                        when - here,
+                        call.__name__,
+                        str([number - one if isinstance(one, int) else 0 for one in said]),
+                    )
+                    for when, _, call, said in self.agenda.due
+                )
+            ),
+        )
 
 
 class Moment(NamedTuple):
@@ -122,16 +155,36 @@
 
     def mark(self):
         rounds = [one.leases.round for one in self.all]
-        way = tuple(sorted((source, to, door, type(message).__name__, str(
-            (rounds[source if type(message).__name__ == "Claim" else to] - getattr(message, "round", 0), *list(
-                getattr(message, name) for name in message.__struct_fields__ if name != "round"))))
-            for source, to, door, message in self.way))
+        way = tuple(
+            sorted(
+                (
+                    source,
+                    to,
+                    door,
+                    type(message).__name__,
+                    str(
+                        (
+                            rounds[source if type(message).__name__ == "Claim" else to]
+                            - getattr(message, "round", 0),
+                            *list(
+                                getattr(message, name)
+                                for name in message.__struct_fields__
+                                if name != "round"
+                            ),
+                        )
+                    ),
+                )
+                for source, to, door, message in self.way
+            )
+        )
         return hash((tuple(one.mark(self.now) for one in self.all), way, self.doubled, self.crashed))
 
 
 def told(verb, one, names):
     source, to, _, message = one
-    fields = ", ".join(f"{name}={getattr(message, name)}" for name in message.__struct_fields__ if name != "duty")
+    fields = ", ".join(
+        f"{name}={getattr(message, name)}" for name in message.__struct_fields__ if name != "duty"
+    )
     return f"{verb} {type(message).__name__}({fields}) from {names[source]} to {names[to]}"
 
 
@@ -145,20 +198,25 @@
         if key in seen:
             continue
         seen.add(key)
-        rest = moment.way[:at] + moment.way[at + 1:]
+        rest = moment.way[:at] + moment.way[at + 1 :]
         yield told("lose", one, names), moment._replace(way=rest)
         for kept in (False, True) if moment.doubled < DOUBLED else (False,):
             after = pickle.loads(frozen)
             source, to, door, message = after.way[at]
             sent = after.all[to].hear(after.now, source, door, message)
-            way = (after.way if kept else after.way[:at] + after.way[at + 1:]) + tuple(sent)
-            yield told("deliver twice, first" if kept else "deliver", one, names), after._replace(
-                way=way, doubled=after.doubled + kept)
+            way = (after.way if kept else after.way[:at] + after.way[at + 1 :]) + tuple(sent)
+            yield (
+                told("deliver twice, first" if kept else "deliver", one, names),
+                after._replace(way=way, doubled=after.doubled + kept),
+            )
     for index in range(len(names)):
         after = pickle.loads(frozen)
         now = max(after.now, after.all[index].due())
         sent = after.all[index].turn(now)
-        yield f"{names[index]} takes its turn at {now / 1e6:.3f} s", after._replace(now=now, way=after.way + tuple(sent))
+        yield (
+            f"{names[index]} takes its turn at {now / 1e6:.3f} s",
+            after._replace(now=now, way=after.way + tuple(sent)),
+        )
         if moment.crashed < CRASHED:
             after = pickle.loads(frozen)
             after.all[index].begin(after.now, True)
@@ -170,7 +228,9 @@
 
 
 def opening(instances, broken):
-    """The Moment from which to explore: the last instance holds the slot, all messages of that have arrived."""
+    """The Moment from which to explore: the last instance holds the slot, all messages of that have
+    arrived.
+    """
     names = [f"n{index}" for index in range(instances)]
     moment = Moment(0, tuple(One(index, names, broken) for index in range(instances)), (), 0, 0)
     holder = moment.all[-1]
@@ -188,7 +248,9 @@
 
 
 def explored(instances, depth, most, broken=False):
-    """Explore up to `depth` events and `most` states; give the rows and, where the rule breaks, a shortest trace."""
+    """Explore up to `depth` events and `most` states; give the rows and, where the rule breaks, a shortest
+    trace.
+    """
     began, first = time.monotonic(), opening(instances, broken)
     layer, seen, came = [(pickle.dumps(first, 5), None)], {first.mark()}, []
     edges, reached, held, whole = 0, 0, 0, True
@@ -221,9 +283,13 @@
         layer = after
         reached += 1 if whole and not trace else 0
     trace = [f"{first.all[-1].names[-1]} holds the slot at {first.now / 1e6:.3f} s", *trace] if trace else []
-    rows = [Row("instances", instances), Row("states seen", len(seen)), Row("steps tried", edges),
-            Row("states in which one holds the slot", held),
-            Row("events in a row, all orders of them", reached),
-            Row("seconds", round(time.monotonic() - began, 1)),
-            at_most("states in which two hold it", int(bool(trace)), 0)]
+    rows = [
+        Row("instances", instances),
+        Row("states seen", len(seen)),
+        Row("steps tried", edges),
+        Row("states in which one holds the slot", held),
+        Row("events in a row, all orders of them", reached),
+        Row("seconds", round(time.monotonic() - began, 1)),
+        at_most("states in which two hold it", int(bool(trace)), 0),
+    ]
     return Explored(rows, [f"{number}. {said}" for number, said in enumerate(trace, 1)])
--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -1,4 +1,6 @@
-"""Beside a front: the instance's timer, store and datagrams; its rounds are probes, its results the module's reports."""
+"""Beside a front: the instance's timer, store and datagrams; its rounds are probes, its results the module's
+reports.
+"""
 
 import os
 import time
@@ -17,7 +19,9 @@
 
 
 def clock():
-    """Whole microseconds that go on while the machine sleeps: a lease must not outlive a suspended holder's sleep."""
+    """Whole microseconds that go on while the machine sleeps: a lease must not outlive a suspended holder's
+    sleep.
+    """
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
 
 
@@ -26,7 +30,9 @@
 
 
 class Cooperation:
-    """One instance of limepath.duties at one front. `told` is its PeersOpening, `front` the front's Opening."""
+    """One instance of limepath.duties at one front. `told` is its PeersOpening, `front` the front's
+    Opening.
+    """
 
     def __init__(self, reactor, turn, caches, log, told, front):
         self.reactor, self.turn, self.caches, self.log, self.told = reactor, turn, caches, log, told
@@ -36,6 +42,7 @@
             if told.listing:
                 from limepath.listing.interface import MESSAGES as LISTING_MESSAGES
                 from limepath.tallies.interface import MESSAGES as TALLY_MESSAGES
+
                 types += LISTING_MESSAGES + TALLY_MESSAGES
             self.line = Line(reactor, told.listen, told.keys, types, log, self.gather)
         except (Held, Unusable, OSError) as flaw:
@@ -43,14 +50,20 @@
         identity, rows = identity_of(self.store.all(), drawn)
         self.store.put(rows)
         self.found, self.identity = self.store.found, identity
-        me = News(identity.token, told.name, *told.advertise, identity.life << REFUTALS, time.time_ns() // 1000)
-        self.instance = Instance(me, told.seeds, told.spans, told.plans, told.leasing, front.seed,
-                                 identity.ceiling, identity.sure)
+        me = News(
+            identity.token, told.name, *told.advertise, identity.life << REFUTALS, time.time_ns() // 1000
+        )
+        self.instance = Instance(
+            me, told.seeds, told.spans, told.plans, told.leasing, front.seed, identity.ceiling, identity.sure
+        )
         self.kinds = self.kinds_of(front)
         self.members, self.notes, self.called, self.timer, self.over = {}, [], False, None, False
         self.serving, self.asked, self.control, self.looked, self.said = {}, set(), None, clock(), clock()
         self.plain_probe = turn.carriers[c.Probe]
-        self.guests, self.views = [], {"peers": self.shown}  # who hears other messages; what the control socket tells
+        self.guests, self.views = (
+            [],
+            {"peers": self.shown},
+        )  # who hears other messages; what the control socket tells
         self.hearers = []  # who hears what the module is told
         self.counts = {"probes_asked": 0, "probes_shared": 0, "probes_sent": 0, "rounds": 0, "too_late": 0}
         turn.listener = self.overheard
@@ -61,8 +74,12 @@
         place = front.arguments["footprint"]
         upper = {"parents": place.parent_kind, "origin": place.origin_kind}
         caches = set(range(len(front.settings["models"]))) - set(upper.values())
-        return [set().union(*(caches if kind == "caches" else {upper[kind]} for kind in self.told.kinds[plan.name]))
-                for plan in self.told.plans]
+        return [
+            set().union(
+                *(caches if kind == "caches" else {upper[kind]} for kind in self.told.kinds[plan.name])
+            )
+            for plan in self.told.plans
+        ]
 
     def start(self):
         try:
@@ -76,8 +93,14 @@
             self.log.say("store-damaged", "joins as a new instance", put_aside=self.store.aside)
         elif self.found == NEW:
             self.log.say("store-new", "joins as a new instance", store=self.told.store)
-        self.log.say("sharing", name=self.told.name, listening="%s:%d" % self.told.listen,
-                     life=self.identity.life, token=f"{self.identity.token:016x}", duties=len(self.told.plans))
+        self.log.say(
+            "sharing",
+            name=self.told.name,
+            listening="{}:{}".format(*self.told.listen),
+            life=self.identity.life,
+            token=f"{self.identity.token:016x}",
+            duties=len(self.told.plans),
+        )
         self.carry(self.instance.start(clock()))
         self.gather(*self.all_targets())
 
@@ -115,8 +138,13 @@
                 for guest in self.guests:
                     guest.heard(order.sender, order.message)
             elif isinstance(order, GiveWay):
-                self.log.say("gives-way", order.why + "; this front shares nothing any more", name=order.other.name,
-                             other=f"{order.other.host}:{order.other.port}", life=order.other.life)
+                self.log.say(
+                    "gives-way",
+                    order.why + "; this front shares nothing any more",
+                    name=order.other.name,
+                    other=f"{order.other.host}:{order.other.port}",
+                    life=order.other.life,
+                )
                 return self.stop()
             elif isinstance(order, Departed):
                 return self.stop()
@@ -149,7 +177,9 @@
                 self.asked.discard(note.cache)
                 duty = self.serving.pop(note.cache, self.duty_of(note.cache))
                 if duty is not None and note.verdict != c.Verdict.MOOT:
-                    load = {name: float(value) for name, value in list(note.load.items())[:8] if len(name) <= 12}
+                    load = {
+                        name: float(value) for name, value in list(note.load.items())[:8] if len(name) <= 12
+                    }
                     self.gather(Served(duty, note.cache, int(note.verdict), note.took, load))
 
     def duty_of(self, cache):
@@ -169,8 +199,10 @@
         self.gather(*self.all_targets())
 
     def all_targets(self):
-        return [Targets(duty, tuple(cache for cache, kind in self.members.items() if kind in kinds))
-                for duty, kinds in enumerate(self.kinds)]
+        return [
+            Targets(duty, tuple(cache for cache, kind in self.members.items() if kind in kinds))
+            for duty, kinds in enumerate(self.kinds)
+        ]
 
     def serve(self, order):
         if order.until and clock() >= order.until:
@@ -239,6 +271,9 @@
         """What `limepath peers show` asks for."""
         self.instance.agenda.now = clock()
         view = self.instance.view()._asdict()
-        view["counts"] |= self.counts | {"datagrams_sent": self.line.sent} | {
-            f"datagrams {kind}": count for kind, count in self.line.guard.counts.items()}
+        view["counts"] |= (
+            self.counts
+            | {"datagrams_sent": self.line.sent}
+            | {f"datagrams {kind}": count for kind, count in self.line.guard.counts.items()}
+        )
         return view
--- a/limepath/duties/instance.py
+++ b/limepath/duties/instance.py
@@ -1,4 +1,5 @@
-"""One instance whole: membership and duties in one `handle`, for the host, the virtual-time run and the drill alike.
+"""One instance whole: membership and duties in one `handle`, for the host, the virtual-time run and the drill
+alike.
 
 Notes in are those of `peers.interface` and `duties.interface`; orders out too. Free of I/O.
 """
@@ -7,8 +8,18 @@
 from typing import NamedTuple
 
 from limepath.agenda import Agenda
-from limepath.duties.interface import (AskEpochs, Claim, Epochs, Mode, Reach, Release, Results, Served, Targets,
-                                       Vote)
+from limepath.duties.interface import (
+    AskEpochs,
+    Claim,
+    Epochs,
+    Mode,
+    Reach,
+    Release,
+    Results,
+    Served,
+    Targets,
+    Vote,
+)
 from limepath.duties.learnt import Learnt
 from limepath.duties.leases import Leases
 from limepath.duties.ring import Ring, key_of
@@ -72,11 +83,33 @@
         self.came, self.went, self.divided = [], [], None
         leased = [duty for duty, plan in enumerate(plans) if plan.mode == Mode.ONE_OWNER]
         self.slot_keys = [(key_of(slot + 1), slot) for slot in range(leasing.slots)]
-        self.leases = Leases(self.agenda, me.name, me.door, leasing, leased, self.wanted, self.lease_changed,
-                             self.to_voter, ceiling, sure) if leased else None
-        self.shares = [Shares(self.agenda, duty, plan, leasing.slots, self.leases) for duty, plan in enumerate(plans)]
-        self.learnt = Learnt(self.agenda, me.token, [plan.interval for plan in plans], leasing,
-                             lambda: self.members.ring, self.members.is_live)
+        self.leases = (
+            Leases(
+                self.agenda,
+                me.name,
+                me.door,
+                leasing,
+                leased,
+                self.wanted,
+                self.lease_changed,
+                self.to_voter,
+                ceiling,
+                sure,
+            )
+            if leased
+            else None
+        )
+        self.shares = [
+            Shares(self.agenda, duty, plan, leasing.slots, self.leases) for duty, plan in enumerate(plans)
+        ]
+        self.learnt = Learnt(
+            self.agenda,
+            me.token,
+            [plan.interval for plan in plans],
+            leasing,
+            lambda: self.members.ring,
+            self.members.is_live,
+        )
         self.looped, self.counts, self.slots_wanted = [], Counter(), None
 
     # The host's side
@@ -122,7 +155,9 @@
     # Inside
 
     def settle(self, now, orders):
-        """Take the orders of the membership in turn, then do what the duties have due, until nothing is left."""
+        """Take the orders of the membership in turn, then do what the duties have due, until nothing is
+        left.
+        """
         out = []
         self.agenda.now = now
         while True:
@@ -241,25 +276,51 @@
         members, now = self.members, self.agenda.now
         duties = []
         for share in self.shares:
-            told = {"name": share.plan.name, "mode": share.plan.mode.name.lower().replace("_", "-"),
-                    "interval_us": share.plan.interval, "targets": len(share.keyed), "owned": len(share.rounds.owned)}
+            told = {
+                "name": share.plan.name,
+                "mode": share.plan.mode.name.lower().replace("_", "-"),
+                "interval_us": share.plan.interval,
+                "targets": len(share.keyed),
+                "owned": len(share.rounds.owned),
+            }
             if share.plan.mode == Mode.ONE_OWNER:
-                told["slots"] = {slot: self.leases.held[share.duty, slot].epoch
-                                 for slot in sorted(self.leases.slots_held(share.duty))}
+                told["slots"] = {
+                    slot: self.leases.held[share.duty, slot].epoch
+                    for slot in sorted(self.leases.slots_held(share.duty))
+                }
                 told["epoch"] = max(told["slots"].values(), default=0)
             duties.append(told)
         rows = [members.me, *members.table.values()]
         voter = self.leases.voter if self.leases else None
         return View(
-            {"name": members.me.name, "token": f"{members.me.token:016x}", "life": members.me.life,
-             "incarnation": members.me.incarnation, "joined": not members.joining, "leaving": self.leaving,
-             "votes": voter.votes() if voter else False, "epoch_ceiling": voter.ceiling if voter else 0, "now_us": now},
-            [{"name": row.name, "token": f"{row.token:016x}", "address": f"{row.host}:{row.port}",
-              "state": members_state(row), "incarnation": row.incarnation, "life": row.life} for row in sorted(
-                  rows, key=lambda row: (row.name, row.token))],
+            {
+                "name": members.me.name,
+                "token": f"{members.me.token:016x}",
+                "life": members.me.life,
+                "incarnation": members.me.incarnation,
+                "joined": not members.joining,
+                "leaving": self.leaving,
+                "votes": voter.votes() if voter else False,
+                "epoch_ceiling": voter.ceiling if voter else 0,
+                "now_us": now,
+            },
+            [
+                {
+                    "name": row.name,
+                    "token": f"{row.token:016x}",
+                    "address": f"{row.host}:{row.port}",
+                    "state": members_state(row),
+                    "incarnation": row.incarnation,
+                    "life": row.life,
+                }
+                for row in sorted(rows, key=lambda row: (row.name, row.token))
+            ],
             duties,
-            members.counts | {"view": len(members.ring) + 1} | {f"results {k}": v for k, v in self.learnt.counts.items()}
-            | {"rounds missed": sum(share.rounds.missed for share in self.shares)})
+            members.counts
+            | {"view": len(members.ring) + 1}
+            | {f"results {k}": v for k, v in self.learnt.counts.items()}
+            | {"rounds missed": sum(share.rounds.missed for share in self.shares)},
+        )
 
 
 def members_state(news):
--- a/limepath/duties/interface.py
+++ b/limepath/duties/interface.py
@@ -1,6 +1,7 @@
 """The interface of the duties: plans at start, notes in, orders out, and the messages between instances.
 
-Times are whole microseconds of the instance's own monotonic clock. A target is an integer, the same everywhere.
+Times are whole microseconds of the instance's own monotonic clock. A target is an integer, the same
+everywhere.
 """
 
 from enum import IntEnum
@@ -25,8 +26,9 @@
 
 
 class Leasing(NamedTuple):
-    """`voters` are names, fixed: a majority is counted of them. Clocks run apart by `drift` of a span at most.
-    Results are passed on every `batch`, to `copies` others at a time."""
+    """`voters` are names, fixed: a majority is counted of them. Clocks run apart by `drift` of a span at
+    most. Results are passed on every `batch`, to `copies` others at a time.
+    """
 
     voters: tuple = ()
     span: int = 3_000_000
@@ -65,7 +67,9 @@
 
 
 class Vote(Message, tag="v"):
-    """Granted slots, and of those turned down (slot, the epoch that is in the way, what is left of its lease)."""
+    """Granted slots, and of those turned down (slot, the epoch that is in the way, what is left of its
+    lease).
+    """
 
     duty: int
     round: int
@@ -143,6 +147,8 @@
 
 
 class Keep(NamedTuple):
-    """Write the ceiling of epochs to the store, and have it there before anything after this order is done."""
+    """Write the ceiling of epochs to the store, and have it there before anything after this order is
+    done.
+    """
 
     ceiling: int
--- a/limepath/duties/learnt.py
+++ b/limepath/duties/learnt.py
@@ -1,8 +1,9 @@
-"""What serving a target told, shared: a result goes to all, with its age and its prober, newest of each target kept.
+"""What serving a target told, shared: a result goes to all, with its age and its prober, newest of each
+target kept.
 
-Up to NEARBY others get it from its prober alone, twice. Beyond that it spreads as an epidemic: whoever hears it new
-passes it on in ROUNDS batches, then no more (Demers et al. 1987; with 2 x 2 sends a part of exp(-4) misses it). Who
-misses it asks for a probe if it wants one; the next interval brings the next.
+Up to NEARBY others get it from its prober alone, twice. Beyond that it spreads as an epidemic: whoever hears
+it new passes it on in ROUNDS batches, then no more (Demers et al. 1987; with 2 x 2 sends a part of exp(-4)
+misses it). Who misses it asks for a probe if it wants one; the next interval brings the next.
 """
 
 from collections import Counter
@@ -68,7 +69,7 @@
                 said.append(held[0][0]._replace(age=now - held[0][1]))
         others = live if len(live) <= NEARBY else self.agenda.some(live, min(self.leasing.copies, len(live)))
         for at in range(0, len(said), CARRIED):
-            message = Results(tuple(said[at:at + CARRIED]))
+            message = Results(tuple(said[at : at + CARRIED]))
             for token in others:
                 self.agenda.order(Reach(token, message))
         self.agenda.at(now + self.leasing.batch, self.flush)
@@ -79,7 +80,9 @@
         for result in results:
             duty, target, prober, serial, age, *_ = result
             held = known.get((duty, target))
-            if held and (held[0][0][2:4] == (prober, serial) or self.is_known(held, prober, serial, now - age, duty)):
+            if held and (
+                held[0][0][2:4] == (prober, serial) or self.is_known(held, prober, serial, now - age, duty)
+            ):
                 counts["known"] += 1  # most are, where it spreads as an epidemic
             elif not 0 <= result.duty < len(self.intervals) or result.age < 0:
                 counts["unknown duty"] += 1
@@ -109,19 +112,25 @@
         return False
 
     def answer(self, target, oldest):
-        """The shared result that serves one who asks for a probe and takes an answer learnt within `oldest`, or None.
+        """The shared result that serves one who asks for a probe and takes an answer learnt within `oldest`,
+        or None.
 
         A failure that one prober alone has met may be of its own way there; it does not serve.
         """
         now, fresh = self.agenda.now, []
         for duty, interval in enumerate(self.intervals):
-            fresh += [(result, at) for result, at in self.known.get((duty, target), ())
-                      if now - at < min(interval, oldest) and self.is_live(result.prober)]
+            fresh += [
+                (result, at)
+                for result, at in self.known.get((duty, target), ())
+                if now - at < min(interval, oldest) and self.is_live(result.prober)
+            ]
         if not fresh:
             return None
         result, at = max(fresh, key=lambda kept: kept[1])
-        if result.verdict != Verdict.RETURNED and sum(
-                other.verdict != Verdict.RETURNED for other, _ in fresh) < AGREED:
+        if (
+            result.verdict != Verdict.RETURNED
+            and sum(other.verdict != Verdict.RETURNED for other, _ in fresh) < AGREED
+        ):
             return None
         return result._replace(age=now - at)
 
--- a/limepath/duties/leases.py
+++ b/limepath/duties/leases.py
@@ -1,11 +1,12 @@
 """At most one owner: leases on slots of targets, granted by a majority of fixed voters, with epochs.
 
-As Gray and Cheriton's leases (1989), with the majority of Paxos in place of one server. A voter's grant counts from
-when the claim came, the holder's lease from when the claim was sent and by `drift` less: it ends first, whatever
-wall clocks do. An epoch is granted to one holder only and above all that were granted before. What must survive a
-crash is the ceiling of epochs: it is kept in blocks, before any grant above it. A voter that has just started grants
-nothing for a span, since its former life may have; one whose store is new or lost grants nothing either until it has
-learnt from so many others that every majority is among them. Free of I/O.
+As Gray and Cheriton's leases (1989), with the majority of Paxos in place of one server. A voter's grant
+counts from when the claim came, the holder's lease from when the claim was sent and by `drift` less: it ends
+first, whatever wall clocks do. An epoch is granted to one holder only and above all that were granted before.
+What must survive a crash is the ceiling of epochs: it is kept in blocks, before any grant above it. A voter
+that has just started grants nothing for a span, since its former life may have; one whose store is new or
+lost grants nothing either until it has learnt from so many others that every majority is among them. Free of
+I/O.
 """
 
 from limepath.duties.interface import AskEpochs, Claim, Epochs, Keep, Release, Vote
@@ -131,11 +132,19 @@
 
 
 class Leases:
-    """Holder and voter of one instance. `wanted(duty)` gives the slots that it should hold as it sees the view;
-    `changed(duty)` is called when what it holds has changed; `reach(name, message)` sends to a voter."""
+    """Holder and voter of one instance. `wanted(duty)` gives the slots that it should hold as it sees the
+    view; `changed(duty)` is called when what it holds has changed; `reach(name, message)` sends to a
+    voter.
+    """
 
     def __init__(self, agenda, name, door, leasing, duties, wanted, changed, reach, ceiling=0, sure=True):
-        self.agenda, self.name, self.door, self.leasing, self.duties = agenda, name, door, leasing, tuple(duties)
+        self.agenda, self.name, self.door, self.leasing, self.duties = (
+            agenda,
+            name,
+            door,
+            leasing,
+            tuple(duties),
+        )
         self.wanted, self.changed, self.reach = wanted, changed, reach
         others = [voter for voter in leasing.voters if voter != name]
         self.voter = Voter(agenda, leasing, others, ceiling, sure) if name in leasing.voters else None
@@ -159,7 +168,9 @@
         return {slot for (of, slot), lease in self.held.items() if of == duty and now < lease.until}
 
     def claim(self):
-        """Go on with what is held and still ours, claim what is ours and free, give back what is another's."""
+        """Go on with what is held and still ours, claim what is ours and free, give back what is
+        another's.
+        """
         if self.leaving:
             return
         now = self.agenda.now
@@ -220,7 +231,9 @@
             if slot in one.slots:
                 key = vote.duty, slot
                 self.seen[key] = max(epoch, self.seen.get(key, 0))
-                self.blocked[key] = max(self.blocked.get(key, 0), self.agenda.now + min(left, self.leasing.span))
+                self.blocked[key] = max(
+                    self.blocked.get(key, 0), self.agenda.now + min(left, self.leasing.span)
+                )
         fresh, until = False, one.sent + held_for(self.leasing)
         for slot in vote.granted:
             if slot not in one.slots:
--- a/limepath/duties/ring.py
+++ b/limepath/duties/ring.py
@@ -1,7 +1,8 @@
 """Whose a target or slot is: a consistent hash ring over the live instances, the same for the same view.
 
-Each instance stands at POINTS places; the next place clockwise of a target's key is its owner's. One instance more
-or less moves only what is its own. A ring is never changed; `plus` and `minus` give another, kept by its members.
+Each instance stands at POINTS places; the next place clockwise of a target's key is its owner's. One instance
+more or less moves only what is its own. A ring is never changed; `plus` and `minus` give another, kept by its
+members.
 """
 
 from bisect import bisect_left, bisect_right
@@ -92,9 +93,11 @@
                 return found  # it is not on this ring
             below = self.places[at - 1] if at else self.places[-1]
             if at:
-                found += keyed[bisect_right(keyed, (below, MIX)):bisect_right(keyed, (place, MIX))]
+                found += keyed[bisect_right(keyed, (below, MIX)) : bisect_right(keyed, (place, MIX))]
             else:
-                found += keyed[bisect_right(keyed, (below, MIX)):] + keyed[:bisect_right(keyed, (place, MIX))]
+                found += (
+                    keyed[bisect_right(keyed, (below, MIX)) :] + keyed[: bisect_right(keyed, (place, MIX))]
+                )
         return [target for _, target in found]
 
 
--- a/limepath/duties/rounds.py
+++ b/limepath/duties/rounds.py
@@ -1,7 +1,7 @@
 """When each own target is due: spread over the interval, handed over without a gap, never made up in a heap.
 
-A target that another instance has served is due an interval later. One that is overdue when it is taken over, or
-after this instance stood still, is due within half an interval, at a place of its own.
+A target that another instance has served is due an interval later. One that is overdue when it is taken over,
+or after this instance stood still, is due within half an interval, at a place of its own.
 """
 
 from limepath.agenda import mixed
@@ -9,7 +9,9 @@
 
 LATE = 4  # a part of the interval by which a round may be late before it counts as missed
 CATCH_UP = 2  # a part of the interval over which missed rounds are spread
-PRESSED = 8  # the same for what has been overdue for long, so that what goes to and fro is served all the same
+PRESSED = (
+    8  # the same for what has been overdue for long, so that what goes to and fro is served all the same
+)
 
 
 class Rounds:
--- a/limepath/duties/saving.py
+++ b/limepath/duties/saving.py
@@ -1,7 +1,9 @@
-"""What sharing saves the caches: many fronts with the real decision module, in virtual time, before one silent cache.
+"""What sharing saves the caches: many fronts with the real decision module, in virtual time, before one
+silent cache.
 
-Three ways: as the module does by itself (probes on suspicion only), each front for itself (every front probes every
-cache in each interval), and shared. Counted are the probes that caches see, and the GETs that meet the silent cache.
+Three ways: as the module does by itself (probes on suspicion only), each front for itself (every front probes
+every cache in each interval), and shared. Counted are the probes that caches see, and the GETs that meet the
+silent cache.
 """
 
 from typing import NamedTuple
@@ -18,8 +20,21 @@
 PATIENCE, PROBE = 2 * SECOND, 250_000
 WORK = 40_000  # of a GET at a cache
 SERVICE = c.DeliveryService(
-    objective=600_000, stretch=1.6, viewer_timeout=PATIENCE, revenue=1.0, late_share=0.2, repeats=c.Repeats.IDEMPOTENT,
-    scope=c.Scope.ALL, window=SECOND, streamed=False, fresh=0, grace=0, stale_share=0.0, uncacheable=False, segmented=False)
+    objective=600_000,
+    stretch=1.6,
+    viewer_timeout=PATIENCE,
+    revenue=1.0,
+    late_share=0.2,
+    repeats=c.Repeats.IDEMPOTENT,
+    scope=c.Scope.ALL,
+    window=SECOND,
+    streamed=False,
+    fresh=0,
+    grace=0,
+    stale_share=0.0,
+    uncacheable=False,
+    segmented=False,
+)
 
 
 class Saved(NamedTuple):
@@ -35,15 +50,23 @@
     """A world whose nodes each have a front. The silent cache is target 1, between two moments."""
 
     def __init__(self, way, fronts, caches, interval, rate, seed):
-        super().__init__(fronts, caches, (Plan("probe", Mode.AT_LEAST_ONCE, interval),), Spans(), Leasing(), seed)
+        super().__init__(
+            fronts, caches, (Plan("probe", Mode.AT_LEAST_ONCE, interval),), Spans(), Leasing(), seed
+        )
         self.way, self.rate = way, rate
         self.silent, self.seen, self.met, self.gets = (20 * SECOND, 40 * SECOND), {}, 0, 0
-        self.fronts = [Front(
-            seed=seed + index, services=(SERVICE,),
-            footprint=c.Footprint(0, (0,), (), fronts, fronts, 2, 3, 0.0, False),
-            allowance=c.Allowance(6, False, True, True, False, SECOND, True, False, "none", False),
-            cache_warmup=c.Warmup(1.0, 1, 2.0, SECOND), parent_warmup=c.Warmup(1.0, 1, 2.0, SECOND),
-            grace=c.Grace(8000, SECOND, 0, 0, 0)) for index in range(fronts)]
+        self.fronts = [
+            Front(
+                seed=seed + index,
+                services=(SERVICE,),
+                footprint=c.Footprint(0, (0,), (), fronts, fronts, 2, 3, 0.0, False),
+                allowance=c.Allowance(6, False, True, True, False, SECOND, True, False, "none", False),
+                cache_warmup=c.Warmup(1.0, 1, 2.0, SECOND),
+                parent_warmup=c.Warmup(1.0, 1, 2.0, SECOND),
+                grace=c.Grace(8000, SECOND, 0, 0, 0),
+            )
+            for index in range(fronts)
+        ]
         self.asked, self.wakes, self.out = [set() for _ in range(fronts)], [None] * fronts, {}
 
     def open(self, preset=True):
@@ -79,8 +102,11 @@
                     self.ended(index, forward, c.Verdict.CANCELLED, SECOND)
             elif isinstance(order, c.Probe):
                 self.probe(index, order)
-            elif isinstance(order, c.Wake) and (self.wakes[index] is None or self.wakes[index] <= self.now
-                                                or self.now + order.delay < self.wakes[index]):
+            elif isinstance(order, c.Wake) and (
+                self.wakes[index] is None
+                or self.wakes[index] <= self.now
+                or self.now + order.delay < self.wakes[index]
+            ):
                 self.wakes[index] = self.now + order.delay
                 self.at(self.wakes[index], self.wake, index, self.wakes[index])
 
@@ -91,7 +117,10 @@
 
     def get(self, index):
         self.gets += 1
-        self.tell(index, c.Get(self.gets, 0, 0, 1 + self.chance.randrange(10_000), PATIENCE, 0.0, 0, 0, False, False))
+        self.tell(
+            index,
+            c.Get(self.gets, 0, 0, 1 + self.chance.randrange(10_000), PATIENCE, 0.0, 0, 0, False, False),
+        )
         self.at(self.now + int(self.chance.expovariate(self.rate) * SECOND) + 1, self.get, index)
 
     def ended(self, index, order, verdict, took):
--- a/limepath/duties/simulate.py
+++ b/limepath/duties/simulate.py
@@ -2,6 +2,7 @@
 
 import gc
 from bisect import bisect_left
+from itertools import pairwise
 from random import Random
 from statistics import median
 from typing import NamedTuple
@@ -14,8 +15,20 @@
 from limepath.verdicts import Row, at_most, seconds
 
 SECOND = 1_000_000
-KINDS = ("kill", "pause", "halves", "minority", "one-way", "rolling", "all", "flapping", "lost-store", "wall-step",
-         "leave", "targets")
+KINDS = (
+    "kill",
+    "pause",
+    "halves",
+    "minority",
+    "one-way",
+    "rolling",
+    "all",
+    "flapping",
+    "lost-store",
+    "wall-step",
+    "leave",
+    "targets",
+)
 
 
 MANY, VAST = 50, 400  # instances beyond which a day has two kinds of fault, or one
@@ -47,8 +60,13 @@
         kind, length = left.pop(), chance.randrange(8, 30) * SECOND
         one = chance.randrange(instances)
         some = tuple(chance.sample(range(instances), max(1, instances // (2 if kind == "halves" else 3))))
-        who = some if kind in ("halves", "minority", "one-way") else tuple(range(instances)) if kind in (
-            "all", "rolling") else (one,)
+        who = (
+            some
+            if kind in ("halves", "minority", "one-way")
+            else tuple(range(instances))
+            if kind in ("all", "rolling")
+            else (one,)
+        )
         if kind == "all":
             length = SECOND
         if kind == "rolling":
@@ -150,7 +168,9 @@
         self.look()
 
     def look(self, lost=False):
-        """Note whether the duties can be done at all now, and, where some were lost, how many ring neighbours at once."""
+        """Note whether the duties can be done at all now, and, where some were lost, how many ring neighbours
+        at once.
+        """
         world = self.world
         runs = {node.index for node in world.nodes if node.instance and not node.paused}
         able = bool(runs)
@@ -202,16 +222,19 @@
         times = [at for at, _ in world.serves.get((0, target), ())]
         serves += len(times)
         marks = [born, *times, gone]
-        for since_last, until in zip(marks, marks[1:]):
+        for since_last, until in pairwise(marks):
             longest = max(longest, until - since_last - covered(day.unable, since_last, until))
-        twice = [until for before, until in zip(times, times[1:]) if until - before < plan.interval // 2]
+        twice = [until for before, until in pairwise(times) if until - before < plan.interval // 2]
         most = max(most, len(twice))
         undisturbed_doubles += sum(not any(a <= at <= b for a, b in disturbed) for at in twice)
     took = taken_over(day, bound)
     span = (day.end - since) / SECOND
     rows += [
-        Row("instances", live), Row("targets", len(world.targets)), Row("interval, s", seconds(plan.interval)),
-        Row("time, s", round(span, 1)), Row("faults", len(day.faults)),
+        Row("instances", live),
+        Row("targets", len(world.targets)),
+        Row("interval, s", seconds(plan.interval)),
+        Row("time, s", round(span, 1)),
+        Row("faults", len(day.faults)),
         Row("ring neighbours away at once, most", day.together),
         Row("rounds served", serves),
         at_most("longest gap, s", seconds(longest), seconds(gap_bound)),
@@ -220,15 +243,23 @@
         at_most("rounds at targets gone, after the grace", world.after_gone, 0),
     ]
     if plan.mode == Mode.ONE_OWNER:
-        rows += [at_most("moments at which two held one slot", len(world.both_held), 0),
-                 Row("rounds turned away for an older epoch", world.turned_away)]
+        rows += [
+            at_most("moments at which two held one slot", len(world.both_held), 0),
+            Row("rounds turned away for an older epoch", world.turned_away),
+        ]
     rows += [
         Row("take-over, median, s", seconds(int(median(took))) if took else None),
-        at_most("take-over, worst, s", seconds(max(took, default=0)), seconds(
-            bound.take_over + (gap_bound - bound.gap))),
+        at_most(
+            "take-over, worst, s",
+            seconds(max(took, default=0)),
+            seconds(bound.take_over + (gap_bound - bound.gap)),
+        ),
         Row("declared dead though alive", len(world.false_deaths)),
         Row("messages per instance and second", round(world.messages / live / span, 2)),
-        Row("bytes per instance and second", round(world.bytes / max(1, world.sampled) * world.messages / live / span)),
+        Row(
+            "bytes per instance and second",
+            round(world.bytes / max(1, world.sampled) * world.messages / live / span),
+        ),
         Row("gave way", len(world.gave_way)),
         Row("views agree at the end", world.views_agree(), True, world.views_agree()),
     ]
@@ -247,15 +278,30 @@
     return took
 
 
-def simulated(instances=5, targets=100, mode=Mode.AT_LEAST_ONCE, interval=5 * SECOND, length=None, seed=1, loss=0.0,
-              doubled=0.0, late=0.0, kinds=None, voters=5, spans=Spans(), leasing=Leasing(), cold=False):
+def simulated(
+    instances=5,
+    targets=100,
+    mode=Mode.AT_LEAST_ONCE,
+    interval=5 * SECOND,
+    length=None,
+    seed=1,
+    loss=0.0,
+    doubled=0.0,
+    late=0.0,
+    kinds=None,
+    voters=5,
+    spans=Spans(),
+    leasing=Leasing(),
+    cold=False,
+):
     """Run a day; give its Findings. `cold` starts with instances that do not know each other yet.
 
     `kinds` None: every kind; beyond MANY instances two of them, beyond VAST one, drawn by the seed.
     """
     if kinds is None:
-        kinds = KINDS if instances <= MANY else tuple(
-            Random(seed).sample(KINDS, 1 if instances > VAST else 2))
+        kinds = (
+            KINDS if instances <= MANY else tuple(Random(seed).sample(KINDS, 1 if instances > VAST else 2))
+        )
     leasing = leasing._replace(voters=tuple(f"n{index}" for index in range(min(instances, voters))))
     plan = Plan("probe", mode, interval)
     settle = bounds(spans, plan, leasing, instances).disagreement
@@ -268,7 +314,7 @@
     world.open(not cold)
     day.look()
     collecting = gc.isenabled()
-    gc.disable()  # what a large fleet holds is looked through again and again otherwise; there are no cycles to speak of
+    gc.disable()  # a large fleet's objects would be scanned over and over; there are next to no cycles
     try:
         world.run(end)
     finally:
--- a/limepath/duties/world.py
+++ b/limepath/duties/world.py
@@ -1,7 +1,9 @@
-"""Many instances in virtual time: one seed, one history. The logic is that of the real program, the network is not.
+"""Many instances in virtual time: one seed, one history. The logic is that of the real program, the network
+is not.
 
-Each instance has a clock of its own (offset, drift) and a store that outlives it. The network delays, loses, doubles
-and reorders by chance, and is cut by faults. What is counted is what the targets see and who holds which lease.
+Each instance has a clock of its own (offset, drift) and a store that outlives it. The network delays, loses,
+doubles and reorders by chance, and is cut by faults. What is counted is what the targets see and who holds
+which lease.
 """
 
 from heapq import heappop, heappush
@@ -19,7 +21,9 @@
 
 
 class Network:
-    """Loss, doubling and late ones are shares of one; `cuts` are pairs (from, to) of sets that don't get through."""
+    """Loss, doubling and late ones are shares of one; `cuts` are pairs (from, to) of sets that don't get
+    through.
+    """
 
     def __init__(self, chance, loss=0.0, doubled=0.0, late=0.0):
         self.chance, self.loss, self.doubled, self.late, self.cuts = chance, loss, doubled, late, {}
@@ -45,7 +49,7 @@
 
     def __init__(self, world, index):
         self.world, self.index, self.name = world, index, f"n{index}"
-        self.offset, self.rate = world.chance.randrange(10 ** 12), 1 + world.chance.uniform(-1, 1) * world.drift
+        self.offset, self.rate = world.chance.randrange(10**12), 1 + world.chance.uniform(-1, 1) * world.drift
         self.store = {"token": world.chance.getrandbits(63), "life": 0, "ceiling": 0, "sure": False}
         self.instance, self.paused, self.queue, self.wake_at, self.gave_way = None, False, [], None, None
         self.holding = {}
@@ -59,10 +63,24 @@
     def start(self, seeds):
         world = self.world
         self.store["life"] += 1
-        me = News(self.store["token"], self.name, str(self.index), PORT, self.store["life"] << REFUTALS,
-                  world.now + world.wall_step)
-        self.instance = Instance(me, seeds, world.spans, world.plans, world.leasing, world.chance.getrandbits(32),
-                                 self.store["ceiling"], self.store["sure"])
+        me = News(
+            self.store["token"],
+            self.name,
+            str(self.index),
+            PORT,
+            self.store["life"] << REFUTALS,
+            world.now + world.wall_step,
+        )
+        self.instance = Instance(
+            me,
+            seeds,
+            world.spans,
+            world.plans,
+            world.leasing,
+            world.chance.getrandbits(32),
+            self.store["ceiling"],
+            self.store["sure"],
+        )
         self.queue, self.paused, self.wake_at = [], False, None
         return me
 
@@ -108,8 +126,13 @@
             elif isinstance(order, Departed):
                 return self.stop()
         if world.leased:
-            self.note_leases({key: self.world_time(lease.until) for key, lease in self.instance.leases.held.items()
-                              if lease.until > self.clock()})
+            self.note_leases(
+                {
+                    key: self.world_time(lease.until)
+                    for key, lease in self.instance.leases.held.items()
+                    if lease.until > self.clock()
+                }
+            )
         if (due := self.instance.next()) is not None:
             due = max(world.now + 1, self.world_time(due))
             if self.wake_at is None or due < self.wake_at or self.wake_at <= world.now:
@@ -135,7 +158,9 @@
 
 
 class World:
-    def __init__(self, instances, targets, plans, spans, leasing, seed, loss=0.0, doubled=0.0, late=0.0, drift=1e-4):
+    def __init__(
+        self, instances, targets, plans, spans, leasing, seed, loss=0.0, doubled=0.0, late=0.0, drift=1e-4
+    ):
         self.chance, self.now, self.serial, self.calendar = Random(seed), 0, 0, []
         self.plans, self.spans, self.leasing, self.drift = plans, spans, leasing, drift
         self.leased = any(plan.mode == Mode.ONE_OWNER for plan in plans)
@@ -171,15 +196,21 @@
 
     def restart(self, index):
         node = self.nodes[index]
-        node.start([(str(seed), PORT) for seed in range(min(3, len(self.nodes))) if seed != index] or [("0", PORT)])
+        node.start(
+            [(str(seed), PORT) for seed in range(min(3, len(self.nodes))) if seed != index] or [("0", PORT)]
+        )
         node.begin()
 
     def said(self, order):
         """A death is false where that instance runs, in that very life."""
         if order.event == "peer-dead":
             node = self.nodes[int(order.fields["peer"][1:])]
-            if node.instance and not node.paused and node.store["life"] == order.fields["incarnation"] >> REFUTALS and (
-                    not self.network.cuts):
+            if (
+                node.instance
+                and not node.paused
+                and node.store["life"] == order.fields["incarnation"] >> REFUTALS
+                and (not self.network.cuts)
+            ):
                 self.false_deaths.append((self.now, node.index))
 
     def send(self, node, me, order):
@@ -225,11 +256,17 @@
             self.targets[target] = self.born[target] = self.now
         now_all = tuple(self.targets)
         for node in self.nodes:
-            self.at(self.now + int(self.chance.random() * 200_000), node.hear,
-                    [Targets(duty, now_all) for duty in range(len(self.plans))])
+            self.at(
+                self.now + int(self.chance.random() * 200_000),
+                node.hear,
+                [Targets(duty, now_all) for duty in range(len(self.plans))],
+            )
 
     def views_agree(self):
         """Whether all that live see exactly those that live."""
         live = {node.store["token"] for node in self.nodes if node.instance and not node.paused}
-        return all(set(node.instance.members.ring) | {node.store["token"]} == live
-                   for node in self.nodes if node.instance and not node.paused)
+        return all(
+            set(node.instance.members.ring) | {node.store["token"]} == live
+            for node in self.nodes
+            if node.instance and not node.paused
+        )
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -14,9 +14,16 @@
 from limepath.front.turn import clock, unix_clock
 from limepath.opening_values import LOAD_NAMES
 
-VERDICTS = {b"DONE": c.Verdict.RETURNED, b"KEEP": c.Verdict.RETURNED, b"LACK": c.Verdict.MISS,
-            b"WAIT": c.Verdict.FULL, b"BROKE": c.Verdict.ERRORED, b"PAST": c.Verdict.MOOT,
-            b"FIT": c.Verdict.RETURNED, b"UNFIT": c.Verdict.FULL}
+VERDICTS = {
+    b"DONE": c.Verdict.RETURNED,
+    b"KEEP": c.Verdict.RETURNED,
+    b"LACK": c.Verdict.MISS,
+    b"WAIT": c.Verdict.FULL,
+    b"BROKE": c.Verdict.ERRORED,
+    b"PAST": c.Verdict.MOOT,
+    b"FIT": c.Verdict.RETURNED,
+    b"UNFIT": c.Verdict.FULL,
+}
 PROBE_WORDS = (b"FIT", b"UNFIT", b"WAIT")  # a probe, too, may find no room
 FORWARD_WORDS = (b"DONE", b"KEEP", b"LACK", b"WAIT", b"BROKE", b"PAST")
 HOW = (("join", "join"), ("held", "held_only"), ("nocopy", "no_copy_above"), ("renew", "renew"))
@@ -76,14 +83,27 @@
 class Flight:
     """One forward on its way."""
 
-    __slots__ = ("get", "number", "order", "at", "limit", "connection", "tag", "timer", "end",
-                 "source", "send_by")
+    __slots__ = (
+        "get",
+        "number",
+        "order",
+        "at",
+        "limit",
+        "connection",
+        "tag",
+        "timer",
+        "end",
+        "source",
+        "send_by",
+    )
 
     def __init__(self, get, order, name_of, wait):
         self.get, self.order, self.number, self.tag = get, order, get.sent, get.txn
         self.source = b"" if order.source == order.cache else name_of[order.source]
         self.at, self.connection, self.timer = clock(), None, None
-        self.send_by = self.at + min(wait, order.within or wait)  # what its rules let it wait, wherever it does
+        self.send_by = self.at + min(
+            wait, order.within or wait
+        )  # what its rules let it wait, wherever it does
         self.limit = min(get.due, self.at + order.limit) if order.limit else get.due
 
     def words(self):
@@ -135,7 +155,10 @@
     def __init__(self, peer):
         self.peer, self.out, self.past, self.queued = peer, {}, deque(maxlen=peer.limits.past), 0
         self.leads_to = (peer.address, peer.since)
-        self.buffer, self.answer = bytearray(), None  # of what is unfinished, the bytes and the first line as read
+        self.buffer, self.answer = (
+            bytearray(),
+            None,
+        )  # of what is unfinished, the bytes and the first line as read
         self.state, self.full, self.silent, self.heard = State.CONNECTING, False, False, clock()
 
     def connectionMade(self):
@@ -156,12 +179,21 @@
     def takes(self, tag):
         """Whether one more may go out here; a second or late answer to an id that was out here before could
         be taken for its next forward's."""
-        return (self.state is State.OPEN and not (self.full or self.silent or self.stray()) and tag not in self.out
-                and tag not in self.past and len(self.out) < self.peer.limits.streams)
+        return (
+            self.state is State.OPEN
+            and not (self.full or self.silent or self.stray())
+            and tag not in self.out
+            and tag not in self.past
+            and len(self.out) < self.peer.limits.streams
+        )
 
     def stray(self):
-        """Whether bytes have come here that belong to nothing out: the next answer would be read behind them."""
-        return bool(self.buffer or self.answer) and (not self.out or bool(self.answer) and self.answer[0] not in self.out)
+        """Whether bytes have come here that belong to nothing out: the next answer would be read behind
+        them.
+        """
+        return bool(self.buffer or self.answer) and (
+            not self.out or bool(self.answer) and self.answer[0] not in self.out
+        )
 
     def send(self, flight, *pieces):
         if not self.out:
@@ -193,8 +225,10 @@
         return flight.end <= self.queued - self.unsent()
 
     def give_up(self, flight, unanswered=False):
-        """Tell the cache that nobody waits; give whether it may have run. Where the cache has been silent since,
-        nothing more is sent here until it speaks again, and nothing behind an answer that has begun."""
+        """Tell the cache that nobody waits; give whether it may have run. Where the cache has been silent
+        since, nothing more is sent here until it speaks again, and nothing behind an answer that has
+        begun.
+        """
         self.done(flight.tag)
         if not self.out and not self.written(flight):  # half a command: closed, it never becomes a whole one
             self.end(abort=True)
@@ -219,7 +253,9 @@
             self.end(abort=self.full or self.silent or bool(self.buffer))
 
     def end(self, abort=False):
-        """The one way in which this front closes a connection to a cache. Aborted, what is out on it has broken."""
+        """The one way in which this front closes a connection to a cache. Aborted, what is out on it has
+        broken.
+        """
         if self.state in (State.OPEN, State.RETIRED):
             self.state = State.CLOSING
             self.transport.abortConnection() if abort else self.transport.loseConnection()
@@ -248,14 +284,14 @@
                     raise Unreadable("over-long line")
                 return None
             self.answer = read_answer(bytes(self.buffer[:end]), self.peer.limits.answer)
-            del self.buffer[:end + 2]
+            del self.buffer[: end + 2]
         tag, word, fields, size = self.answer
         if len(self.buffer) < size + 2:
             return None
-        if self.buffer[size:size + 2] != b"\r\n":
+        if self.buffer[size : size + 2] != b"\r\n":
             raise Unreadable("no line end where the length puts it")
         body, self.answer = bytes(self.buffer[:size]), None
-        del self.buffer[:size + 2]
+        del self.buffer[: size + 2]
         return tag, word, fields, body
 
     def answered(self, tag, word, fields, body):
@@ -286,7 +322,11 @@
         self.caches, self.ident, self.name = caches, ident, name
         self.log, self.limits = caches.log, caches.limits
         self.address, self.since, self.waiting, self.connections, self.coming = None, None, deque(), [], 0
-        self.idle, self.gone, self.kind = [], None, None  # the connections with nothing out, the last used at the end
+        self.idle, self.gone, self.kind = (
+            [],
+            None,
+            None,
+        )  # the connections with nothing out, the last used at the end
 
     def listed(self, address, since, standing):
         if (address, since) != (self.address, self.since) or standing == c.Standing.GONE:
@@ -342,7 +382,11 @@
 
     def may_connect(self):
         paced = self.caches.paced  # probes are shared out among fronts by themselves
-        if paced and not paced.may(self.ident, clock()) and not any(isinstance(one, Probing) for one in self.waiting):
+        if (
+            paced
+            and not paced.may(self.ident, clock())
+            and not any(isinstance(one, Probing) for one in self.waiting)
+        ):
             return False
         return self.coming + len(self.connections) < self.limits.cache_connections and self.caches.spare()
 
@@ -356,14 +400,17 @@
         if self.caches.paced:
             self.caches.paced.took(self.ident)
         connection = CacheConnection(self)
-        coming = self.caches.secured and self.caches.secured.connect(self, connection, clock() + self.limits.wait)
+        coming = self.caches.secured and self.caches.secured.connect(
+            self, connection, clock() + self.limits.wait
+        )
         if not coming:
             host, port = self.address
             endpoint = TCP4ClientEndpoint(self.caches.reactor, host, port, timeout=self.limits.connect / 1e6)
             coming = endpoint.connect(Factory.forProtocol(lambda: connection))
         coming.addCallbacks(self.came_up, self.never_came_up)
-        coming.addErrback(lambda failure: self.log.say(
-            "fault", failure.getErrorMessage(), where="connecting"))
+        coming.addErrback(
+            lambda failure: self.log.say("fault", failure.getErrorMessage(), where="connecting")
+        )
 
     def came_up(self, connection):
         self.coming -= 1
@@ -406,7 +453,9 @@
             self.caches.paced.look()
         out, connection.out = connection.out, {}
         for flight in out.values():  # what was not written whole has not run
-            self.caches.ended(flight, c.Verdict.RESET if connection.written(flight) else c.Verdict.CONNECT_FAILED)
+            self.caches.ended(
+                flight, c.Verdict.RESET if connection.written(flight) else c.Verdict.CONNECT_FAILED
+            )
         if self.waiting:
             self.connect()
 
@@ -450,14 +499,20 @@
             self.recall(lambda order, get: ident in (order.cache, order.source))
 
     def recall(self, concerned):
-        """What still waits for a connection when news makes its order stale has not run: the module decides anew.
-        Sent by the old order, it could go out past the grace, which counts from when the news was told."""
+        """What still waits for a connection when news makes its order stale has not run: the module decides
+        anew. Sent by the old order, it could go out past the grace, which counts from when the news was
+        told.
+        """
         for peer in self.peers.values():
-            for flight in [one for one in peer.waiting if isinstance(one, Flight) and concerned(one.order, one.get)]:
+            for flight in [
+                one for one in peer.waiting if isinstance(one, Flight) and concerned(one.order, one.get)
+            ]:
                 self.stop(flight, c.Verdict.MOOT)
 
     def purged(self, purge):
-        self.recall(lambda order, get: get.note.obj == purge.obj if purge.obj else get.note.group == purge.group)
+        self.recall(
+            lambda order, get: get.note.obj == purge.obj if purge.obj else get.note.group == purge.group
+        )
 
     def forward(self, order, get):
         flight = Flight(get, order, self.names, self.limits.wait)
@@ -485,8 +540,9 @@
         self.stop(flight, c.Verdict.TIMED_OUT)
 
     def stop(self, flight, verdict):
-        """Give a forward up; one that was never written whole did not run, and a cache that does not even read is
-        out of reach."""
+        """Give a forward up; one that was never written whole did not run, and a cache that does not even
+        read is out of reach.
+        """
         connection, peer = flight.connection, self.peers[flight.order.cache]
         if connection is None:
             if flight in peer.waiting:
@@ -497,9 +553,15 @@
         self.ended(flight, verdict)
 
     def abandoned(self, get):
-        """The client has left: what has not gone out whole goes no more, whether its effect could be repeated or not."""
+        """The client has left: what has not gone out whole goes no more, whether its effect could be repeated
+        or not.
+        """
         for flight in list(get.flights.values()):
-            if flight.connection is None or not flight.connection.written(flight) and len(flight.connection.out) == 1:
+            if (
+                flight.connection is None
+                or not flight.connection.written(flight)
+                and len(flight.connection.out) == 1
+            ):
                 self.stop(flight, c.Verdict.MOOT)
 
     def unanswered(self, probing):
@@ -518,8 +580,19 @@
         get.flights.pop(flight.number, None)
         if verdict == c.Verdict.RETURNED:
             self.clients.returned(get, word == b"KEEP", fields.get(b"rev"), body)
-        self.turn.gather(c.Outcome(order.id, flight.number, verdict, order.cache, clock() - flight.at, 0,
-                                   get.closed, c.Hint.NONE, load))
+        self.turn.gather(
+            c.Outcome(
+                order.id,
+                flight.number,
+                verdict,
+                order.cache,
+                clock() - flight.at,
+                0,
+                get.closed,
+                c.Hint.NONE,
+                load,
+            )
+        )
         if get.closed:
             self.clients.settled(get)
 
--- a/limepath/front/changelog.py
+++ b/limepath/front/changelog.py
@@ -12,8 +12,11 @@
 from limepath.front.turn import clock, unix_clock
 from limepath.opening.addresses import address_of
 
-STANDINGS = {"in_service": c.Standing.READY, "terminating": c.Standing.DRAINING,
-             "terminated": c.Standing.GONE}
+STANDINGS = {
+    "in_service": c.Standing.READY,
+    "terminating": c.Standing.DRAINING,
+    "terminated": c.Standing.GONE,
+}
 
 
 class BadEvent(Exception):
@@ -38,9 +41,15 @@
             started = old.member.started  # on the same clock as before, to the microsecond
         else:
             started = max(1, clock() - (unix_clock() - self.since * 1000)) if self.since else 0
-        self.member = c.Member(STANDINGS[told["phase"]], ident, started, int(told.get("cell") or 0),
-                               zones.index(told["locality"]), kinds.index(told["flavor"]),
-                               float(told.get("size") or 1))
+        self.member = c.Member(
+            STANDINGS[told["phase"]],
+            ident,
+            started,
+            int(told.get("cell") or 0),
+            zones.index(told["locality"]),
+            kinds.index(told["flavor"]),
+            float(told.get("size") or 1),
+        )
 
 
 class EventReader:
@@ -83,14 +92,14 @@
         out = []
         while self.rest:
             if self.left > 2:
-                piece = self.rest[:self.left - 2]
+                piece = self.rest[: self.left - 2]
                 out.append(piece)
                 self.left -= len(piece)
-                self.rest = self.rest[len(piece):]
+                self.rest = self.rest[len(piece) :]
             elif self.left:
-                piece = self.rest[:self.left]
+                piece = self.rest[: self.left]
                 self.left -= len(piece)
-                self.rest = self.rest[len(piece):]
+                self.rest = self.rest[len(piece) :]
             else:
                 line, end, rest = self.rest.partition(b"\r\n")
                 if not end:
@@ -112,9 +121,13 @@
 
     def connectionMade(self):
         self.feed.stream = self
-        self.transport.writeSequence((
-            b"GET /changes HTTP/1.1\r\nHost: ", self.feed.host.encode(),
-            b"\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n" % self.feed.last))
+        self.transport.writeSequence(
+            (
+                b"GET /changes HTTP/1.1\r\nHost: ",
+                self.feed.host.encode(),
+                b"\r\nAccept: text/event-stream\r\nLast-Event-ID: %d\r\n\r\n" % self.feed.last,
+            )
+        )
 
     def dataReceived(self, data):
         self.heard = clock()
@@ -197,21 +210,33 @@
             named = {entry.name for entry in entries}
             for name in [name for name in self.entries if name not in named]:
                 gone = self.entries.pop(name)
-                self.caches.listed(gone.member.cache, name, gone.address, gone.since, c.Standing.GONE,
-                                   gone.member.kind)
+                self.caches.listed(
+                    gone.member.cache, name, gone.address, gone.since, c.Standing.GONE, gone.member.kind
+                )
         for entry in entries:
             self.entries[entry.name] = entry
             if entry.member.standing == c.Standing.GONE:
                 del self.entries[entry.name]
-            self.caches.listed(entry.member.cache, entry.name, entry.address, entry.since,
-                               entry.member.standing, entry.member.kind)
+            self.caches.listed(
+                entry.member.cache,
+                entry.name,
+                entry.address,
+                entry.since,
+                entry.member.standing,
+                entry.member.kind,
+            )
         listing = c.Listing.FULL if whole else c.Listing.DELTA
-        self.turn.gather(c.Roster(listing, int(told.get("revision", 0)),
-                                  tuple(entry.member for entry in entries)))
+        self.turn.gather(
+            c.Roster(listing, int(told.get("revision", 0)), tuple(entry.member for entry in entries))
+        )
 
     def invalidated(self, told):
         age = max(0, unix_clock() - int(told["time"]) * 1000)
-        purge = c.Purge(0, age, int(told["object"], 16)) if "object" in told else c.Purge(int(told["bucket"]), age, 0)
+        purge = (
+            c.Purge(0, age, int(told["object"], 16))
+            if "object" in told
+            else c.Purge(int(told["bucket"]), age, 0)
+        )
         self.caches.purged(purge)
         self.turn.gather(purge)
 
@@ -247,7 +272,7 @@
         self.log.say("changelog", f"{why}; calls again", after=self.last)
         pause = min(self.limits.feed_longest_pause, self.limits.feed_pause << min(10, self.pauses))
         self.pauses, self.calls = self.pauses + 1, self.calls + 1
-        share = 0.5 + crc32(b"%d:%d" % (self.seed, self.calls)) / 2 ** 32
+        share = 0.5 + crc32(b"%d:%d" % (self.seed, self.calls)) / 2**32
         self.coming = self.reactor.callLater(pause * share / 1e6, self.call)
 
     def sweep(self):
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -11,15 +11,38 @@
 from limepath import contract as c
 from limepath.front.turn import clock
 
-REASONS = {200: b"OK", 304: b"Not Modified", 400: b"Bad Request", 404: b"Not Found",
-           405: b"Method Not Allowed", 409: b"Conflict", 411: b"Length Required", 413: b"Content Too Large",
-           431: b"Request Header Fields Too Large",
-           501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable",
-           504: b"Gateway Timeout", 505: b"HTTP Version Not Supported"}
+REASONS = {
+    200: b"OK",
+    304: b"Not Modified",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    409: b"Conflict",
+    411: b"Length Required",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    501: b"Not Implemented",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
+}
 PATH = b"/invoke/"
 HEALTH = b"/_health"
-READ = frozenset((b"host", b"connection", b"content-length", b"transfer-encoding", b"x-txn", b"x-ttl-ms",
-                  b"x-family", b"x-txn-key", b"if-none-match", b"expect"))
+READ = frozenset(
+    (
+        b"host",
+        b"connection",
+        b"content-length",
+        b"transfer-encoding",
+        b"x-txn",
+        b"x-ttl-ms",
+        b"x-family",
+        b"x-txn-key",
+        b"if-none-match",
+        b"expect",
+    )
+)
 HEX = frozenset(b"0123456789abcdef")
 KEY = frozenset(b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_.:")
 
@@ -73,14 +96,29 @@
 class OpenGet:
     """One GET as the client worded it, and what has become of it."""
 
-    __slots__ = ("id", "connection", "txn", "key", "service", "object", "part", "have", "body", "note", "due",
-                 "sent", "flights", "closed", "timer")
+    __slots__ = (
+        "id",
+        "connection",
+        "txn",
+        "key",
+        "service",
+        "object",
+        "part",
+        "have",
+        "body",
+        "note",
+        "due",
+        "sent",
+        "flights",
+        "closed",
+        "timer",
+    )
 
     def __init__(self, ident, connection, method, target, fields, body, services):
         if target.startswith(b"http://"):
             target = b"/" + target[7:].partition(b"/")[2]
         path, mark, query = target.partition(b"?")
-        service, slash, obj = path[len(PATH):].partition(b"/")
+        service, slash, obj = path[len(PATH) :].partition(b"/")
         if not path.startswith(PATH) or not slash or service not in services:
             raise Flaw(404, "no such target")
         ds, writes, longest = services[service]
@@ -103,13 +141,17 @@
             raise Flaw(400, "X-Ttl-Ms")
         group = whole_number(fields.get(b"x-family", b""), 255, "X-Family")
         number = whole_number(part, 1 << 24, "block") if part is not None else 0
-        self.key = fields.get(b"x-txn-key", b"")  # goes on unchanged, as all that makes the request what it is
+        self.key = fields.get(
+            b"x-txn-key", b""
+        )  # goes on unchanged, as all that makes the request what it is
         if len(self.key) > 64 or not KEY.issuperset(self.key):  # others could end the field it becomes
             raise Flaw(400, "X-Txn-Key")
         self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
         self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
         self.sent, self.flights, self.closed, self.timer = 0, {}, False, None
-        self.note = c.Get(ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key))
+        self.note = c.Get(
+            ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key)
+        )
 
 
 class State(Enum):
@@ -118,7 +160,9 @@
     RESTING = 0  # new, or kept after an answer
     READING = 1  # a part of a request has come
     OPEN = 2  # a request is owed its answer
-    LINGERING = 3  # nothing more is taken: what is held goes out, then the end, then what still comes is dropped
+    LINGERING = (
+        3  # nothing more is taken: what is held goes out, then the end, then what still comes is dropped
+    )
     CLOSED = 4
 
 
@@ -184,7 +228,7 @@
             raise Flaw(501, "transfer coding")
         if method == b"PUT" and b"content-length" not in fields:
             raise Flaw(411, "no Content-Length")
-        size = whole_number(fields.get(b"content-length", b"0"), 10 ** 15, "Content-Length")
+        size = whole_number(fields.get(b"content-length", b"0"), 10**15, "Content-Length")
         if size > limits.body:
             raise Flaw(413, "body too large")
         if size and method != b"PUT":
@@ -210,16 +254,22 @@
         self.get, self.moved, self.state = None, clock(), State.RESTING
         self.last |= self.clients.leaving
         length = b"" if status == 304 else b"Content-Length: %d\r\n" % len(body)
-        head = b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (status, REASONS[status], length, fields,
-                                                  b"Connection: close\r\n" if self.last else b"")
+        head = b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (
+            status,
+            REASONS[status],
+            length,
+            fields,
+            b"Connection: close\r\n" if self.last else b"",
+        )
         self.transport.writeSequence((head, body) if body else (head,))
         if self.last:
             self.finish()
 
     def standing(self, now):
-        """What is closed first where room is wanted: those that have their end, the silent, what has been half read for a
-        while (a flood of slow senders must not keep all others out), the idle, those who have just come, and last those
-        that still take an answer."""
+        """What is closed first where room is wanted: those that have their end, the silent, what has been
+        half read for a while (a flood of slow senders must not keep all others out), the idle, those who have
+        just come, and last those that still take an answer.
+        """
         young = now - self.moved < self.clients.limits.young
         if self.state is State.LINGERING:
             place = 0 if self.flushed else 5
@@ -230,17 +280,27 @@
         return place, self.moved
 
     def finish(self):
-        """A lingering close: all that is held goes out, then the end; what still comes is read and dropped for a
-        bounded time, as a close on unread bytes would reset the connection and take the answer along. What was not
-        read before is not taken: its client sends it again. It costs the descriptor for that time."""
+        """A lingering close: all that is held goes out, then the end; what still comes is read and dropped
+        for a bounded time, as a close on unread bytes would reset the connection and take the answer along.
+        What was not read before is not taken: its client sends it again. It costs the descriptor for that
+        time.
+        """
         if self.state in (State.LINGERING, State.CLOSED):
             return
-        self.state, self.last, self.moved, self.dropped, self.buffer = State.LINGERING, True, clock(), 0, bytearray()
+        self.state, self.last, self.moved, self.dropped, self.buffer = (
+            State.LINGERING,
+            True,
+            clock(),
+            0,
+            bytearray(),
+        )
         self.transport.unregisterProducer()  # one that stays registered would keep the connection
         self.transport.loseWriteConnection()
 
     def close(self, abort):
-        """End it now: after what is held has gone out, or at once. Nothing is owed, or for too long not taken."""
+        """End it now: after what is held has gone out, or at once. Nothing is owed, or for too long not
+        taken.
+        """
         if self.state is not State.CLOSED:
             self.state = State.LINGERING
             self.transport.unregisterProducer()
@@ -252,8 +312,9 @@
         self.transport.resumeProducing()
 
     def readConnectionLost(self):
-        """The client has closed. With a GET open it has left; half closed is taken for that too, as the two look alike.
-        Otherwise it may still take what is held."""
+        """The client has closed. With a GET open it has left; half closed is taken for that too, as the two
+        look alike. Otherwise it may still take what is held.
+        """
         if self.get is not None:
             self.client_left()
             self.close(abort=True)
@@ -420,8 +481,9 @@
             self.reactor.callLater(self.limits.leaving / 1e6, self.close_up)
 
     def close_up(self):
-        """Nothing new from here on. What the system has accepted for this front is taken over first, and what has come
-        on connections is read once more: a GET in there counts as taken."""
+        """Nothing new from here on. What the system has accepted for this front is taken over first, and what
+        has come on connections is read once more: a GET in there counts as taken.
+        """
         fruitless = 0
         for _ in range(self.limits.backlog):
             accepted = self.accepted
@@ -440,11 +502,13 @@
         self.leave_if_done()
 
     def leave_if_done(self):
-        """All answered and all connections closed, or not taken for the longest time that an answer may take: the
-        front may end."""
+        """All answered and all connections closed, or not taken for the longest time that an answer may take:
+        the front may end.
+        """
         if self.leaving and self.port is None and not self.open and not self.gone.called:
             if not self.connections:
                 self.gone.callback(None)
             elif not self.last_call:
                 self.last_call = self.reactor.callLater(
-                    self.limits.last_call / 1e6, lambda: self.gone.called or self.gone.callback(None))
+                    self.limits.last_call / 1e6, lambda: self.gone.called or self.gone.callback(None)
+                )
--- a/limepath/front/start.py
+++ b/limepath/front/start.py
@@ -31,8 +31,9 @@
 
 
 def build(told, shared=None, form="person", secured=None):
-    """Put the parts together; give a Deferred that fires once clients can connect. `shared` is a PeersOpening,
-    `secured` a TlsOpening."""
+    """Put the parts together; give a Deferred that fires once clients can connect. `shared` is a
+    PeersOpening, `secured` a TlsOpening.
+    """
     limits = told.limits
     log = Log(told.name, limits.log_lines, limits.log_span, form)
     globalLogBeginner.beginLoggingTo([log.observe], discardBuffer=True, redirectStandardIO=False)
@@ -44,11 +45,19 @@
     cooperation = None
     if secured:
         from limepath.tls.host import Secured  # nothing of it is loaded where the way to servers is plain
+
         place = told.arguments["footprint"]
         upper = {"parents": place.parent_kind, "origin": place.origin_kind}
-        kinds = {kind: trust for trust in secured.trusts for name in trust.members
-                 for kind in ([upper[name]] if name in upper else
-                              set(range(len(told.settings["models"]))) - set(upper.values()))}
+        kinds = {
+            kind: trust
+            for trust in secured.trusts
+            for name in trust.members
+            for kind in (
+                [upper[name]]
+                if name in upper
+                else set(range(len(told.settings["models"]))) - set(upper.values())
+            )
+        }
         try:
             caches.secured = Secured(reactor, log, secured, kinds, told.seed)
         except ValueError as flaw:
@@ -56,12 +65,16 @@
     if shared:
         from limepath.duties.host import Cooperation  # nothing of it is loaded where nothing is shared
         from limepath.peers.host import Unopened
+
         try:
             cooperation = Cooperation(reactor, turn, caches, log, shared, told)
         except Unopened as flaw:
             raise BadSetting(f"{shared.file}: {flaw}") from None
     if cooperation and shared.listing:
-        from limepath.listing.host import guided  # nothing of it is loaded where each front follows the log by itself
+        from limepath.listing.host import (
+            guided,  # nothing of it is loaded where each front follows the log by itself
+        )
+
         changes = guided(reactor, turn, caches, limits, log, told, cooperation, shared.listing)
         changes.confirmed = lambda: confirmed()
         clients.unready = True
@@ -138,11 +151,15 @@
         shared = secured = None
         if tls:
             from limepath.opening import tls as tls_opening
+
             secured = tls_opening.read(tls)
         if peers:
             from limepath.opening import peers as peers_opening
+
             shared = peers_opening.read(peers)
-        build(opening.read(os.environ), shared, form or (shared.form if shared else "person"), secured).addErrback(fail)
+        build(
+            opening.read(os.environ), shared, form or (shared.form if shared else "person"), secured
+        ).addErrback(fail)
     except (opening.BadConfiguration, BadSetting) as flaw:
         print(f"limepath: configuration: {flaw}", file=sys.stderr)
         return 2
--- a/limepath/front/turn.py
+++ b/limepath/front/turn.py
@@ -6,6 +6,7 @@
 
 NEWS = (c.Roster, c.Purge)
 
+
 def clock():
     """The front's clock, in whole microseconds; it does not follow steps of the system's."""
     return time.monotonic_ns() // 1000
@@ -22,16 +23,21 @@
         self.listener = None  # hears all notes too, where fronts share what they learn
         self.carriers = {
             c.Wake: lambda order: reactor.callLater(order.delay / 1e6, self.gather, c.Due(order.cookie)),
-            c.Subscribe: self.followed, c.AskRoster: self.followed,
+            c.Subscribe: self.followed,
+            c.AskRoster: self.followed,
             c.Report: lambda order: log.say("module", order.text),
         }
 
     def joined(self, clients, caches):
         self.clients, clients.caches = clients, caches
-        self.carriers |= {c.Forward: lambda order: caches.forward(order, clients.open.get(order.id)),
-                          c.Withdraw: lambda order: clients.withdraw(order, caches),
-                          c.Probe: caches.probe, c.CloseIdle: caches.close_idle,
-                          c.Shed: clients.shed, c.Errored: clients.errored}
+        self.carriers |= {
+            c.Forward: lambda order: caches.forward(order, clients.open.get(order.id)),
+            c.Withdraw: lambda order: clients.withdraw(order, caches),
+            c.Probe: caches.probe,
+            c.CloseIdle: caches.close_idle,
+            c.Shed: clients.shed,
+            c.Errored: clients.errored,
+        }
 
     def gather(self, *notes):
         """Keep notes until all that this pass of the reactor has ready is read."""
@@ -43,8 +49,13 @@
             self.reactor.callLater(0, self.run)
 
     def run(self):
-        # what one pass brought has no order in time: news of members and purges comes before what is decided by it
-        notes, self.notes, self.called = sorted(self.notes, key=lambda note: not isinstance(note, NEWS)), [], False
+        # what one pass brought has no order in time: news of members and purges comes before what is decided
+        # by it
+        notes, self.notes, self.called = (
+            sorted(self.notes, key=lambda note: not isinstance(note, NEWS)),
+            [],
+            False,
+        )
         try:
             orders = self.front.handle(clock(), notes)
         except Exception as flaw:  # whatever it is, the GETs concerned are answered and the front lives on
--- a/limepath/limits/connections.py
+++ b/limepath/limits/connections.py
@@ -1,15 +1,18 @@
-"""A pace of new connections at each member, over all fronts together: one a span, which grows with how many share it.
+"""A pace of new connections at each member, over all fronts together: one a span, which grows with how many
+share it.
 
-A front that starts, or meets a member new to it, draws its first turn out of the span, so that hundreds that start in one
-second do not all connect in it. While a front has no connection to a member and no turn yet, the member has no room there;
-with one connection up, transfers share it until the next turn. Free of I/O: times are handed in, whole microseconds.
+A front that starts, or meets a member new to it, draws its first turn out of the span, so that hundreds that
+start in one second do not all connect in it. While a front has no connection to a member and no turn yet, the
+member has no room there; with one connection up, transfers share it until the next turn. Free of I/O: times
+are handed in, whole microseconds.
 """
 
 from math import ceil, sqrt
 
 
 def rush(rate, span):
-    """The most that are to be expected in any so many microseconds: turns are drawn, so three deviations above the mean.
+    """The most that are to be expected in any so many microseconds: turns are drawn, so three deviations
+    above the mean.
 
     >>> rush(100.0, 100_000), rush(100.0, 1_000_000)
     (20, 130)
--- a/limepath/limits/host.py
+++ b/limepath/limits/host.py
@@ -1,4 +1,6 @@
-"""The pace of connections at a front: what it allows goes to the module as room, and to the peers as leave to connect."""
+"""The pace of connections at a front: what it allows goes to the module as room, and to the peers as leave to
+connect.
+"""
 
 from limepath import contract as c
 from limepath.front.turn import clock
--- a/limepath/listing/bounds.py
+++ b/limepath/listing/bounds.py
@@ -1,7 +1,9 @@
-"""What the settings promise of the list, computed; the drill, the run in virtual time and `limepath listing bounds` use it.
+"""What the settings promise of the list, computed; the drill, the run in virtual time and `limepath listing
+bounds` use it.
 
-All in microseconds but `calls` (a second) and `streams` (of a zone). They hold for a view of `fronts` instances on which
-all agree, on ways that lose nothing for longer than a beat; each lost datagram in a row adds a beat.
+All in microseconds but `calls` (a second) and `streams` (of a zone). They hold for a view of `fronts`
+instances on which all agree, on ways that lose nothing for longer than a beat; each lost datagram in a row
+adds a beat.
 """
 
 from typing import NamedTuple
@@ -41,12 +43,20 @@
     whole = 2 * terms.beat + WAY + fronts * 2_000
     event = BATCH + WAY
     return Bounds(
-        event=event, repaired=event + terms.beat,
+        event=event,
+        repaired=event + terms.beat,
         relays_gone=fresh(terms) + terms.beat + relay_call + terms.beat + event,
         stream_still=terms.silence + relay_call + event,
         restored=2 * relay_call + terms.silence + 2 * terms.beat + whole + event,
-        alone=fresh(terms) + TURN + 2 * terms.beat + int(1.5 * budget.span_of(max(fronts, terms.fronts))) + terms.silence + WAY + QUIET,
+        alone=fresh(terms)
+        + TURN
+        + 2 * terms.beat
+        + int(1.5 * budget.span_of(max(fronts, terms.fronts)))
+        + terms.silence
+        + WAY
+        + QUIET,
         known_late=fresh(terms),
         ready=relay_call + whole + (int(max(fronts, terms.fronts) / terms.ready * 1e6) if terms.ready else 0),
         calls=2 * PART * terms.rate,
-        streams=terms.relays * (2 + HELPERS))  # relays that are back, those that stood in for them, helpers
+        streams=terms.relays * (2 + HELPERS),
+    )  # relays that are back, those that stood in for them, helpers
--- a/limepath/listing/calls.py
+++ b/limepath/listing/calls.py
@@ -1,9 +1,10 @@
-"""When a front may call the list service, so that all fronts together keep to a number of calls a second without a leader.
+"""When a front may call the list service, so that all fronts together keep to a number of calls a second
+without a leader.
 
-Each draws its time out of a span that grows with how many share the budget. The budget has two halves, one for relays
-(few, so each calls often) and one for all others, who call only when no relay tells them anything. Until the view has
-stood still for a while nobody knows how many there are: the larger of what the settings tell and what has been seen
-counts, and nobody is a relay to the budget. Free of I/O.
+Each draws its time out of a span that grows with how many share the budget. The budget has two halves, one
+for relays (few, so each calls often) and one for all others, who call only when no relay tells them anything.
+Until the view has stood still for a while nobody knows how many there are: the larger of what the settings
+tell and what has been seen counts, and nobody is a relay to the budget. Free of I/O.
 """
 
 SETTLED = 2_000_000  # for which a view must not have changed in size
@@ -27,8 +28,9 @@
         return self.since is not None and now - self.since >= SETTLED
 
     def sharing(self, now, relays):
-        """How many share the half of the budget that this front calls under; `relays` are those of all zones, 0 where it
-        is none of them."""
+        """How many share the half of the budget that this front calls under; `relays` are those of all zones,
+        0 where it is none of them.
+        """
         if relays and self.settled(now):
             return relays
         return max(self.terms.fronts, self.seen)
@@ -44,8 +46,9 @@
         return max(LEAST, int(sharing / (PART * self.terms.rate) * 1e6))
 
     def may_call(self, now, relays):
-        """Whether to call now; asked again and again while a call is wanted. The time drawn moves along when the span
-        changes, so that whoever turns out to be one of few need not wait as one of many."""
+        """Whether to call now; asked again and again while a call is wanted. The time drawn moves along when
+        the span changes, so that whoever turns out to be one of few need not wait as one of many.
+        """
         span = self.span_of(self.sharing(now, relays))
         if self.due is None or span != self.span:
             if self.due is None:
--- a/limepath/listing/host.py
+++ b/limepath/listing/host.py
@@ -1,4 +1,6 @@
-"""Beside a front that shares: the list comes by `relay`'s word, from the service's stream or from other fronts; carried out here."""
+"""Beside a front that shares: the list comes by `relay`'s word, from the service's stream or from other
+fronts; carried out here.
+"""
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectingCancelledError
@@ -7,8 +9,23 @@
 from limepath import contract as c
 from limepath.duties.host import clock
 from limepath.front.changelog import BadEvent, ChangeLog, Stream
-from limepath.listing.interface import (MESSAGES, Call, Confirmed, FromPeer, HangUp, Moved, Reach, Ready, Save, Say, StreamEvent, StreamLost,
-                                        StreamSays, StreamUp, Take)
+from limepath.listing.interface import (
+    MESSAGES,
+    Call,
+    Confirmed,
+    FromPeer,
+    HangUp,
+    Moved,
+    Reach,
+    Ready,
+    Save,
+    Say,
+    StreamEvent,
+    StreamLost,
+    StreamSays,
+    StreamUp,
+    Take,
+)
 from limepath.listing.relay import Listing
 from limepath.tallies.host import Tallies
 
@@ -28,13 +45,17 @@
 
 
 class GuidedChangeLog(ChangeLog):
-    """The list of a front that shares. `cooperation` carries messages to other instances and keeps the store."""
+    """The list of a front that shares. `cooperation` carries messages to other instances and keeps the
+    store.
+    """
 
     def __init__(self, reactor, turn, caches, limits, log, settings, seed, cooperation, terms):
         super().__init__(reactor, turn, caches, limits, log, settings, seed)
         self.cooperation = cooperation
         members = cooperation.instance.members
-        self.logic = Listing(members.me.token, terms, seed, lambda: members.ring, cooperation.store.all().get(ROW))
+        self.logic = Listing(
+            members.me.token, terms, seed, lambda: members.ring, cooperation.store.all().get(ROW)
+        )
         self.notes, self.timer, self.due, self.called = [], None, None, False
         self.serial, self.oldest = 0, -1
         self.confirmed = None  # called once the front's list is the service's and its turn has come
@@ -86,8 +107,12 @@
                 if not self.cooperation.over:
                     self.cooperation.store.put({ROW: order.data})
             elif isinstance(order, Confirmed):
-                self.log.say("list-confirmed", number=order.place.number, generation=order.place.generation,
-                             age_ms=order.age // 1000)
+                self.log.say(
+                    "list-confirmed",
+                    number=order.place.number,
+                    generation=order.place.generation,
+                    age_ms=order.age // 1000,
+                )
             elif isinstance(order, Ready):
                 if self.confirmed:
                     self.confirmed()
@@ -159,18 +184,28 @@
 
 
 def guided(reactor, turn, caches, limits, log, front, cooperation, terms):
-    """The GuidedChangeLog of a front, whose Opening is `front`; it hears what instances tell each other of the list."""
+    """The GuidedChangeLog of a front, whose Opening is `front`; it hears what instances tell each other of
+    the list.
+    """
     zone = front.settings["areas"][front.settings["az"]]
-    changes = GuidedChangeLog(reactor, turn, caches, limits, log, front.settings, front.seed, cooperation,
-                              terms._replace(zone=zone))
+    changes = GuidedChangeLog(
+        reactor, turn, caches, limits, log, front.settings, front.seed, cooperation, terms._replace(zone=zone)
+    )
     cooperation.guests.append(changes)
     changes.tallies = Tallies(reactor, turn, cooperation, front.seed ^ 0x7A11)
     cooperation.hearers.append(changes.tallies)
     if cooperation.told.connections:
         from limepath.limits.host import Paced
+
         members = cooperation.instance.members
-        changes.paced = Paced(reactor, turn, caches, float(cooperation.told.connections),
-                              lambda: max(terms.fronts, len(members.ring) + 1), changes.logic.agenda.chance)
+        changes.paced = Paced(
+            reactor,
+            turn,
+            caches,
+            float(cooperation.told.connections),
+            lambda: max(terms.fronts, len(members.ring) + 1),
+            changes.logic.agenda.chance,
+        )
     cooperation.views["listing"] = changes.shown
     return changes
 
@@ -212,5 +247,9 @@
         self.turn, self.oldest = turn, oldest
 
     def gather(self, *notes):
-        self.turn.gather(*(note._replace(age=min(note.age, self.oldest)) if isinstance(note, c.Purge) else note
-                           for note in notes))
+        self.turn.gather(
+            *(
+                note._replace(age=min(note.age, self.oldest)) if isinstance(note, c.Purge) else note
+                for note in notes
+            )
+        )
--- a/limepath/listing/interface.py
+++ b/limepath/listing/interface.py
@@ -1,7 +1,8 @@
-"""The interface of the listing logic: what it is told at start, notes in, orders out, and messages between fronts.
+"""The interface of the listing logic: what it is told at start, notes in, orders out, and messages between
+fronts.
 
-Times are whole microseconds of the instance's own monotonic clock, ages included; a purge's `time` is the service's Unix
-clock in milliseconds and is believed only as far as it fits what this front has seen itself.
+Times are whole microseconds of the instance's own monotonic clock, ages included; a purge's `time` is the
+service's Unix clock in milliseconds and is believed only as far as it fits what this front has seen itself.
 """
 
 from enum import IntEnum
@@ -20,8 +21,9 @@
 
 
 class Terms(NamedTuple):
-    """What the settings tell. `rate` is calls a second of the whole fleet at the list service, `fronts` how many share
-    it at the least; a zone has `relays`."""
+    """What the settings tell. `rate` is calls a second of the whole fleet at the list service, `fronts` how
+    many share it at the least; a zone has `relays`.
+    """
 
     zone: str = ""
     fronts: int = 1
@@ -60,8 +62,9 @@
 
 
 class Beat(Message, tag="lb"):
-    """Where my list stands, and how long ago the service itself last confirmed that (-1: never). `tries`: how long I
-    have been calling in vain. `followers` share me."""
+    """Where my list stands, and how long ago the service itself last confirmed that (-1: never). `tries`: how
+    long I have been calling in vain. `followers` share me.
+    """
 
     zone: str
     generation: int
@@ -90,7 +93,9 @@
 
 
 class Piece(Message, tag="lp"):
-    """`of` is how many there are, 0 where that list is not held any more; `mark` is the digest of all together."""
+    """`of` is how many there are, 0 where that list is not held any more; `mark` is the digest of all
+    together.
+    """
 
     generation: int
     number: int
@@ -153,7 +158,9 @@
 
 
 class Take(NamedTuple):
-    """Give this event to the front. A purge in it is at most `oldest` old, whatever the clocks say; -1: not known."""
+    """Give this event to the front. A purge in it is at most `oldest` old, whatever the clocks say; -1: not
+    known.
+    """
 
     told: dict
     oldest: int = -1
--- a/limepath/listing/measure.py
+++ b/limepath/listing/measure.py
@@ -1,4 +1,6 @@
-"""Measurements of the cold start over sizes, told once to the fleet and each front alone: table, chart, raw figures, the machine."""
+"""Measurements of the cold start over sizes, told once to the fleet and each front alone: table, chart, raw
+figures, the machine.
+"""
 
 import json
 import os
@@ -9,8 +11,22 @@
 from limepath.listing.simulate import simulated
 
 SIZES, FRONTS = (10, 50, 100, 200, 300, 500, 1000), (12, 50, 200)
-WHAT = {"calls_a_second": "most calls at the list service in a second", "calls_in_100_ms": "most calls in 100 ms",
-        "ready_95_s": "the same, 95%, s", "ready_all_s": "the same, all, s"}
+WHAT = {
+    "calls_a_second": "most calls at the list service in a second",
+    "calls_in_100_ms": "most calls in 100 ms",
+    "ready_95_s": "the same, 95%, s",
+    "ready_all_s": "the same, all, s",
+}
+DRILL_COLUMNS = [
+    "fronts",
+    "way",
+    *WHAT,
+    "streams_of_a_zone",
+    "kB_of_the_service",
+    "connections_in_100_ms",
+    "forwards_in_1_s",
+    "answered",
+]
 
 
 def virtual(sizes, say):
@@ -18,9 +34,11 @@
     for fronts in sizes:
         for way in ("shared", "alone"):
             rows = simulated(fronts, alone=way == "alone").rows
-            told.append({"fronts": fronts, "way": way, "streams_of_a_zone": value(rows, "most streams of one zone")}
-                        | {name: value(rows, what) for name, what in WHAT.items()}
-                        | {"messages": value(rows, "all messages per front and second")})
+            told.append(
+                {"fronts": fronts, "way": way, "streams_of_a_zone": value(rows, "most streams of one zone")}
+                | {name: value(rows, what) for name, what in WHAT.items()}
+                | {"messages": value(rows, "all messages per front and second")}
+            )
             say(str(told[-1]))
     return told
 
@@ -30,33 +48,70 @@
     told = []
     for count in fronts:
         for way in ((), ("--alone",)):
-            done = subprocess.run([sys.executable, "-m", "limepath", "coldstart", "drill", "--fronts", str(count), "--faults", "none",
-                                   "--json", *way], capture_output=True, text=True)
+            done = subprocess.run(
+                [
+                    sys.executable,
+                    "-m",
+                    "limepath",
+                    "coldstart",
+                    "drill",
+                    "--fronts",
+                    str(count),
+                    "--faults",
+                    "none",
+                    "--json",
+                    *way,
+                ],
+                capture_output=True,
+                text=True,
+            )
             if done.returncode not in (0, 1):
                 raise RuntimeError(done.stderr)
             rows = {row["what"]: row["measured"] for row in json.loads(done.stdout)["rows"]}
-            told.append({"fronts": count, "way": "alone" if way else "shared"}
-                        | {name: rows.get(what, "-") for name, what in WHAT.items()} | {
-                "streams_of_a_zone": rows["most streams of one zone, those of stopped processes aside"],
-                "kB_of_the_service": round(rows["bytes that the list service sent"] / 1000),
-                "connections_in_100_ms": rows["most new connections at one cache in 100 ms"],
-                "forwards_in_1_s": rows["most forwards to one cache in a second"],
-                "answered": next(value for what, value in rows.items() if what.startswith("share of"))})
+            told.append(
+                {"fronts": count, "way": "alone" if way else "shared"}
+                | {name: rows.get(what, "-") for name, what in WHAT.items()}
+                | {
+                    "streams_of_a_zone": rows["most streams of one zone, those of stopped processes aside"],
+                    "kB_of_the_service": round(rows["bytes that the list service sent"] / 1000),
+                    "connections_in_100_ms": rows["most new connections at one cache in 100 ms"],
+                    "forwards_in_1_s": rows["most forwards to one cache in a second"],
+                    "answered": next(value for what, value in rows.items() if what.startswith("share of")),
+                }
+            )
             say(str(told[-1]))
     return told
 
 
 def chart(told, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4))
     for way in ("shared", "alone"):
         rows = [row for row in told["virtual"] if row["way"] == way]
-        left.plot([row["fronts"] for row in rows], [row["calls_a_second"] for row in rows], marker="o", label=way)
-        right.plot([row["fronts"] for row in rows], [row["streams_of_a_zone"] for row in rows], marker="o", label=way)
-    left.set(xscale="log", yscale="log", xlabel="fronts", ylabel="most calls in a second", title="List service away for 12 s (virtual time)")
-    right.set(xscale="log", yscale="log", xlabel="fronts", ylabel="most streams of a zone", title="Streams it must hold (virtual time)")
+        left.plot(
+            [row["fronts"] for row in rows], [row["calls_a_second"] for row in rows], marker="o", label=way
+        )
+        right.plot(
+            [row["fronts"] for row in rows], [row["streams_of_a_zone"] for row in rows], marker="o", label=way
+        )
+    left.set(
+        xscale="log",
+        yscale="log",
+        xlabel="fronts",
+        ylabel="most calls in a second",
+        title="List service away for 12 s (virtual time)",
+    )
+    right.set(
+        xscale="log",
+        yscale="log",
+        xlabel="fronts",
+        ylabel="most streams of a zone",
+        title="Streams it must hold (virtual time)",
+    )
     left.legend()
     right.legend()
     figure.tight_layout()
@@ -67,7 +122,8 @@
     facts = ", ".join(f"{name} {value}" for name, value in told["machine"].items())
     return f"""# A cold start, measured
 
-Made by `{command}` ({facts}); the raw figures are in `coldstart.json`. Two zones; the list service refuses for the first 12 s.
+Made by `{command}` ({facts}); the raw figures are in `coldstart.json`. Two zones; the list
+service refuses for the first 12 s.
 `ready` counts from its return; absolute figures are of this machine, read the ratios.
 
 ## Virtual time, the real logic
@@ -76,10 +132,11 @@
 
 ## Real processes on loopback
 
-Once it is ready (alone: a second after the service's return) each front is sent ten GETs within a second, all for the same ten objects. `connections` and
+Once it is ready (alone: a second after the service's return) each front is sent ten GETs within a
+second, all for the same ten objects. `connections` and
 `forwards` are the most at one cache, `answered` the share of these GETs that was.
 
-{columns(told["drills"], ["fronts", "way", *WHAT, "streams_of_a_zone", "kB_of_the_service", "connections_in_100_ms", "forwards_in_1_s", "answered"])}
+{columns(told["drills"], DRILL_COLUMNS)}
 
 ![calls and streams](coldstart.png)
 """
--- a/limepath/listing/relay.py
+++ b/limepath/listing/relay.py
@@ -1,10 +1,11 @@
-"""The listing logic of one front: whom it hears the list from, when it calls the service itself, what it passes on.
-
-The first `relays` of a zone, by hash over the live view, hold a stream of the service; all others send each of them a
-Follow every beat, which is answered by a Beat (where its list stands, when the service last confirmed that) and by what
-is missing; news is also pushed at once. Ages add up on the way, so it does not matter who tells: a list is as old as the
-service's last word behind it. Whoever is silent, whose stream stands still, or who contradicts is passed over, and the
-next by hash acts in its stead. Free of I/O.
+"""The listing logic of one front: whom it hears the list from, when it calls the service itself, what it
+passes on.
+
+The first `relays` of a zone, by hash over the live view, hold a stream of the service; all others send each
+of them a Follow every beat, which is answered by a Beat (where its list stands, when the service last
+confirmed that) and by what is missing; news is also pushed at once. Ages add up on the way, so it does not
+matter who tells: a list is as old as the service's last word behind it. Whoever is silent, whose stream
+stands still, or who contradicts is passed over, and the next by hash acts in its stead. Free of I/O.
 """
 
 from collections import OrderedDict
@@ -15,8 +16,30 @@
 from limepath.listing import bounds
 from limepath.listing.bounds import BATCH, QUIET, TURN
 from limepath.listing.calls import Budget
-from limepath.listing.interface import (AskPiece, Beat, Call, Confirmed, Events, Follow, FromPeer, HangUp, Moved, Piece, Place,
-                                        Reach, Ready, Role, Save, Say, StreamEvent, StreamLost, StreamSays, StreamUp, Take, Where)
+from limepath.listing.interface import (
+    AskPiece,
+    Beat,
+    Call,
+    Confirmed,
+    Events,
+    Follow,
+    FromPeer,
+    HangUp,
+    Moved,
+    Piece,
+    Place,
+    Reach,
+    Ready,
+    Role,
+    Save,
+    Say,
+    StreamEvent,
+    StreamLost,
+    StreamSays,
+    StreamUp,
+    Take,
+    Where,
+)
 from limepath.listing.state import DATA, BadList, List, mark_of, packed_size, parsed, summary, unpacked
 
 KEPT = 512  # events that are kept for followers
@@ -64,11 +87,24 @@
         self.stream, self.stream_at, self.serial, self.incoming, self.caught_up = None, 0, 0, None, False
         self.overlapped, self.event_at = False, 0
         self.tries_since, self.whole, self.fetch, self.to_push, self.saving = None, True, None, [], False
-        self.counts = dict.fromkeys(("calls", "pushed", "fetched", "passed over", "contradictions", "nonsense"), 0)
-        self.desks = {StreamUp: self.stream_up, StreamSays: self.stream_says, StreamEvent: self.stream_event,
-                      StreamLost: self.stream_lost, Moved: self.moved}
-        self.from_peers = {Where: self.where, Follow: self.follow, Beat: self.beat, Events: self.events,
-                           AskPiece: self.ask_piece, Piece: self.piece}
+        self.counts = dict.fromkeys(
+            ("calls", "pushed", "fetched", "passed over", "contradictions", "nonsense"), 0
+        )
+        self.desks = {
+            StreamUp: self.stream_up,
+            StreamSays: self.stream_says,
+            StreamEvent: self.stream_event,
+            StreamLost: self.stream_lost,
+            Moved: self.moved,
+        }
+        self.from_peers = {
+            Where: self.where,
+            Follow: self.follow,
+            Beat: self.beat,
+            Events: self.events,
+            AskPiece: self.ask_piece,
+            Piece: self.piece,
+        }
         if saved is not None:
             self.read(saved)
 
@@ -103,7 +139,9 @@
     # Saved
 
     def read(self, saved):
-        """Take a saved list up: where it stands is told to relays, so that they tell what is new; it goes nowhere else."""
+        """Take a saved list up: where it stands is told to relays, so that they tell what is new; it goes
+        nowhere else.
+        """
         try:
             self.list = unpacked(saved, self.terms.longest)
         except BadList as flaw:
@@ -152,7 +190,7 @@
 
     def choose(self):
         """The first relays that are not passed over. Those that call in vain get helpers, as many at most."""
-        terms, wanted, helpers = self.terms, self.terms.relays, 0
+        wanted, helpers = self.terms.relays, 0
         self.first, self.chosen = None, []
         rank = self.ranked(wanted * 8)
         self.first = rank[:wanted]
@@ -166,7 +204,7 @@
             self.chosen.append(token)
             if flaw == "in vain" or token == self.me and self.in_vain():
                 helpers = min(bounds.HELPERS * wanted, helpers + 1)
-        self.helps = helpers and self.me in rank[:wanted + helpers]
+        self.helps = helpers and self.me in rank[: wanted + helpers]
         if not self.chosen:
             self.chosen = [self.me]
 
@@ -174,7 +212,9 @@
         return self.tries_since is not None and self.agenda.now - self.tries_since > TURN
 
     def first_gone(self):
-        """Whether one of the first by hash has been silent for so long that it is not a few lost datagrams."""
+        """Whether one of the first by hash has been silent for so long that it is not a few lost
+        datagrams.
+        """
         silent = [self.sources[token].owes for token in self.first if token in self.sources]
         return any(since and self.agenda.now - since > TURN for since in silent)
 
@@ -198,7 +238,12 @@
         now, terms = self.agenda.now, self.terms
         for token in self.chosen:
             source = self.sources.get(token)
-            if source and source.beat and now - source.at <= 2 * terms.patience + terms.beat and source.bad_until <= now:
+            if (
+                source
+                and source.beat
+                and now - source.at <= 2 * terms.patience + terms.beat
+                and source.bad_until <= now
+            ):
                 if source.beat.tries or 0 <= source.beat.age <= bounds.fresh(terms):
                     return True
             elif source and not source.beat and source.owes and now - source.owes <= terms.patience:
@@ -209,7 +254,9 @@
         """Whether to hold a stream; all calls go out here."""
         now = self.agenda.now
         unheard = self.late() and not self.told_by_others()
-        relay = self.me in self.first or self.me in self.chosen and (self.helps or unheard or self.first_gone())
+        relay = (
+            self.me in self.first or self.me in self.chosen and (self.helps or unheard or self.first_gone())
+        )
         self.unheard = (self.unheard or now) if unheard else None
         needy = self.suspicious or unheard and now - self.unheard >= TURN  # the next by hash are to act first
         role = Role.RELAYS if relay else Role.ALONE if needy else Role.FOLLOWS
@@ -241,11 +288,18 @@
         self.budget.called()
         self.counts["calls"] += 1
         self.serial += 1
-        self.stream, self.stream_at, self.event_at, self.caught_up = CALLING, self.agenda.now, self.agenda.now, False
+        self.stream, self.stream_at, self.event_at, self.caught_up = (
+            CALLING,
+            self.agenda.now,
+            self.agenda.now,
+            False,
+        )
         number = self.list.place.number
         self.whole |= number not in self.log
         self.incoming, self.overlapped = List() if self.whole else None, False
-        self.agenda.order(Call(0 if self.whole else number - 1))  # one that we hold: a service restored from an older
+        self.agenda.order(
+            Call(0 if self.whole else number - 1)
+        )  # one that we hold: a service restored from an older
         # state, which would say nothing until its numbers pass ours, does not tell it again
         self.agenda.at(self.agenda.now + self.terms.silence, self.still_silent, self.serial)
 
@@ -264,7 +318,9 @@
     def ended(self, why):
         now = self.agenda.now
         self.agenda.order(Say("list-stream", {"ended": why, "after": self.list.place.number}))
-        self.whole |= not self.caught_up or now - self.stream_at >= self.terms.silence  # it may have been restored meanwhile
+        self.whole |= (
+            not self.caught_up or now - self.stream_at >= self.terms.silence
+        )  # it may have been restored meanwhile
         self.stream, self.incoming = None, None
         self.serial += 1
         if self.role != Role.FOLLOWS:
@@ -313,7 +369,9 @@
             self.agenda.at(now + QUIET, self.told_all, self.serial)
 
     def replayed(self, told):
-        """Of a stream that tells all from the start: the first event holds the whole list, no number is left out."""
+        """Of a stream that tells all from the start: the first event holds the whole list, no number is left
+        out.
+        """
         incoming, number = self.incoming, told["seq"]
         if not incoming.place.number and not incoming.members:
             if not told.get("fleet", {}).get("complete"):
@@ -340,8 +398,10 @@
             self.hang_up(f"event {number} is told anew, and otherwise")
 
     def told_all(self, serial):
-        """Whether the stream has told what it had, so that the list is the service's as of now: no event came for a
-        while, a longer one before we believe that its numbers ran backwards; it may be telling all slowly."""
+        """Whether the stream has told what it had, so that the list is the service's as of now: no event came
+        for a while, a longer one before we believe that its numbers ran backwards; it may be telling all
+        slowly.
+        """
         now, incoming = self.agenda.now, self.incoming
         if serial != self.serial or self.stream != UP or incoming is not None and not incoming.place.number:
             return
@@ -365,7 +425,9 @@
         generation = old.generation
         if place.number < old.number or place.number == old.number and incoming.digest != self.list.digest:
             generation += 1
-            self.agenda.order(Say("list-backwards", {"was": old.number, "is": place.number, "generation": generation}))
+            self.agenda.order(
+                Say("list-backwards", {"was": old.number, "is": place.number, "generation": generation})
+            )
         incoming.place = Place(generation, place.number)
         if incoming.place != old or incoming.digest != self.list.digest:
             self.adopt(incoming)
@@ -421,7 +483,11 @@
     def my_beat(self):
         now, place = self.agenda.now, self.list.place
         age = -1 if self.confirmed_at is None else now - self.confirmed_at
-        tries = 0 if self.tries_since is None or self.caught_up and self.stream else max(1, now - self.tries_since)
+        tries = (
+            0
+            if self.tries_since is None or self.caught_up and self.stream
+            else max(1, now - self.tries_since)
+        )
         return Beat(self.terms.zone, *place, self.list.digest, age, tries, len(self.followers))
 
     def tell_followers(self):
@@ -438,7 +504,9 @@
                     self.agenda.order(Reach(token, message))
 
     def events_from(self, first):
-        """Messages that carry all events from this number on; none where one of them is not kept or does not fit."""
+        """Messages that carry all events from this number on; none where one of them is not kept or does not
+        fit.
+        """
         out, texts, size, at = [], [], 0, first
         for number in range(first, self.list.place.number + 1):
             if number not in self.log or len(self.log[number][0]) > CARRIED:
@@ -450,7 +518,11 @@
             texts.append(text)
             size += len(text)
         age = -1 if self.confirmed_at is None else self.agenda.now - self.confirmed_at
-        return [Events(self.list.place.generation, at, texts, age) for at, texts in [*out, (at, tuple(texts))] if texts]
+        return [
+            Events(self.list.place.generation, at, texts, age)
+            for at, texts in [*out, (at, tuple(texts))]
+            if texts
+        ]
 
     def where(self, token, message):
         self.zones[token] = message.zone
@@ -479,8 +551,16 @@
         theirs = Place(message.generation, message.number)
         if theirs > place:
             source.behind = None
-            few = theirs.generation == place.generation and place.number and theirs.number - place.number <= KEPT
-            if message.age >= 0 and not self.fetch and (not few or self.behind_for(theirs) > 2 * self.terms.beat):
+            few = (
+                theirs.generation == place.generation
+                and place.number
+                and theirs.number - place.number <= KEPT
+            )
+            if (
+                message.age >= 0
+                and not self.fetch
+                and (not few or self.behind_for(theirs) > 2 * self.terms.beat)
+            ):
                 self.begin_fetch(token, message.followers)
         elif theirs == place:
             source.behind = None
@@ -502,7 +582,9 @@
     behind_since = None
 
     def contradicted(self, token, why):
-        """Two that should agree do not: it is passed over, and the service asked, for it may be us who are wrong."""
+        """Two that should agree do not: it is passed over, and the service asked, for it may be us who are
+        wrong.
+        """
         source = self.sources.get(token)
         if source:
             source.bad_until, source.behind = self.agenda.now + BAD, None
@@ -519,7 +601,11 @@
         self.agenda.order(Say("list-nonsense", {"peer": f"{token:016x}", "why": str(why)[:120]}))
 
     def events(self, token, message):
-        if token not in self.sources or message.generation != self.list.place.generation or not self.list.place.number:
+        if (
+            token not in self.sources
+            or message.generation != self.list.place.generation
+            or not self.list.place.number
+        ):
             return
         for at, text in enumerate(message.texts, message.first):
             try:
@@ -552,7 +638,7 @@
         of = packed_size(data) if data else 0
         if 0 <= message.piece < of:
             at = message.piece * DATA
-            answer = Piece(*place, message.piece, of, mark_of(data), data[at:at + DATA])
+            answer = Piece(*place, message.piece, of, mark_of(data), data[at : at + DATA])
         else:
             answer = Piece(*place, message.piece, 0)
         self.agenda.order(Reach(token, answer))
@@ -617,17 +703,37 @@
         if new.place > self.list.place:
             self.adopt(new)
             source = self.sources.get(token)
-            if source and source.beat and source.beat.age >= 0 and (source.beat.generation, source.beat.number) <= new.place:
+            if (
+                source
+                and source.beat
+                and source.beat.age >= 0
+                and (source.beat.generation, source.beat.number) <= new.place
+            ):
                 self.confirm(source.at - source.beat.age - IN_FLIGHT)
 
     # What is told of it
 
     def shown(self):
         now, place = self.agenda.now, self.list.place
-        return {"generation": place.generation, "number": place.number, "members": len(self.list.members),
-                "digest": f"{self.list.digest:016x}",
-                "confirmed_us_ago": self.age(), "late": self.late(), "role": self.role.name.lower(),
-                "stream": self.stream or "none", "zone": self.terms.zone, "followers": len(self.followers),
-                "follows": [{"token": f"{token:016x}", "number": source.beat.number if source.beat else None,
-                             "heard_us_ago": now - source.at if source.beat else None, "flaw": self.flaw_of(source)}
-                            for token, source in self.sources.items()], "counts": dict(self.counts)}
+        return {
+            "generation": place.generation,
+            "number": place.number,
+            "members": len(self.list.members),
+            "digest": f"{self.list.digest:016x}",
+            "confirmed_us_ago": self.age(),
+            "late": self.late(),
+            "role": self.role.name.lower(),
+            "stream": self.stream or "none",
+            "zone": self.terms.zone,
+            "followers": len(self.followers),
+            "follows": [
+                {
+                    "token": f"{token:016x}",
+                    "number": source.beat.number if source.beat else None,
+                    "heard_us_ago": now - source.at if source.beat else None,
+                    "flaw": self.flaw_of(source),
+                }
+                for token, source in self.sources.items()
+            ],
+            "counts": dict(self.counts),
+        }
--- a/limepath/listing/simulate.py
+++ b/limepath/listing/simulate.py
@@ -1,7 +1,8 @@
-"""A cold start and a day of the list in virtual time: hundreds of fronts, one list service, the logic of the real program.
+"""A cold start and a day of the list in virtual time: hundreds of fronts, one list service, the logic of the
+real program.
 
-The same seed gives the same table. `alone`: each front calls as the program without relays does (pauses that double from
-0.1 to 0.6 s), for comparison.
+The same seed gives the same table. `alone`: each front calls as the program without relays does (pauses that
+double from 0.1 to 0.6 s), for comparison.
 """
 
 import gc
@@ -12,8 +13,22 @@
 
 from limepath.duties.world import Network
 from limepath.listing.bounds import bounds
-from limepath.listing.interface import (MESSAGES, Call, Confirmed, FromPeer, HangUp, Moved, Reach, Save, StreamEvent,
-                                        StreamLost, StreamSays, StreamUp, Take, Terms)
+from limepath.listing.interface import (
+    MESSAGES,
+    Call,
+    Confirmed,
+    FromPeer,
+    HangUp,
+    Moved,
+    Reach,
+    Save,
+    StreamEvent,
+    StreamLost,
+    StreamSays,
+    StreamUp,
+    Take,
+    Terms,
+)
 from limepath.listing.relay import Listing
 from limepath.peers.interface import REFUTALS, Heard, News, Passed, Send, Spans
 from limepath.peers.members import Members
@@ -25,17 +40,29 @@
 
 
 def member(name, phase="in_service"):
-    return {"id": name, "host_port": "127.0.0.1:9001", "locality": "z0", "flavor": "box", "phase": phase,
-            "up_since_ms": 0, "cell": 0, "size": 6}
+    return {
+        "id": name,
+        "host_port": "127.0.0.1:9001",
+        "locality": "z0",
+        "flavor": "box",
+        "phase": phase,
+        "up_since_ms": 0,
+        "cell": 0,
+        "size": 6,
+    }
 
 
 class Service:
-    """The list service: `mode` is up, down (refuses), silent (accepts and says nothing) or still (says nothing more)."""
+    """The list service: `mode` is up, down (refuses), silent (accepts and says nothing) or still (says
+    nothing more).
+    """
 
     def __init__(self, world, caches):
         self.world, self.mode, self.events, self.streams = world, "up", [], {}
         self.calls, self.most_streams, self.told_at = [], {}, {}
-        self.add({"fleet": {"complete": True, "revision": 1, "members": [member(f"s-{i}") for i in range(caches)]}})
+        self.add(
+            {"fleet": {"complete": True, "revision": 1, "members": [member(f"s-{i}") for i in range(caches)]}}
+        )
 
     def add(self, told):
         number = len(self.events) + 1
@@ -58,7 +85,9 @@
             return self.say(node, node.serial, StreamLost("refused"))
         self.streams[node] = node.serial
         zone = node.zone
-        self.most_streams[zone] = max(self.most_streams.get(zone, 0), sum(one.zone == zone for one in self.streams))
+        self.most_streams[zone] = max(
+            self.most_streams.get(zone, 0), sum(one.zone == zone for one in self.streams)
+        )
         if self.mode == "up":
             self.greet(node, after)
 
@@ -105,7 +134,9 @@
         self.born = world.now
         terms = world.terms._replace(zone=self.zone)
         kind = Lone if world.alone else Listing
-        self.logic = kind(self.token, terms, world.chance.getrandbits(32), lambda: self.members.ring, self.saved)
+        self.logic = kind(
+            self.token, terms, world.chance.getrandbits(32), lambda: self.members.ring, self.saved
+        )
         self.carry(self.members.start(world.now))
         self.carry(self.logic.start(world.now))
 
@@ -176,7 +207,14 @@
     """A front as it is without relays: it calls when it has no stream, after a pause that doubles."""
 
     def __init__(self, me, terms, seed, live, saved):
-        self.chance, self.now, self.due, self.pauses, self.up, self.number = Random(seed), 0, None, 0, False, 0
+        self.chance, self.now, self.due, self.pauses, self.up, self.number = (
+            Random(seed),
+            0,
+            None,
+            0,
+            False,
+            0,
+        )
 
     def start(self, now):
         return [Call(0)]
@@ -204,7 +242,14 @@
 class World:
     def __init__(self, fronts, zones, seed, terms, loss, alone, caches, spans):
         self.chance, self.now, self.order, self.calendar = Random(seed), 0, 0, []
-        self.zones, self.alone, self.spans, self.epoch, self.messages, self.list_messages = zones, alone, spans, 0, 0, 0
+        self.zones, self.alone, self.spans, self.epoch, self.messages, self.list_messages = (
+            zones,
+            alone,
+            spans,
+            0,
+            0,
+            0,
+        )
         self.terms, self.network = terms, Network(Random(seed + 1), loss)
         self.service, self.lates, self.wrong = Service(self, caches), [], 0
         self.nodes = [Node(self, index) for index in range(fronts)]
@@ -230,8 +275,11 @@
         """An event has reached a front that was ready before: how late."""
         number = told["seq"]
         if node.ready_at is not None and "complete" not in told.get("fleet", {}):
-            self.lates.append((self.now - self.service.told_at[self.epoch, number], number, node.index)
-                              if (self.epoch, number) in self.service.told_at else (0, number, node.index))
+            self.lates.append(
+                (self.now - self.service.told_at[self.epoch, number], number, node.index)
+                if (self.epoch, number) in self.service.told_at
+                else (0, number, node.index)
+            )
 
     def seeds(self, index):
         return [(str(seed), PORT) for seed in range(min(3, len(self.nodes))) if seed != index]
@@ -263,10 +311,22 @@
     return most
 
 
-def simulated(fronts=200, zones=2, seed=1, down=12 * SECOND, loss=0.0, alone=False, kinds=(), caches=40, terms=None,
-              spans=Spans(), saved=0.0):
-    """All start at once with the list service refusing for `down`; then faults one after another. `saved`: the share of
-    fronts that hold a saved list. Give its Found."""
+def simulated(
+    fronts=200,
+    zones=2,
+    seed=1,
+    down=12 * SECOND,
+    loss=0.0,
+    alone=False,
+    kinds=(),
+    caches=40,
+    terms=None,
+    spans=Spans(),
+    saved=0.0,
+):
+    """All start at once with the list service refusing for `down`; then faults one after another. `saved`:
+    the share of fronts that hold a saved list. Give its Found.
+    """
     terms = terms or Terms(fronts=fronts)
     world = World(fronts, zones, seed, terms, loss, alone, caches, spans)
     bound, service, said = bounds(terms, fronts, zones), world.service, []
@@ -288,12 +348,18 @@
         tell(world, 5)
         world.run(world.now + 5 * SECOND)
         worst = [late for late, _, _ in world.lates]
-        rows = [Row("fronts", fronts), Row("zones", zones),
-                Row("ready after the service's return, median, s", seconds(ready[len(ready) // 2])),
-                Row("the same, 95%, s", seconds(ready[len(ready) * 95 // 100])),
-                at_most("the same, all, s", seconds(ready[-1]), seconds(bound.ready)),
-                at_most("an event at the last front, nothing failing, s", seconds(max(worst, default=0)),
-                        seconds(bound.event if not loss else bound.repaired + 8 * terms.beat))]
+        rows = [
+            Row("fronts", fronts),
+            Row("zones", zones),
+            Row("ready after the service's return, median, s", seconds(ready[len(ready) // 2])),
+            Row("the same, 95%, s", seconds(ready[len(ready) * 95 // 100])),
+            at_most("the same, all, s", seconds(ready[-1]), seconds(bound.ready)),
+            at_most(
+                "an event at the last front, nothing failing, s",
+                seconds(max(worst, default=0)),
+                seconds(bound.event if not loss else bound.repaired + 8 * terms.beat),
+            ),
+        ]
         for kind in kinds:
             rows.append(failing(world, kind, bound, said))
         behind = [node.index for node in world.live() if node.front != len(service.events)]
@@ -304,10 +370,14 @@
     rows += [
         at_most("most calls at the list service in a second", most_in(calls, SECOND), int(terms.rate)),
         at_most("most calls in 100 ms", most_in(calls, SECOND // 10), int(terms.rate) // 2),
-        Row("most streams of one zone", most, bound.streams, most <= bound.streams) if not loss else Row(
-            "most streams of one zone (fronts that heard of nobody among them)", most),
+        Row("most streams of one zone", most, bound.streams, most <= bound.streams)
+        if not loss
+        else Row("most streams of one zone (fronts that heard of nobody among them)", most),
         at_most("fronts without the newest event at the end", len(behind), 0),
-        Row("messages of the list per front and second", round(world.list_messages / fronts / world.now * 1e6, 2)),
+        Row(
+            "messages of the list per front and second",
+            round(world.list_messages / fronts / world.now * 1e6, 2),
+        ),
         Row("all messages per front and second", round(world.messages / fronts / world.now * 1e6, 2)),
     ]
     return Found(rows, said, world)
@@ -316,12 +386,13 @@
 def _save_lists(world, share):
     """Some fronts hold lists of another day, at different numbers."""
     from limepath.listing.state import List, parsed
+
     for _ in range(8):
         world.service.add({"fleet": {"revision": 2, "members": [member(f"s-{world.chance.randrange(40)}")]}})
     for node in world.nodes:
         if world.chance.random() < share:
             held = List()
-            for text in world.service.events[:world.chance.randrange(1, 9)]:
+            for text in world.service.events[: world.chance.randrange(1, 9)]:
                 held.take(parsed(text))
             node.saved = held.packed()
 
@@ -330,8 +401,11 @@
     """So many events, 200 ms apart: drains and purges."""
     for step in range(count):
         name = f"s-{world.chance.randrange(40)}"
-        told = {"invalidate": {"bucket": step, "time": 0}} if step % 2 else {
-            "fleet": {"revision": 3, "members": [member(name, "terminating")]}}
+        told = (
+            {"invalidate": {"bucket": step, "time": 0}}
+            if step % 2
+            else {"fleet": {"revision": 3, "members": [member(name, "terminating")]}}
+        )
         world.at(world.now + step * 200 * MS, world.service.add, told)
 
 
@@ -359,7 +433,9 @@
         service.restored(max(1, count - 2))
         limit = bound.restored
     elif kind == "cut-off":  # one that follows is cut off from all others, not from the service
-        node = world.chance.choice([node for node in world.live() if node not in relays and node.zone == zone])
+        node = world.chance.choice(
+            [node for node in world.live() if node not in relays and node.zone == zone]
+        )
         alone, others = frozenset((node.index,)), frozenset(range(len(world.nodes))) - {node.index}
         world.network.cuts[kind] = alone, others
         world.network.cuts[kind, 1] = others, alone
--- a/limepath/listing/state.py
+++ b/limepath/listing/state.py
@@ -1,6 +1,8 @@
-"""A list as it stands: members, number, the purges that still matter; checked before it is changed, packed to be saved or sent.
+"""A list as it stands: members, number, the purges that still matter; checked before it is changed, packed to
+be saved or sent.
 
-Free of I/O. An event is the service's JSON object: `seq` with `fleet` (members, `complete` for a whole list) or `invalidate`.
+Free of I/O. An event is the service's JSON object: `seq` with `fleet` (members, `complete` for a whole list)
+or `invalidate`.
 """
 
 import json
@@ -32,7 +34,8 @@
     >>> parsed('{"seq": 3, "invalidate": {"bucket": 17, "time": 5}}')["seq"]
     3
     >>> for text in ("{", "[]", '{"seq": "x"}', '{"seq": 2, "fleet": {"members": [{"id": ""}]}}',
-    ...              '{"seq": 2, "invalidate": {"time": 5}}', '{"seq": 2, "invalidate": {"object": "xyz", "time": 5}}'):
+    ...              '{"seq": 2, "invalidate": {"time": 5}}',
+    ...              '{"seq": 2, "invalidate": {"object": "xyz", "time": 5}}'):
     ...     try:
     ...         parsed(text)
     ...     except BadList as flaw:
@@ -127,20 +130,24 @@
 
     def whole(self):
         """The list as one event that tells all its members."""
-        return {"seq": self.place.number, "fleet": {"revision": self.revision, "complete": True,
-                                                    "members": list(self.members.values())}}
+        return {
+            "seq": self.place.number,
+            "fleet": {"revision": self.revision, "complete": True, "members": list(self.members.values())},
+        }
 
     def packed(self):
         """Bytes to save or send.
 
         >>> one = List()
-        >>> one.take(parsed('{"seq": 7, "fleet": {"complete": true, "revision": 2, "members": [{"id": "s-1", "host_port": '
-        ...                 '"127.0.0.1:9", "locality": "sur", "flavor": "box", "phase": "in_service"}]}}'))
+        >>> one.take(parsed('{"seq": 7, "fleet": {"complete": true, "revision": 2, "members": [{"id": "s-1", '
+        ...                 '"host_port": "127.0.0.1:9", "locality": "sur", '
+        ...                 '"flavor": "box", "phase": "in_service"}]}}'))
         >>> one.take(parsed('{"seq": 8, "invalidate": {"bucket": 17, "time": 5}}'))
         >>> two = unpacked(one.packed(), 10_000)
         >>> two.place, two.digest == one.digest, list(two.purges), two.whole() == one.whole()
         (Place(generation=0, number=8), True, [(False, 17)], True)
-        >>> for spoilt in (b"", one.packed()[:-3], b"LPL1" + zlib.compress(b"[1]"), one.packed()[:60] + b"x" + one.packed()[60:]):
+        >>> image = one.packed()
+        >>> for spoilt in (b"", image[:-3], b"LPL1" + zlib.compress(b"[1]"), image[:60] + b"x" + image[60:]):
         ...     try:
         ...         unpacked(spoilt, 10_000)
         ...     except BadList as flaw:
@@ -159,11 +166,11 @@
 
 def unpacked(data, longest):
     """The List of packed bytes, at most `longest` unpacked; raise BadList."""
-    if data[:len(FORM)] != FORM:
+    if data[: len(FORM)] != FORM:
         raise BadList("not a list of this program")
     try:
         opening = zlib.decompressobj()
-        text = opening.decompress(data[len(FORM):], longest + 1)
+        text = opening.decompress(data[len(FORM) :], longest + 1)
     except zlib.error:
         raise BadList("cut or damaged") from None
     if len(text) > longest:
--- a/limepath/log.py
+++ b/limepath/log.py
@@ -27,15 +27,23 @@
     """The structlog logger that writes lines of this form (one of FORMS)."""
     if form not in FORMS:
         raise ValueError(f"log form {form!r}")
-    draw = structlog.processors.JSONRenderer() if form == "json" else structlog.processors.LogfmtRenderer(
-        key_order=EARLY, drop_missing=True)
+    draw = (
+        structlog.processors.JSONRenderer()
+        if form == "json"
+        else structlog.processors.LogfmtRenderer(key_order=EARLY, drop_missing=True)
+    )
     return structlog.wrap_logger(
-        Said(), wrapper_class=structlog.BoundLoggerBase, cache_logger_on_first_use=True,
-        processors=[structlog.processors.TimeStamper(fmt="iso", key="time"), draw]).bind(instance=instance)
+        Said(),
+        wrapper_class=structlog.BoundLoggerBase,
+        cache_logger_on_first_use=True,
+        processors=[structlog.processors.TimeStamper(fmt="iso", key="time"), draw],
+    ).bind(instance=instance)
 
 
 class Log:
-    """`lines` of one event in `span` microseconds are written, then their number with the event's next line."""
+    """`lines` of one event in `span` microseconds are written, then their number with the event's next
+    line.
+    """
 
     def __init__(self, name, lines, span, form="person", clock=time.monotonic):
         self.name, self.lines, self.span, self.kinds, self.clock = name, lines, span / 1e6, {}, clock
--- a/limepath/opening/ini.py
+++ b/limepath/opening/ini.py
@@ -7,7 +7,8 @@
 import configparser
 import difflib
 import re
-from typing import Any, Callable, NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 UNITS = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
 SIZES = {"": 1, "kb": 1000, "mb": 1_000_000}
@@ -20,7 +21,9 @@
 
 
 class Key(NamedTuple):
-    """`read` gives a value of a text or raises ValueError; `least` and `most` bound it where they are told."""
+    """`read` gives a value of a text or raises ValueError; `least` and `most` bound it where they are
+    told.
+    """
 
     read: Callable[[str], Any]
     absent: Any = NEEDED
@@ -99,6 +102,7 @@
     (('127.0.0.1', 7946), ('::1', 7946))
     """
     import ipaddress
+
     host, _, port = text.rpartition(":")
     try:
         host = str(ipaddress.ip_address(host.removeprefix("[").removesuffix("]")))
@@ -115,16 +119,19 @@
         if text not in known:
             raise ValueError(f"one of {', '.join(known)} is wanted" + near(text, known))
         return text
+
     return read
 
 
 def many(read):
     """A list with commas; empty where nothing stands."""
+
     def read_all(text):
         values = tuple(read(one.strip()) for one in text.replace("\n", ",").split(",") if one.strip())
         if len(set(values)) < len(values):
             raise ValueError("the same stands twice")
         return values
+
     return read_all
 
 
@@ -138,8 +145,9 @@
 
 
 def parsed(text, file):
-    parser = configparser.ConfigParser(interpolation=None, default_section="\0", strict=True,
-                                       inline_comment_prefixes=(";", "#"))
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section="\0", strict=True, inline_comment_prefixes=(";", "#")
+    )
     parser.optionxform = str
     try:
         parser.read_string(text, file)
@@ -160,7 +168,10 @@
         value = key.read(text.strip())
     except ValueError as flaw:
         raise BadSetting(f"{where}: {text.strip()[:60]!r}: {flaw}") from None
-    for bound, broken, says in ((key.least, lambda b: value < b, "at least"), (key.most, lambda b: value > b, "at most")):
+    for bound, broken, says in (
+        (key.least, lambda b: value < b, "at least"),
+        (key.most, lambda b: value > b, "at most"),
+    ):
         if bound is not None and broken(bound):
             raise BadSetting(f"{where}: {text.strip()!r}: {says} {in_words(bound, key.unit)} is wanted")
     return value
@@ -178,14 +189,19 @@
         if pattern.endswith(" *"):
             value_of(Key(word), name, f"{file}: [{title}]")
         told[title if pattern == title else (kind, name.strip())] = section_of(
-            parser[title], f"{file}: [{title}]", form[pattern].keys)
+            parser[title], f"{file}: [{title}]", form[pattern].keys
+        )
     for title, section in form.items():
         if title.endswith(" *"):
             continue
         if title not in told and section.needed:
             raise BadSetting(f"{file}: [{title}]: missing")
-        told.setdefault(title, section_of({}, f"{file}: [{title}]", section.keys) if not any(
-            key.absent is NEEDED for key in section.keys.values()) else None)
+        told.setdefault(
+            title,
+            section_of({}, f"{file}: [{title}]", section.keys)
+            if not any(key.absent is NEEDED for key in section.keys.values())
+            else None,
+        )
     return told
 
 
--- a/limepath/opening/peers.py
+++ b/limepath/opening/peers.py
@@ -22,24 +22,51 @@
 FORM = {
     "instance": Section({"name": Key(ini.word), "store": Key(ini.path), "control": Key(ini.path, "")}, True),
     "log": Section({"form": Key(ini.one_of(*FORMS), FORMS[0])}),
-    "peers": Section({
-        "listen": Key(ini.address), "advertise": Key(ini.address, None), "seeds": Key(ini.many(ini.address), ()), "keys": Key(ini.path),
-        "period": span(SECOND, 100 * MS, 60 * SECOND), "direct": span(300 * MS, 20 * MS, 20 * SECOND),
-        "indirect": Key(ini.whole, 3, 0, 8), "suspicion": Key(ini.whole, 4, 1, 20),
-        "forget": span(3600 * SECOND, 10 * SECOND, 24 * 3600 * SECOND),
-        "keys-reread": span(2 * SECOND, 100 * MS, 3600 * SECOND)}, True),
-    "leases": Section({
-        "voters": Key(ini.many(ini.word), ()), "span": span(3 * SECOND, 200 * MS, 600 * SECOND),
-        "drift": Key(ini.share, 0.01, 0.0, 0.2), "slots": Key(ini.whole, 32, 1, 256)}),
+    "peers": Section(
+        {
+            "listen": Key(ini.address),
+            "advertise": Key(ini.address, None),
+            "seeds": Key(ini.many(ini.address), ()),
+            "keys": Key(ini.path),
+            "period": span(SECOND, 100 * MS, 60 * SECOND),
+            "direct": span(300 * MS, 20 * MS, 20 * SECOND),
+            "indirect": Key(ini.whole, 3, 0, 8),
+            "suspicion": Key(ini.whole, 4, 1, 20),
+            "forget": span(3600 * SECOND, 10 * SECOND, 24 * 3600 * SECOND),
+            "keys-reread": span(2 * SECOND, 100 * MS, 3600 * SECOND),
+        },
+        True,
+    ),
+    "leases": Section(
+        {
+            "voters": Key(ini.many(ini.word), ()),
+            "span": span(3 * SECOND, 200 * MS, 600 * SECOND),
+            "drift": Key(ini.share, 0.01, 0.0, 0.2),
+            "slots": Key(ini.whole, 32, 1, 256),
+        }
+    ),
     "sharing": Section({"batch": span(250 * MS, 20 * MS, 10 * SECOND), "copies": Key(ini.whole, 2, 1, 10)}),
-    "listing": Section({
-        "fronts": Key(ini.whole, ini.NEEDED, 1, 10_000), "calls": Key(ini.whole, 20, 1, 10_000), "relays": Key(ini.whole, 2, 1, 8),
-        "beat": span(500 * MS, 50 * MS, 10 * SECOND), "patience": span(1500 * MS, 150 * MS, 60 * SECOND),
-        "silence": span(2500 * MS, 500 * MS, 60 * SECOND), "save": span(SECOND, 100 * MS, 60 * SECOND)}),
-    "caches": Section({"connections": Key(ini.whole, ini.NEEDED, 1, 100_000), "ready": Key(ini.whole, 0, 0, 10_000)}),
-    "duty *": Section({
-        "mode": Key(ini.one_of(*MODES), "at-least-once"), "interval": span(5 * SECOND, 100 * MS, 24 * 3600 * SECOND),
-        "targets": Key(ini.many(ini.one_of(*KINDS)), KINDS)}),
+    "listing": Section(
+        {
+            "fronts": Key(ini.whole, ini.NEEDED, 1, 10_000),
+            "calls": Key(ini.whole, 20, 1, 10_000),
+            "relays": Key(ini.whole, 2, 1, 8),
+            "beat": span(500 * MS, 50 * MS, 10 * SECOND),
+            "patience": span(1500 * MS, 150 * MS, 60 * SECOND),
+            "silence": span(2500 * MS, 500 * MS, 60 * SECOND),
+            "save": span(SECOND, 100 * MS, 60 * SECOND),
+        }
+    ),
+    "caches": Section(
+        {"connections": Key(ini.whole, ini.NEEDED, 1, 100_000), "ready": Key(ini.whole, 0, 0, 10_000)}
+    ),
+    "duty *": Section(
+        {
+            "mode": Key(ini.one_of(*MODES), "at-least-once"),
+            "interval": span(5 * SECOND, 100 * MS, 24 * 3600 * SECOND),
+            "targets": Key(ini.many(ini.one_of(*KINDS)), KINDS),
+        }
+    ),
 }
 
 
@@ -70,23 +97,37 @@
     where = os.path.dirname(os.path.abspath(file))
     instance, peers, leases, sharing = (told[name] for name in ("instance", "peers", "leases", "sharing"))
     if peers["direct"] * 2 >= peers["period"]:
-        raise BadSetting(f"{file}: [peers] direct: twice this must be below period, so that others can be asked too")
-    duties = {name: values for (kind, name), values in
-              ((key, values) for key, values in told.items() if isinstance(key, tuple)) if kind == "duty"}
+        raise BadSetting(
+            f"{file}: [peers] direct: twice this must be below period, so that others can be asked too"
+        )
+    duties = {
+        name: values
+        for (kind, name), values in ((key, values) for key, values in told.items() if isinstance(key, tuple))
+        if kind == "duty"
+    }
     plans = tuple(Plan(name, MODES[values["mode"]], values["interval"]) for name, values in duties.items())
     for plan in plans:
         if plan.mode == Mode.ONE_OWNER and not leases["voters"]:
             raise BadSetting(f"{file}: [leases] voters: missing; [duty {plan.name}] has mode one-owner")
     if len(leases["voters"]) > 15:
-        raise BadSetting(f"{file}: [leases] voters: at most 15 are wanted; others may own duties all the same")
+        raise BadSetting(
+            f"{file}: [leases] voters: at most 15 are wanted; others may own duties all the same"
+        )
     if not plans:
         raise BadSetting(f"{file}: [duty NAME]: missing; without a duty there is nothing to share")
 
     listing = told["listing"]
     if listing and listing["patience"] < 2 * listing["beat"]:
-        raise BadSetting(f"{file}: [listing] patience: at least twice beat is wanted, or one lost datagram passes for a silent relay")
-    terms = listing and Terms("", listing["fronts"], float(listing["calls"]), *(
-        listing[name] for name in ("relays", "beat", "patience", "silence", "save")))
+        raise BadSetting(
+            f"{file}: [listing] patience: at least twice beat is wanted, or one lost datagram passes for a "
+            "silent relay"
+        )
+    terms = listing and Terms(
+        "",
+        listing["fronts"],
+        float(listing["calls"]),
+        *(listing[name] for name in ("relays", "beat", "patience", "silence", "save")),
+    )
     caches = told["caches"]
     if caches and not terms:
         raise BadSetting(f"{file}: [caches]: wants [listing] too, whose key fronts tells how many share")
@@ -97,11 +138,33 @@
         return os.path.join(where, path) if path else ""
 
     return PeersOpening(
-        str(file), instance["name"], resolved(instance["store"]), resolved(instance["control"]),
-        told["log"]["form"], peers["listen"], peers["advertise"] or peers["listen"], peers["seeds"], resolved(peers["keys"]), peers["keys-reread"],
-        Spans(period=peers["period"], direct=peers["direct"], indirect=peers["indirect"],
-              suspicion=peers["suspicion"], forget=peers["forget"]),
-        Leasing(voters=leases["voters"], span=leases["span"], drift=leases["drift"], slots=leases["slots"],
-                batch=sharing["batch"], copies=sharing["copies"]),
-        plans, {name: values["targets"] for name, values in duties.items()}, terms,
-        caches["connections"] if caches else 0)
+        str(file),
+        instance["name"],
+        resolved(instance["store"]),
+        resolved(instance["control"]),
+        told["log"]["form"],
+        peers["listen"],
+        peers["advertise"] or peers["listen"],
+        peers["seeds"],
+        resolved(peers["keys"]),
+        peers["keys-reread"],
+        Spans(
+            period=peers["period"],
+            direct=peers["direct"],
+            indirect=peers["indirect"],
+            suspicion=peers["suspicion"],
+            forget=peers["forget"],
+        ),
+        Leasing(
+            voters=leases["voters"],
+            span=leases["span"],
+            drift=leases["drift"],
+            slots=leases["slots"],
+            batch=sharing["batch"],
+            copies=sharing["copies"],
+        ),
+        plans,
+        {name: values["targets"] for name, values in duties.items()},
+        terms,
+        caches["connections"] if caches else 0,
+    )
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -24,26 +24,70 @@
 
 ANY, SOME, COUNT, SHARE = Number(), Number(over=True), Number(1, whole=True), Number(most=1.0)
 KIND = Number(-1, whole=True)  # a place in `models`; -1 where the site has none
-NEEDED = {"": {"az": Number(whole=True), "replicas-of-me": COUNT, "areas": list, "models": list, "classes": list,
-               "safety": dict},
-          "safety.": {"cold-share": SHARE} | dict.fromkeys(("cold", "overload-factor", "tip-after", "answer-slack",
-                                                            "drain-grace"), ANY),
-          "classes[].": {"name": str, "aim": SOME, "deadline": SOME, "idempotency": tuple(REPEATS)}}
-OPTIONAL = {"": {"family-info": dict, "limits": dict, "stats": dict},
-            "classes[].": {"aim-stretch": ANY, "worth": ANY, "late-worth": ANY, "key-scope": tuple(SCOPES),
-                           "repeat-window": ANY, "stream": bool},
-            "family-info.": dict.fromkeys(
-                ("hub-of", "pipe-kb-per-s", "zone-balancers", "max-age", "class-grace", "class-stale-worth",
-                 "never-kept", "segmented"), list) | dict.fromkeys(
-                ("one-flow-kb-per-s", "heed-within", "gone-everywhere", "parent-cold", "upper-fall-multiple"), ANY) | {
-                "parent-floor": SHARE, "mid-kind": KIND, "master-kind": KIND, "lateral": tuple(LATERAL),
-                "direct": bool, "shares-fills": bool},
-            "limits.": {"max-attempts": COUNT, "max-open": COUNT, "streams-per-conn": COUNT, "connect-timeout": SOME,
-                        "conn-idle": SOME, "max-retry-after": ANY} | dict.fromkeys(
-                ("cancel", "probing", "peers", "retry-after", "second-copies"), bool),
-            "stats.": {"fields": list}}
+NEEDED = {
+    "": {
+        "az": Number(whole=True),
+        "replicas-of-me": COUNT,
+        "areas": list,
+        "models": list,
+        "classes": list,
+        "safety": dict,
+    },
+    "safety.": {"cold-share": SHARE}
+    | dict.fromkeys(("cold", "overload-factor", "tip-after", "answer-slack", "drain-grace"), ANY),
+    "classes[].": {"name": str, "aim": SOME, "deadline": SOME, "idempotency": tuple(REPEATS)},
+}
+OPTIONAL = {
+    "": {"family-info": dict, "limits": dict, "stats": dict},
+    "classes[].": {
+        "aim-stretch": ANY,
+        "worth": ANY,
+        "late-worth": ANY,
+        "key-scope": tuple(SCOPES),
+        "repeat-window": ANY,
+        "stream": bool,
+    },
+    "family-info.": dict.fromkeys(
+        (
+            "hub-of",
+            "pipe-kb-per-s",
+            "zone-balancers",
+            "max-age",
+            "class-grace",
+            "class-stale-worth",
+            "never-kept",
+            "segmented",
+        ),
+        list,
+    )
+    | dict.fromkeys(
+        ("one-flow-kb-per-s", "heed-within", "gone-everywhere", "parent-cold", "upper-fall-multiple"), ANY
+    )
+    | {
+        "parent-floor": SHARE,
+        "mid-kind": KIND,
+        "master-kind": KIND,
+        "lateral": tuple(LATERAL),
+        "direct": bool,
+        "shares-fills": bool,
+    },
+    "limits.": {
+        "max-attempts": COUNT,
+        "max-open": COUNT,
+        "streams-per-conn": COUNT,
+        "connect-timeout": SOME,
+        "conn-idle": SOME,
+        "max-retry-after": ANY,
+    }
+    | dict.fromkeys(("cancel", "probing", "peers", "retry-after", "second-copies"), bool),
+    "stats.": {"fields": list},
+}
 # lists of the family, by what they have an entry for, and what the entries may be
-PER_CLASS = dict.fromkeys(("max-age", "class-grace"), ANY) | {"class-stale-worth": ANY, "never-kept": bool, "segmented": bool}
+PER_CLASS = dict.fromkeys(("max-age", "class-grace"), ANY) | {
+    "class-stale-worth": ANY,
+    "never-kept": bool,
+    "segmented": bool,
+}
 PER_ZONE = {"hub-of": Number(-1, whole=True), "pipe-kb-per-s": ANY, "zone-balancers": Number(whole=True)}
 
 
@@ -65,7 +109,9 @@
 
 
 def part(told, key, kind, default=None, where=""):
-    """The value at this key, which has to be of this kind: a type, a Number, or one of the words of a tuple."""
+    """The value at this key, which has to be of this kind: a type, a Number, or one of the words of a
+    tuple.
+    """
     value = told.get(key, default)
     if value is None:
         raise BadConfiguration(f"{where}{key}: missing")
@@ -82,7 +128,9 @@
             raise BadConfiguration(f"{shown} is no number")
         if value < kind.least or kind.over and value == kind.least or value > kind.most:
             least = f"over {kind.least:g}" if kind.over else f"{kind.least:g} or more"
-            raise BadConfiguration(f"{shown} has to be {least}" + (f" and {kind.most:g} at most" if kind.most < math.inf else ""))
+            raise BadConfiguration(
+                f"{shown} has to be {least}" + (f" and {kind.most:g} at most" if kind.most < math.inf else "")
+            )
         if kind.whole and value != int(value):
             raise BadConfiguration(f"{shown} is no whole number")
     elif not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
@@ -113,12 +161,17 @@
         check(entry, "classes[].", f"classes[{number}].")
         name = entry["name"]
         if not name or set(name) & set("/?# ") or name in [other["name"] for other in classes[:number]]:
-            raise BadConfiguration(f"settings.classes[{number}].name: {name!r} is empty, can't stand in a target or is there twice")
+            raise BadConfiguration(
+                f"settings.classes[{number}].name: {name!r} is empty, can't stand in a target or "
+                "is there twice"
+            )
     for lists, entries, what in ((PER_CLASS, classes, "classes"), (PER_ZONE, settings["areas"], "areas")):
         for key, kind in lists.items():
             told = family.get(key, [])
             if len(told) not in (0, len(entries)):
-                raise BadConfiguration(f"settings.family-info.{key}: {len(told)} entries for {len(entries)} of settings.{what}")
+                raise BadConfiguration(
+                    f"settings.family-info.{key}: {len(told)} entries for {len(entries)} of settings.{what}"
+                )
             for number, value in enumerate(told):
                 checked(value, kind, f"settings.family-info.{key}[{number}]")
     if settings["az"] >= len(settings["areas"]):
@@ -175,9 +228,14 @@
     check_settings(settings)
     try:
         arguments = opening_values.start_of(settings)
-        services = {entry["name"].encode(): (i, arguments["services"][i].uncacheable,
-                                             arguments["services"][i].viewer_timeout * 2)
-                    for i, entry in enumerate(settings["classes"])}
+        services = {
+            entry["name"].encode(): (
+                i,
+                arguments["services"][i].uncacheable,
+                arguments["services"][i].viewer_timeout * 2,
+            )
+            for i, entry in enumerate(settings["classes"])
+        }
     except KeyError as flaw:
         raise BadConfiguration(f"settings: {flaw} is an unknown value") from None
     except (TypeError, ValueError, AttributeError, IndexError) as flaw:
@@ -189,11 +247,27 @@
     allowed = settings.get("limits", {})
     us = opening_values.us
     connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
-    limits = planned(sockets, memory_mb, allowed.get("streams-per-conn", 1),
-                     open_gets=allowed.get("max-open", 20_000),
-                     leaving=leaving, last_call=max(one.viewer_timeout for one in arguments["services"]), connect=connect, come_back=arguments["allowance"].come_back // 10,
-                     wait=min(connect, grace.drain, grace.purge or connect),
-                     cache_idle=us(allowed.get("conn-idle", 30_000_000_000)) * 8 // 10)
-    return Opening(environ.get(NAME) or part(told, "name", str, "front"),
-                   address(told, "listen", environ.get(LISTEN)), seed, address(told, "changelog"), known,
-                   settings, arguments, services, bool(opening_values.load_fields(settings)), limits)
+    limits = planned(
+        sockets,
+        memory_mb,
+        allowed.get("streams-per-conn", 1),
+        open_gets=allowed.get("max-open", 20_000),
+        leaving=leaving,
+        last_call=max(one.viewer_timeout for one in arguments["services"]),
+        connect=connect,
+        come_back=arguments["allowance"].come_back // 10,
+        wait=min(connect, grace.drain, grace.purge or connect),
+        cache_idle=us(allowed.get("conn-idle", 30_000_000_000)) * 8 // 10,
+    )
+    return Opening(
+        environ.get(NAME) or part(told, "name", str, "front"),
+        address(told, "listen", environ.get(LISTEN)),
+        seed,
+        address(told, "changelog"),
+        known,
+        settings,
+        arguments,
+        services,
+        bool(opening_values.load_fields(settings)),
+        limits,
+    )
--- a/limepath/opening_values.py
+++ b/limepath/opening_values.py
@@ -2,10 +2,19 @@
 
 from limepath import contract as c
 
-LOAD_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
-              "fail_rate": "eps"}
-REPEATS = {"free": c.Repeats.IDEMPOTENT, "guarded": c.Repeats.TOKENED,
-           "single_shot": c.Repeats.NON_IDEMPOTENT}
+LOAD_NAMES = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "fail_rate": "eps",
+}
+REPEATS = {
+    "free": c.Repeats.IDEMPOTENT,
+    "guarded": c.Repeats.TOKENED,
+    "single_shot": c.Repeats.NON_IDEMPOTENT,
+}
 SCOPES = {"all": c.Scope.ALL, "zone": c.Scope.ZONE, "cell": c.Scope.CELL}
 LATERAL = {"none": "none", "location": "zone", "any": "any"}
 
@@ -20,14 +29,21 @@
         return values[i] if i < len(values) else absent
 
     return c.DeliveryService(
-        objective=us(entry["aim"]), stretch=entry.get("aim-stretch", 0.0),
-        viewer_timeout=us(entry["deadline"]), revenue=entry.get("worth", 1.0),
+        objective=us(entry["aim"]),
+        stretch=entry.get("aim-stretch", 0.0),
+        viewer_timeout=us(entry["deadline"]),
+        revenue=entry.get("worth", 1.0),
         late_share=entry.get("late-worth", 0.0),
-        repeats=REPEATS[entry["idempotency"]], scope=SCOPES[entry.get("key-scope", "all")],
-        window=us(entry.get("repeat-window", 0)), streamed=bool(entry.get("stream", False)),
-        fresh=us(per_class("max-age", 0)), grace=us(per_class("class-grace", 0)),
-        stale_share=per_class("class-stale-worth", 0.0), uncacheable=bool(per_class("never-kept", False)),
-        segmented=bool(per_class("segmented", False)))
+        repeats=REPEATS[entry["idempotency"]],
+        scope=SCOPES[entry.get("key-scope", "all")],
+        window=us(entry.get("repeat-window", 0)),
+        streamed=bool(entry.get("stream", False)),
+        fresh=us(per_class("max-age", 0)),
+        grace=us(per_class("class-grace", 0)),
+        stale_share=per_class("class-stale-worth", 0.0),
+        uncacheable=bool(per_class("never-kept", False)),
+        segmented=bool(per_class("segmented", False)),
+    )
 
 
 def warmup(share, span, factor, window):
@@ -42,27 +58,52 @@
     zone_fronts = family.get("zone-balancers") or []
     services = tuple(service_of(entry, i, family) for i, entry in enumerate(settings["classes"]))
     footprint = c.Footprint(
-        zone=zone, hub_of=tuple(family.get("hub-of", ())), link_kb_s=tuple(family.get("pipe-kb-per-s", ())),
-        fronts_in_zone=zone_fronts[zone] if zone < len(zone_fronts) else fronts, fronts=fronts,
-        parent_kind=family.get("mid-kind", -1), origin_kind=family.get("master-kind", -1),
+        zone=zone,
+        hub_of=tuple(family.get("hub-of", ())),
+        link_kb_s=tuple(family.get("pipe-kb-per-s", ())),
+        fronts_in_zone=zone_fronts[zone] if zone < len(zone_fronts) else fronts,
+        fronts=fronts,
+        parent_kind=family.get("mid-kind", -1),
+        origin_kind=family.get("master-kind", -1),
         flow_kb_s=family.get("one-flow-kb-per-s", 0.0),
-        weighted=settings.get("weight-kind") in ("nominal", "rough"))
+        weighted=settings.get("weight-kind") in ("nominal", "rough"),
+    )
     allowance = c.Allowance(
-        forwards=limits.get("max-attempts", 1), overlap=limits.get("second-copies", False),
-        withdraw=limits.get("cancel", False), probing=limits.get("probing", False),
+        forwards=limits.get("max-attempts", 1),
+        overlap=limits.get("second-copies", False),
+        withdraw=limits.get("cancel", False),
+        probing=limits.get("probing", False),
         peers=limits.get("peers", False),
         come_back=us(limits.get("max-retry-after", 0)) if limits.get("retry-after", False) else 0,
-        direct=family.get("direct", False), joins=family.get("shares-fills", False),
+        direct=family.get("direct", False),
+        joins=family.get("shares-fills", False),
         lateral=LATERAL[family.get("lateral", "none")],
-        subscribe=settings.get("membership-mode") == "subscribe")
-    cache_warmup = warmup(safety["cold-share"], safety["cold"], safety["overload-factor"], safety["tip-after"])
+        subscribe=settings.get("membership-mode") == "subscribe",
+    )
+    cache_warmup = warmup(
+        safety["cold-share"], safety["cold"], safety["overload-factor"], safety["tip-after"]
+    )
     parent_warmup = warmup(
-        family.get("parent-floor", safety["cold-share"]), family.get("parent-cold", safety["cold"]),
-        family.get("upper-fall-multiple", safety["overload-factor"]), safety["tip-after"])
-    grace = c.Grace(us(safety["answer-slack"]), us(safety["drain-grace"]), us(family.get("heed-within", 0)),
-                    us(family.get("gone-everywhere", 0)), us(safety.get("must-ask-in", 0)))
-    return {"services": services, "footprint": footprint, "allowance": allowance,
-            "cache_warmup": cache_warmup, "parent_warmup": parent_warmup, "grace": grace}
+        family.get("parent-floor", safety["cold-share"]),
+        family.get("parent-cold", safety["cold"]),
+        family.get("upper-fall-multiple", safety["overload-factor"]),
+        safety["tip-after"],
+    )
+    grace = c.Grace(
+        us(safety["answer-slack"]),
+        us(safety["drain-grace"]),
+        us(family.get("heed-within", 0)),
+        us(family.get("gone-everywhere", 0)),
+        us(safety.get("must-ask-in", 0)),
+    )
+    return {
+        "services": services,
+        "footprint": footprint,
+        "allowance": allowance,
+        "cache_warmup": cache_warmup,
+        "parent_warmup": parent_warmup,
+        "grace": grace,
+    }
 
 
 def load_fields(settings):
--- a/limepath/peers/control.py
+++ b/limepath/peers/control.py
@@ -1,4 +1,6 @@
-"""The control socket: a running instance tells its view, one JSON object for one line asked, on a local socket."""
+"""The control socket: a running instance tells its view, one JSON object for one line asked, on a local
+socket.
+"""
 
 import json
 import os
@@ -38,7 +40,7 @@
             told = self.factory.shown[what]()
         except (ValueError, TypeError, KeyError, RecursionError):
             known = ", ".join(sorted(self.factory.shown))
-            self.say({"error": f"not understood; ask as {{\"show\": WHAT}}, with one of: {known}"})
+            self.say({"error": f'not understood; ask as {{"show": WHAT}}, with one of: {known}'})
             return
         self.say(told)
 
@@ -54,7 +56,9 @@
 
 
 def listen(reactor, path, shown):
-    """Answer at `path`; `shown` maps what may be asked to a function that gives plain values. OSError if it can't be."""
+    """Answer at `path`; `shown` maps what may be asked to a function that gives plain values. OSError if it
+    can't be.
+    """
     if os.path.exists(path) and stat.S_ISSOCK(os.stat(path).st_mode):
         with socket.socket(socket.AF_UNIX) as old:
             try:
