--- a/limepath/peers/guard.py
+++ b/limepath/peers/guard.py
@@ -1,11 +1,12 @@
-"""Datagrams to messages and back: authentic, new, of a known version and a bounded size, or dropped and counted.
-
-A datagram is b"LP", a version byte (generation and version within it), four bytes that name the key, the body in msgpack, and 16 bytes of keyed BLAKE2b
-(RFC 7693) over all before. The body names the sender (its News), the life that is meant, a counter and the message.
-A counter that was there is a replay: a window of WINDOW behind the highest is kept for each life that speaks.
-What was recorded before this life began names another door and changes nothing (`members` sees to that).
-Versions of one generation read each other: fields are added at the end of messages only, unknown messages are
-dropped. Free of I/O.
+"""Datagrams to messages and back: authentic, new, of a known version and a bounded size, or dropped and
+counted.
+
+A datagram is b"LP", a version byte (generation and version within it), four bytes that name the key, the body
+in msgpack, and 16 bytes of keyed BLAKE2b (RFC 7693) over all before. The body names the sender (its News),
+the life that is meant, a counter and the message. A counter that was there is a replay: a window of WINDOW
+behind the highest is kept for each life that speaks. What was recorded before this life began names another
+door and changes nothing (`members` sees to that). Versions of one generation read each other: fields are
+added at the end of messages only, unknown messages are dropped. Free of I/O.
 """
 
 from collections import Counter, OrderedDict
@@ -98,7 +99,7 @@
         self.encoder = msgspec.msgpack.Encoder()
         body = tuple[News, int, int, msgspec.Raw]
         self.envelope = msgspec.msgpack.Decoder(body)
-        self.message = msgspec.msgpack.Decoder(Union[tuple(types)])
+        self.message = msgspec.msgpack.Decoder(Union[tuple(types)])  # noqa: UP007 (made from a tuple)
 
     def seal(self, me, to, message):
         """The datagram's bytes; ValueError when they would be too many."""
--- a/limepath/peers/host.py
+++ b/limepath/peers/host.py
@@ -9,7 +9,10 @@
 from limepath.peers.guard import BadKeys, Dropped, Guard, keys_of
 from limepath.peers.interface import Heard
 
-SLICE, TAKEN = 50_000, 400  # microseconds; datagrams that may be dropped in one before it is left unread to its end
+SLICE, TAKEN = (
+    50_000,
+    400,
+)  # microseconds; datagrams that may be dropped in one before it is left unread to its end
 
 
 class Unopened(Exception):
@@ -61,7 +64,9 @@
                 self.port.stopReading()
 
     def sliced_over(self):
-        """Whoever floods the port takes a part of a core, not all; the system drops what it has no room for."""
+        """Whoever floods the port takes a part of a core, not all; the system drops what it has no room
+        for.
+        """
         if self.bad >= TAKEN and self.port:
             self.port.startReading()
         self.bad, self.sliced = 0, False
@@ -92,8 +97,11 @@
 
     def report(self):
         """One line for all that was dropped since the last."""
-        news = {kind.replace(" ", "_"): count - self.reported[kind] for kind, count in self.guard.counts.items()
-                if kind != "taken" and count > self.reported[kind]}
+        news = {
+            kind.replace(" ", "_"): count - self.reported[kind]
+            for kind, count in self.guard.counts.items()
+            if kind != "taken" and count > self.reported[kind]
+        }
         self.reported = Counter(self.guard.counts)
         if news:
             self.log.say("peers-dropped", **news)
--- a/limepath/peers/identity.py
+++ b/limepath/peers/identity.py
@@ -1,6 +1,7 @@
 """Who an instance is, out of its store: a token drawn once, a life for each start, the ceiling of epochs.
 
-Damaged or missing state is never guessed: the instance is a new one then, under a new token, and its voter unsure.
+Damaged or missing state is never guessed: the instance is a new one then, under a new token, and its voter
+unsure.
 """
 
 from typing import NamedTuple
--- a/limepath/peers/interface.py
+++ b/limepath/peers/interface.py
@@ -1,7 +1,8 @@
 """The interface of the membership logic: what it is told at start, notes in, orders out, and the messages.
 
-Times are whole microseconds of the instance's own clock. A life is one start of an instance: it is kept in the
-store and grows at each start; an incarnation is (life << REFUTALS) + the times that it has refuted in that life.
+Times are whole microseconds of the instance's own clock. A life is one start of an instance: it is kept in
+the store and grows at each start; an incarnation is (life << REFUTALS) + the times that it has refuted in
+that life.
 """
 
 from enum import IntEnum
@@ -58,7 +59,9 @@
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
-    """Later versions add fields at the end; an older reader leaves them out, an older sender has the defaults."""
+    """Later versions add fields at the end; an older reader leaves them out, an older sender has the
+    defaults.
+    """
 
 
 class Hello(Message, tag="h"):
@@ -90,8 +93,9 @@
 
 
 class Pull(Message, tag="l"):
-    """Tell me whom you know alive, in the order of tokens, after this one; where I tell my digests by range of
-    tokens (version 3), only what lies in ranges that differ."""
+    """Tell me whom you know alive, in the order of tokens, after this one; where I tell my digests by range
+    of tokens (version 3), only what lies in ranges that differ.
+    """
 
     after: int = -1
     buckets: tuple[int, ...] = ()
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -1,11 +1,13 @@
-"""The membership logic: SWIM with suspicion (Das, Gupta, Motivala 2002) and the later refinements on local health.
-
-Each period an instance checks its ring successor and one more, alternately the successor's successor and one in
-a shuffled round. No answer within `direct`: others are asked to check. None by the end of the period: it is
-suspected, and when the suspicion's time is over and nobody has heard it refute, checked once more, with the suspicion
-told to it, and then declared dead: by those that missed its answers themselves; all others leave them the time for
-that. So many that were parted and refute at once need not outrun old suspicions as news. News travels on the checks. Whoever does not know the life it speaks to says Hello and learns it: what is meant for a former life
-changes nothing. Free of I/O; docs/duties.md has the options weighed.
+"""The membership logic: SWIM with suspicion (Das, Gupta, Motivala 2002) and the later refinements on local
+health.
+
+Each period an instance checks its ring successor and one more, alternately the successor's successor and one
+in a shuffled round. No answer within `direct`: others are asked to check. None by the end of the period: it
+is suspected, and when the suspicion's time is over and nobody has heard it refute, checked once more, with
+the suspicion told to it, and then declared dead: by those that missed its answers themselves; all others
+leave them the time for that. So many that were parted and refute at once need not outrun old suspicions as
+news. News travels on the checks. Whoever does not know the life it speaks to says Hello and learns it: what
+is meant for a former life changes nothing. Free of I/O; docs/duties.md has the options weighed.
 """
 
 from bisect import bisect_left, insort
@@ -14,8 +16,27 @@
 from math import ceil, log, log2, log10
 
 from limepath.agenda import Agenda, mixed
-from limepath.peers.interface import (NEWEST, REFUTALS, Ack, Depart, Departed, GiveWay, Heard, Hello, Joined, Page,
-                                      Parted, Passed, Ping, PingFor, Pull, Say, Send, State, Welcome)
+from limepath.peers.interface import (
+    NEWEST,
+    REFUTALS,
+    Ack,
+    Depart,
+    Departed,
+    GiveWay,
+    Heard,
+    Hello,
+    Joined,
+    Page,
+    Parted,
+    Passed,
+    Ping,
+    PingFor,
+    Pull,
+    Say,
+    Send,
+    State,
+    Welcome,
+)
 
 CARRIED = 8  # news on one message
 PAGE, PAGES = 12, 8  # news on a page; pages in a row that bring no member
@@ -51,9 +72,9 @@
 def detection(spans, live, together=1):
     """The longest time from a death until all of a healthy view know it, with so many dying together.
 
-    Its ring predecessor checks it within a period and suspects it by the end of the next, or ILL later if it has missed
-    answers itself; where nobody confirms the suspicion it is at its longest; `together` neighbours on the ring are
-    found one after another. The last check before it is declared takes a period.
+    Its ring predecessor checks it within a period and suspects it by the end of the next, or ILL later if it
+    has missed answers itself; where nobody confirms the suspicion it is at its longest; `together` neighbours
+    on the ring are found one after another. The last check before it is declared takes a period.
     """
     one = (3 + ILL) * spans.period + LONGEST * shortest(spans, live)
     return one * together + spread(spans, live)
@@ -96,8 +117,15 @@
         self.buckets[bucket_of(me.token)] = self.digest
         self.cursor, self.pulled, self.joining, self.differing, self.pages = -1, -1, True, 0, 0
         self.counts = {"misaddressed": 0, "former": 0, "refuted": 0, "suspected": 0, "declared": 0}
-        self.desks = {Ping: self.pinged, Ack: self.acked, PingFor: self.asked_to_check, Hello: self.greeted_by,
-                      Welcome: self.welcomed, Pull: self.pulled_from, Page: self.paged}
+        self.desks = {
+            Ping: self.pinged,
+            Ack: self.acked,
+            PingFor: self.asked_to_check,
+            Hello: self.greeted_by,
+            Welcome: self.welcomed,
+            Pull: self.pulled_from,
+            Page: self.paged,
+        }
 
     # What the host and other logic use
 
@@ -150,7 +178,12 @@
         now, last = self.agenda.now, self.greeted.get((host, port))
         if (host, port) == (self.me.host, self.me.port) or self.over:
             return
-        if last is not None and now - last < self.spans.direct or len(self.greeted) >= GREETINGS and last is None:
+        if (
+            last is not None
+            and now - last < self.spans.direct
+            or len(self.greeted) >= GREETINGS
+            and last is None
+        ):
             return
         self.greeted[host, port] = now
         self.agenda.order(Send(host, port, 0, Hello()))
@@ -243,18 +276,28 @@
         able = min(CONFIRMED, max(0, len(self.ring) - 1))
         part = log(len(doubt.by)) / log(able + 1) if able else 1.0
         until = doubt.since + int(max(least, LONGEST * least - (LONGEST - 1) * least * part))
-        if self.me.token not in doubt.by:  # who missed its answers looks once more and tells; time for that and the news
+        if (
+            self.me.token not in doubt.by
+        ):  # who missed its answers looks once more and tells; time for that and the news
             until += 2 * self.spans.period + spread(self.spans, len(self.ring) + 1)
         self.agenda.at(max(self.agenda.now, until), self.declare, news.token, news.incarnation, len(doubt.by))
 
     def declare(self, token, incarnation, confirmed):
         doubt, news = self.suspicions.get(token), self.table.get(token)
-        if not doubt or doubt.incarnation != incarnation or len(doubt.by) != confirmed or doubt.last or self.over:
+        if (
+            not doubt
+            or doubt.incarnation != incarnation
+            or len(doubt.by) != confirmed
+            or doubt.last
+            or self.over
+        ):
             return
         doubt.last = True
         self.seq += 1
         self.checks[self.seq] = news
-        self.send(news, Ping(self.seq, self.told(token), self.shown()))  # `told` bears the suspicion: it can refute
+        self.send(
+            news, Ping(self.seq, self.told(token), self.shown())
+        )  # `told` bears the suspicion: it can refute
         self.agenda.at(self.agenda.now + self.spans.direct, self.unanswered, self.seq)
         self.agenda.at(self.agenda.now + self.spans.period, self.checked_last, self.seq, token, incarnation)
 
@@ -264,7 +307,9 @@
         if not doubt or doubt.incarnation != incarnation or self.over:
             return
         self.counts["declared"] += 1
-        self.agenda.order(Say("peer-dead", {"peer": news.name, "incarnation": incarnation, "suspected_by": len(doubt.by)}))
+        self.agenda.order(
+            Say("peer-dead", {"peer": news.name, "incarnation": incarnation, "suspected_by": len(doubt.by)})
+        )
         self.put(news._replace(state=State.DEAD, by=self.me.token))
 
     def seek(self):
@@ -276,9 +321,16 @@
             self.greet(*address)
 
     def forget(self):
-        over = [token for token, news in self.buried.items()
-                if self.agenda.now - self.table_since[token] > self.spans.forget] if self.buried else []
-        over += list(self.buried)[:max(0, len(self.buried) - TOMBS)]
+        over = (
+            [
+                token
+                for token, news in self.buried.items()
+                if self.agenda.now - self.table_since[token] > self.spans.forget
+            ]
+            if self.buried
+            else []
+        )
+        over += list(self.buried)[: max(0, len(self.buried) - TOMBS)]
         for token in over:
             self.buried.pop(token, None)
             if (news := self.table.pop(token, None)) and self.names.get(news.name) == token:
@@ -364,7 +416,9 @@
         self.pass_on(self.me)
 
     def speaks_for(self, sender):
-        """An address is held by one process at a time: who was there under another token, a lost store's, is dead."""
+        """An address is held by one process at a time: who was there under another token, a lost store's, is
+        dead.
+        """
         other = self.names.get(sender.name)
         self.names[sender.name] = sender.token
         if other not in (None, sender.token) and self.is_live(other):
@@ -419,7 +473,9 @@
         self.agenda.order(Send(sender.host, sender.port, sender.door, Welcome(self.told(sender.token))))
 
     def welcomed(self, sender, message):
-        """The sender meant this life, so it lives; its view is pulled while ours is new, else as digests differ."""
+        """The sender meant this life, so it lives; its view is pulled while ours is new, else as digests
+        differ.
+        """
         self.take(message.news)
         if self.joining:
             self.pull(sender)
@@ -436,7 +492,9 @@
         if news := self.checks.pop(message.seq, None):
             self.ill = max(0, self.ill - (news.token == sender.token))
         elif relay := self.relays.pop(message.seq, None):
-            self.send(relay[0], Ack(relay[1], (self.table[sender.token],) if sender.token in self.table else ()))
+            self.send(
+                relay[0], Ack(relay[1], (self.table[sender.token],) if sender.token in self.table else ())
+            )
         self.compare(sender, message.digest)
 
     def asked_to_check(self, sender, message):
@@ -450,7 +508,9 @@
         self.send(about, Ping(self.seq, self.told(about.token), self.shown()))
 
     def compare(self, sender, digest):
-        """Pull a page from whose view goes on differing, once a period at most; and while this view is new."""
+        """Pull a page from whose view goes on differing, once a period at most; and while this view is
+        new.
+        """
         self.differing = self.differing + 1 if digest and digest != self.digest else 0
         if (self.joining or self.differing > DIFFERING) and self.pulled != self.periods:
             self.pulled, self.pages = self.periods, 0
@@ -464,14 +524,18 @@
         whole = self.ring.copy()
         insort(whole, self.me.token)
         if len(message.buckets) == BUCKETS:
-            differs = [one != other for one, other in zip(self.buckets, message.buckets)]
+            differs = [one != other for one, other in zip(self.buckets, message.buckets, strict=False)]
             whole = [token for token in whole if differs[bucket_of(token)]]
         at = bisect_left(whole, message.after + 1)
-        page = tuple(self.me if token == self.me.token else self.table[token] for token in whole[at:at + PAGE])
+        page = tuple(
+            self.me if token == self.me.token else self.table[token] for token in whole[at : at + PAGE]
+        )
         self.send(sender, Page(page, at + PAGE >= len(whole)))
 
     def paged(self, sender, message):
-        """Go on to the next page while pages bring news. What they bring is not passed on: others pull it too."""
+        """Go on to the next page while pages bring news. What they bring is not passed on: others pull it
+        too.
+        """
         before, known, count = self.digest, set(self.gossip), len(self.ring)
         self.take(message.news)
         for one in message.news:
@@ -482,7 +546,9 @@
         self.pages += not grew
         if message.last:
             self.joining = False
-            self.pulled = -1 if grew else self.pulled  # a view that grows is compared again before the period is over
+            self.pulled = (
+                -1 if grew else self.pulled
+            )  # a view that grows is compared again before the period is over
         elif self.joining or grew or self.digest != before and self.pages < PAGES:
             self.pull(sender)
 
@@ -499,6 +565,8 @@
         if not rounds or not self.ring:
             self.over = True
             return self.agenda.order(Departed())
-        for token in self.agenda.some(self.ring, min(len(self.ring), FAREWELLS + ceil(log2(len(self.ring) + 1)))):
+        for token in self.agenda.some(
+            self.ring, min(len(self.ring), FAREWELLS + ceil(log2(len(self.ring) + 1)))
+        ):
             self.send(self.table[token], Ping(0, (self.me,), 0))
         self.agenda.at(self.agenda.now + self.spans.direct, self.farewell, rounds - 1)
--- a/limepath/store.py
+++ b/limepath/store.py
@@ -1,8 +1,8 @@
 """The embedded store: small state that survives crashes, in SQLite; one way to open, check and recover it.
 
-Each row bears a checksum. A file that is missing, cut or damaged is told apart from a good one; a damaged one is
-put aside, never read. One process holds a store at a time. Writes are on the disk when `put` returns
-(one file, a rollback journal, synchronous EXTRA): with a log beside the file, a cut log would silently give the
+Each row bears a checksum. A file that is missing, cut or damaged is told apart from a good one; a damaged one
+is put aside, never read. One process holds a store at a time. Writes are on the disk when `put` returns (one
+file, a rollback journal, synchronous EXTRA): with a log beside the file, a cut log would silently give the
 state of an earlier start.
 """
 
@@ -50,7 +50,10 @@
         base.execute("PRAGMA journal_mode = DELETE")
         base.execute("PRAGMA synchronous = EXTRA")
         base.execute("BEGIN EXCLUSIVE")
-        base.execute("CREATE TABLE IF NOT EXISTS state (name TEXT PRIMARY KEY, value BLOB NOT NULL, sum INTEGER NOT NULL)")
+        base.execute(
+            "CREATE TABLE IF NOT EXISTS state (name TEXT PRIMARY KEY, value BLOB NOT NULL, "
+            "sum INTEGER NOT NULL)"
+        )
         base.execute("COMMIT")
         return base
 
@@ -90,8 +93,10 @@
         """Write all these rows or none; they are on the disk when this returns."""
         self.base.execute("BEGIN IMMEDIATE")
         try:
-            self.base.executemany("INSERT OR REPLACE INTO state VALUES (?, ?, ?)",
-                                  [(name, value, checksum(name, value)) for name, value in rows.items()])
+            self.base.executemany(
+                "INSERT OR REPLACE INTO state VALUES (?, ?, ?)",
+                [(name, value, checksum(name, value)) for name, value in rows.items()],
+            )
             self.base.execute("COMMIT")
         except sqlite3.Error:
             self.base.execute("ROLLBACK")
--- a/limepath/tallies/host.py
+++ b/limepath/tallies/host.py
@@ -39,4 +39,8 @@
         if self.timer and self.timer.active():
             self.timer.cancel()
         due = self.logic.next()
-        self.timer = due is not None and not self.cooperation.over and self.reactor.callLater(max(0, due - clock()) / 1e6, self.run)
+        self.timer = (
+            due is not None
+            and not self.cooperation.over
+            and self.reactor.callLater(max(0, due - clock()) / 1e6, self.run)
+        )
--- a/limepath/tallies/interface.py
+++ b/limepath/tallies/interface.py
@@ -1,4 +1,6 @@
-"""Messages between fronts, notes and orders of the summary. Times are whole microseconds of the instance's own clock."""
+"""Messages between fronts, notes and orders of the summary. Times are whole microseconds of the instance's
+own clock.
+"""
 
 from typing import NamedTuple
 
@@ -14,8 +16,9 @@
 
 
 class Tally(Message, tag="tt"):
-    """(object, part, count), the highest key first; `age` since the last GET that was counted; `of` messages in all.
-    A front that is new itself tells 0 counts."""
+    """(object, part, count), the highest key first; `age` since the last GET that was counted; `of` messages
+    in all. A front that is new itself tells 0 counts.
+    """
 
     age: int
     counts: tuple[tuple[int, int, float], ...]
--- a/limepath/tallies/newcomer.py
+++ b/limepath/tallies/newcomer.py
@@ -1,7 +1,18 @@
 """Whom a newcomer asks for counts, what it takes, and what it tells others. Free of I/O."""
 
 from limepath.agenda import Agenda
-from limepath.tallies.interface import CARRIED, LARGEST, MOST, Ask, AskTally, Counted, FromPeer, Learn, Reach, Tally
+from limepath.tallies.interface import (
+    CARRIED,
+    LARGEST,
+    MOST,
+    Ask,
+    AskTally,
+    Counted,
+    FromPeer,
+    Learn,
+    Reach,
+    Tally,
+)
 
 FIRST, PATIENCE, TRIES = 500_000, 1_000_000, 4  # until it asks; for an answer; fronts that are asked in all
 HALF = 600_000_000  # age at which a count is worth half
@@ -55,11 +66,17 @@
         self.agenda.at(self.agenda.now + PATIENCE, self.ask)
 
     def take(self, token, message):
-        """A part of the summary asked for; what is out of bounds is refused whole, what is missing is done without."""
+        """A part of the summary asked for; what is out of bounds is refused whole, what is missing is done
+        without.
+        """
         if token != self.asked or self.done:
             return
-        sound = 0 <= message.age <= OLDEST and 0 <= message.at < message.of <= -(-MOST // CARRIED) and len(
-            message.counts) <= CARRIED and all(obj >= 0 and part >= 0 and 0 < count <= LARGEST for obj, part, count in message.counts)
+        sound = (
+            0 <= message.age <= OLDEST
+            and 0 <= message.at < message.of <= -(-MOST // CARRIED)
+            and len(message.counts) <= CARRIED
+            and all(obj >= 0 and part >= 0 and 0 < count <= LARGEST for obj, part, count in message.counts)
+        )
         if not sound:
             self.counts["refused"] += 1
             self.asked = None
@@ -88,7 +105,7 @@
     def tell(self, note):
         counts = note.counts[:MOST] if self.counted_at is not None else ()
         age = 0 if self.counted_at is None else self.agenda.now - self.counted_at
-        parts = [counts[at:at + CARRIED] for at in range(0, len(counts), CARRIED)] or [()]
+        parts = [counts[at : at + CARRIED] for at in range(0, len(counts), CARRIED)] or [()]
         for at, part in enumerate(parts):
             self.counts["told"] += len(part)
             self.agenda.order(Reach(note.token, Tally(age, tuple(part), at, len(parts))))
--- a/limepath/testbed/coldstart.py
+++ b/limepath/testbed/coldstart.py
@@ -1,9 +1,10 @@
-"""The drill of a cold start: many real fronts that start at once with nothing, the list service away, faults between them.
+"""The drill of a cold start: many real fronts that start at once with nothing, the list service away, faults
+between them.
 
-Each front is `limepath run --peers FILE` in a process of its own. Every datagram between two fronts and every call at the
-list service passes a way of the testbed. In the second of each fault a cache is drained and an object purged; what is
-looked at is when every living front knows. Bounds are those of `listing.bounds`. `alone`: the same fronts without any
-of it, for comparison.
+Each front is `limepath run --peers FILE` in a process of its own. Every datagram between two fronts and every
+call at the list service passes a way of the testbed. In the second of each fault a cache is drained and an
+object purged; what is looked at is when every living front knows. Bounds are those of `listing.bounds`.
+`alone`: the same fronts without any of it, for comparison.
 """
 
 import json
@@ -36,8 +37,23 @@
 
 MS, SECOND = 1000, 1_000_000
 SERVICE = "service"  # a party of the ways
-KINDS = ("start-killed", "relays-killed", "relays-stopped", "relay-held", "cut-from-service", "cut-from-peers", "one-way", "loss", "silent",
-         "slow", "breaking", "still", "restored", "half-killed", "stores-cut")
+KINDS = (
+    "start-killed",
+    "relays-killed",
+    "relays-stopped",
+    "relay-held",
+    "cut-from-service",
+    "cut-from-peers",
+    "one-way",
+    "loss",
+    "silent",
+    "slow",
+    "breaking",
+    "still",
+    "restored",
+    "half-killed",
+    "stores-cut",
+)
 LASTING = ("relay-held", "cut-from-service", "cut-from-peers", "one-way", "loss")
 ZONES = ("sur", "norte")
 CONNECTIONS, READY = 100, 100  # a second, of the whole fleet: new ones at one cache, fronts that become ready
@@ -60,9 +76,13 @@
 
     def prepare(self):
         drill, who = self.drill, self.who
-        seeds = [f"{HOST}:{drill.ways.reached_at(seed)}" for seed in range(min(3, drill.count)) if seed != who]
+        seeds = [
+            f"{HOST}:{drill.ways.reached_at(seed)}" for seed in range(min(3, drill.count)) if seed != who
+        ]
         self.replace("peers.keys", drill.key + "\n")
-        self.replace("peers.ini", f"""[instance]
+        self.replace(
+            "peers.ini",
+            f"""[instance]
 name = {self.name}
 store = peers.db
 control = peers.sock
@@ -71,7 +91,7 @@
 [peers]
 listen = {HOST}:{drill.listens[who]}
 advertise = {HOST}:{drill.ways.reached_at(who)}
-seeds = {', '.join(seeds)}
+seeds = {", ".join(seeds)}
 keys = peers.keys
 [duty probe]
 interval = 20s
@@ -81,11 +101,22 @@
 [caches]
 connections = {CONNECTIONS}
 ready = {READY}
-""")
-        self.replace("front.json", json.dumps({
-            "name": self.name, "listen": f"{HOST}:{drill.fronts[who]}", "seed": f"{drill.seed * 1000 + who:x}",
-            "changelog": f"{HOST}:{drill.calls[who]}", "limits": {"memory_mb": 192, "sockets": 256, "leaving_ms": 300},
-            "settings": SETTINGS | {"areas": list(ZONES), "az": ZONES.index(self.zone)}, "known": {"seq": 0, "results": []}}))
+""",
+        )
+        self.replace(
+            "front.json",
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": f"{HOST}:{drill.fronts[who]}",
+                    "seed": f"{drill.seed * 1000 + who:x}",
+                    "changelog": f"{HOST}:{drill.calls[who]}",
+                    "limits": {"memory_mb": 192, "sockets": 256, "leaving_ms": 300},
+                    "settings": SETTINGS | {"areas": list(ZONES), "az": ZONES.index(self.zone)},
+                    "known": {"seq": 0, "results": []},
+                }
+            ),
+        )
 
     def words(self):
         return super().words() + ([] if self.drill.alone else ["--peers", self.path("peers.ini")])
@@ -104,6 +135,7 @@
 
 def stamp(line):
     from datetime import datetime
+
     return datetime.fromisoformat(line["time"].replace("Z", "+00:00")).timestamp()
 
 
@@ -130,14 +162,28 @@
 
 class Drill:
     def __init__(self, reactor, folder, fronts, seed, alone, down, caches):
-        self.reactor, self.folder, self.count, self.seed, self.alone, self.down = reactor, folder, fronts, seed, alone, down
+        self.reactor, self.folder, self.count, self.seed, self.alone, self.down = (
+            reactor,
+            folder,
+            fronts,
+            seed,
+            alone,
+            down,
+        )
         self.chance, self.terms = Random(seed), Terms(fronts=fronts, ready=float(READY))
         self.zero = time.monotonic_ns() // 1000
-        self.listens, self.fronts = free_ports(socket.SOCK_DGRAM, fronts), free_ports(socket.SOCK_STREAM, fronts)
+        self.listens, self.fronts = (
+            free_ports(socket.SOCK_DGRAM, fronts),
+            free_ports(socket.SOCK_STREAM, fronts),
+        )
         self.upon = Faults(Random(seed))
-        self.ways, self.passages = Datagrams(reactor, self.listens, self.upon), Connections(reactor, self.upon)
-        self.service = StandInListService(reactor, fronts, lambda who: ZONES[who % len(ZONES)],
-                                          lambda who: not self.nodes[who].stopped)
+        self.ways, self.passages = (
+            Datagrams(reactor, self.listens, self.upon),
+            Connections(reactor, self.upon),
+        )
+        self.service = StandInListService(
+            reactor, fronts, lambda who: ZONES[who % len(ZONES)], lambda who: not self.nodes[who].stopped
+        )
         self.calls = [self.passages.open(who, SERVICE, port) for who, port in enumerate(self.service.port_of)]
         self.caches = {f"s-{index}": StandInCache(reactor) for index in range(caches)}
         self.upper = {"p-1": StandInCache(reactor), "o-1": StandInCache(reactor)}
@@ -161,9 +207,16 @@
 
     def member(self, name, flavor="box"):
         cache = self.caches.get(name) or self.upper[name]
-        return {"id": name, "host_port": f"{HOST}:{cache.port}", "flavor": flavor, "cell": 0, "size": 6, "up_since_ms": 0,
-                "locality": ZONES[int(name[2:]) % len(ZONES)],
-                "phase": "terminating" if name in self.drained else "in_service"}
+        return {
+            "id": name,
+            "host_port": f"{HOST}:{cache.port}",
+            "flavor": flavor,
+            "cell": 0,
+            "size": 6,
+            "up_since_ms": 0,
+            "locality": ZONES[int(name[2:]) % len(ZONES)],
+            "phase": "terminating" if name in self.drained else "in_service",
+        }
 
     # GETs
 
@@ -172,10 +225,13 @@
         self.gets += 1
         done = Deferred()
         name = self.chance.getrandbits(64) if wanted is None else 0x5EED_0000_0000 + wanted
-        words = (f"GET /invoke/video/{name:016x} HTTP/1.1\r\nHost: x\r\nX-Txn: {self.gets:016x}\r\n"
-                 "X-Ttl-Ms: 1500\r\nX-Family: 17\r\nConnection: close\r\n\r\n").encode()
+        words = (
+            f"GET /invoke/video/{name:016x} HTTP/1.1\r\nHost: x\r\nX-Txn: {self.gets:016x}\r\n"
+            "X-Ttl-Ms: 1500\r\nX-Family: 17\r\nConnection: close\r\n\r\n"
+        ).encode()
         TCP4ClientEndpoint(self.reactor, HOST, self.fronts[node.who], timeout=2).connect(
-            Factory.forProtocol(lambda: Asking(done, words))).addErrback(lambda _: done.called or done.callback(0))
+            Factory.forProtocol(lambda: Asking(done, words))
+        ).addErrback(lambda _: done.called or done.callback(0))
         return done.addCallback(self.answered, node, node.lives, self.let_in, wanted is not None)
 
     def answered(self, status, node, life, let_in, wave):
@@ -186,7 +242,9 @@
             self.early += status == 200 and not let_in
 
     def begin_waves(self):
-        """Whoever is ready is sent clients who all want the same; without readiness, all a second after the list is back."""
+        """Whoever is ready is sent clients who all want the same; without readiness, all a second after the
+        list is back.
+        """
         for node in self.nodes:
             if node.who not in self.waved and (self.alone or node.said_at("ready")):
                 self.waved.add(node.who)
@@ -220,7 +278,9 @@
                 node.signal(signal.SIGKILL)
             for node in half:
                 node.start()
-            self.said.append(f"at {self.now() / 1e6:6.1f} s  start-killed  {len(half)} fronts, all of them started again")
+            self.said.append(
+                f"at {self.now() / 1e6:6.1f} s  start-killed  {len(half)} fronts, all of them started again"
+            )
         yield self.pause(self.down - self.now())
         if not self.alone:
             yield self.wait(lambda: all(node.shown() for node in self.nodes), START * SECOND)
@@ -232,11 +292,15 @@
             yield self.wait(self.all_know, START * SECOND)
             yield self.wait(lambda: len(self.waved) == self.count, START * SECOND)
             yield self.pause(2 * SECOND)
-            ready = sorted(node.said_at("ready") - back if node.said_at("ready") else START for node in self.nodes)
+            ready = sorted(
+                node.said_at("ready") - back if node.said_at("ready") else START for node in self.nodes
+            )
             bound = self.bound()
-            self.rows += [Row("ready after the service's return, median, s", round(ready[len(ready) // 2], 2)),
-                          Row("the same, 95%, s", round(ready[len(ready) * 95 // 100], 2)),
-                          at_most("the same, all, s", round(ready[-1], 2), seconds(bound.ready + SLACK))]
+            self.rows += [
+                Row("ready after the service's return, median, s", round(ready[len(ready) // 2], 2)),
+                Row("the same, 95%, s", round(ready[len(ready) * 95 // 100], 2)),
+                at_most("the same, all, s", round(ready[-1], 2), seconds(bound.ready + SLACK)),
+            ]
         else:
             yield self.pause(8 * SECOND)
         for kind in () if self.alone else [kind for kind in kinds if kind != "start-killed"]:
@@ -268,13 +332,18 @@
             if not node.running() or node.stopped:
                 continue
             told = node.shown()
-            if not told or told["confirmed_us_ago"] is None or (
-                    told["number"], told["digest"]) != (held.place.number, f"{held.digest:016x}"):
+            if (
+                not told
+                or told["confirmed_us_ago"] is None
+                or (told["number"], told["digest"]) != (held.place.number, f"{held.digest:016x}")
+            ):
                 return False
         return True
 
     def relays(self, zone):
-        return [self.nodes[stream.who] for stream in self.service.streams if self.nodes[stream.who].zone == zone]
+        return [
+            self.nodes[stream.who] for stream in self.service.streams if self.nodes[stream.who].zone == zone
+        ]
 
     def tell(self):
         """A drain and a purge; give the number of the last."""
@@ -283,7 +352,9 @@
             name = self.chance.choice(left)
             self.drained[name] = self.reactor.seconds(), len(self.service.events) + 1
             self.service.add({"fleet": {"revision": 2, "complete": False, "members": [self.member(name)]}})
-        return self.service.add({"invalidate": {"object": f"{self.chance.getrandbits(64):016x}", "time": int(time.time() * 1000)}})
+        return self.service.add(
+            {"invalidate": {"object": f"{self.chance.getrandbits(64):016x}", "time": int(time.time() * 1000)}}
+        )
 
     @inlineCallbacks
     def fail(self, kind):
@@ -334,7 +405,11 @@
             limit = 4 * SECOND + bound.stream_still
         elif kind == "restored":
             service.restore(len(service.events) - 2)
-            self.drained = {name: (at, number) for name, (at, number) in self.drained.items() if number <= len(service.events)}
+            self.drained = {
+                name: (at, number)
+                for name, (at, number) in self.drained.items()
+                if number <= len(service.events)
+            }
             limit = bound.restored
         self.tell()
         took = yield self.wait(self.all_know, limit + 30 * SECOND)
@@ -348,9 +423,16 @@
         if ends:
             yield self.wait(self.all_know, START * SECOND)
             yield self.pause(SECOND)
-        self.said.append(f"at {since / 1e6:6.1f} s  {kind}  {', '.join(node.name for node in relays)} of {zone}")
-        self.rows.append(at_most(f"{kind}: a drain and a purge told then, at the last living front, s", seconds(took),
-                                 seconds(limit + SLACK)))
+        self.said.append(
+            f"at {since / 1e6:6.1f} s  {kind}  {', '.join(node.name for node in relays)} of {zone}"
+        )
+        self.rows.append(
+            at_most(
+                f"{kind}: a drain and a purge told then, at the last living front, s",
+                seconds(took),
+                seconds(limit + SLACK),
+            )
+        )
         for node in self.nodes:
             if not node.running():
                 node.start()
@@ -370,6 +452,7 @@
 def drilled(fronts, seed=1, kinds=KINDS, alone=False, down=12 * SECOND, caches=24, keep=None):
     """Run a drill in this process's reactor, once; give what was Found."""
     from twisted.internet import reactor
+
     raise_descriptors()
     flaws = []
     with tempfile.TemporaryDirectory(prefix="limepath-cold-") as scratch:
@@ -393,24 +476,49 @@
 def concluded(drill):
     bound, service, caches = drill.bound(), drill.service, [*drill.caches.values(), *drill.upper.values()]
     calls = sorted(int(at * 1e6) for at, _, to in drill.passages.history if to == SERVICE)
-    late = [at - drill.drained[name][0] for name, cache in drill.caches.items() if name in drill.drained
-            for at, _ in cache.forwards if at > drill.drained[name][0]]
+    late = [
+        at - drill.drained[name][0]
+        for name, cache in drill.caches.items()
+        if name in drill.drained
+        for at, _ in cache.forwards
+        if at > drill.drained[name][0]
+    ]
     drains = max(bound.relays_gone, 4 * SECOND + bound.stream_still) + SLACK
     well = drill.wave.get(200, 0) / max(1, sum(drill.wave.values()))
-    connected = max(most_in(sorted(int(at * 1e6) for at in cache.connected), SECOND // 10) for cache in caches)
+    connected = max(
+        most_in(sorted(int(at * 1e6) for at in cache.connected), SECOND // 10) for cache in caches
+    )
     pressed = max(most_in(sorted(int(at * 1e6) for at, _ in cache.forwards), SECOND) for cache in caches)
-    rows = [Row("fronts", drill.count), Row("zones", len(ZONES)), *drill.rows,
-            at_most("most calls at the list service in a second", most_in(calls, SECOND), int(drill.terms.rate)),
-            at_most("most calls in 100 ms", most_in(calls, SECOND // 10), int(drill.terms.rate) // 2),
-            at_most("most streams of one zone, those of stopped processes aside", max(service.most_streams.values(), default=0), bound.streams),
-            Row("bytes that the list service sent", service.bytes),
-            at_most("GETs answered before any list was confirmed", drill.early, 0),
-            Row("GETs answered, shed, errored or not taken", ", ".join(
-                f"{status or 'none'}: {count}" for status, count in sorted(drill.answers.items()))),
-            at_most("latest forward to a cache after its drain was told, s", round(max(late, default=0), 2), seconds(drains)),
-            at_most("most new connections at one cache in 100 ms", connected, rush(CONNECTIONS, SECOND // 10)),
-            Row("most forwards to one cache in a second", pressed),
-            Row(f"share of {WAVE} GETs at each front for the same {OBJECTS} objects that were answered", round(well, 3), 0.9,
-                drill.alone or well >= 0.9),
-            Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt())]
+    rows = [
+        Row("fronts", drill.count),
+        Row("zones", len(ZONES)),
+        *drill.rows,
+        at_most("most calls at the list service in a second", most_in(calls, SECOND), int(drill.terms.rate)),
+        at_most("most calls in 100 ms", most_in(calls, SECOND // 10), int(drill.terms.rate) // 2),
+        at_most(
+            "most streams of one zone, those of stopped processes aside",
+            max(service.most_streams.values(), default=0),
+            bound.streams,
+        ),
+        Row("bytes that the list service sent", service.bytes),
+        at_most("GETs answered before any list was confirmed", drill.early, 0),
+        Row(
+            "GETs answered, shed, errored or not taken",
+            ", ".join(f"{status or 'none'}: {count}" for status, count in sorted(drill.answers.items())),
+        ),
+        at_most(
+            "latest forward to a cache after its drain was told, s",
+            round(max(late, default=0), 2),
+            seconds(drains),
+        ),
+        at_most("most new connections at one cache in 100 ms", connected, rush(CONNECTIONS, SECOND // 10)),
+        Row("most forwards to one cache in a second", pressed),
+        Row(
+            f"share of {WAVE} GETs at each front for the same {OBJECTS} objects that were answered",
+            round(well, 3),
+            0.9,
+            drill.alone or well >= 0.9,
+        ),
+        Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt()),
+    ]
     return Found(rows, drill.said + [f"took no effect: {name}" for name in drill.upon.unfelt()])
--- a/limepath/testbed/duties.py
+++ b/limepath/testbed/duties.py
@@ -1,7 +1,9 @@
-"""The drill of shared duties: real fronts with real datagrams on loopback, faults by seed, probes counted at stand-in caches.
+"""The drill of shared duties: real fronts with real datagrams on loopback, faults by seed, probes counted at
+stand-in caches.
 
-Each instance is `limepath run --peers FILE` in a process of its own. Between them lie ways that lose and cut; the
-bounds are those that the settings promise (`bounds`), the rows those of the run in virtual time (`simulate`).
+Each instance is `limepath run --peers FILE` in a process of its own. Between them lie ways that lose and cut;
+the bounds are those that the settings promise (`bounds`), the rows those of the run in virtual time
+(`simulate`).
 """
 
 import json
@@ -31,17 +33,39 @@
 MS, SECOND = 1000, 1_000_000
 SPANS = Spans(period=250 * MS, direct=80 * MS, indirect=3, suspicion=3)
 LEASING = Leasing(span=SECOND, drift=0.01, slots=16, batch=100 * MS)
-KINDS = ("kill", "stop", "leave", "halves", "one-way", "held", "targets", "keys", "lost-store", "all", "cut-store")
+KINDS = (
+    "kill",
+    "stop",
+    "leave",
+    "halves",
+    "one-way",
+    "held",
+    "targets",
+    "keys",
+    "lost-store",
+    "all",
+    "cut-store",
+)
 CACHES = "caches"  # the party that all stand-in caches are to the ways
 START = 60  # seconds that all fronts may take to be ready
 SETTINGS = {
-    "az": 0, "replicas-of-me": 1, "areas": ["sur"], "models": ["box", "parent", "origin"],
+    "az": 0,
+    "replicas-of-me": 1,
+    "areas": ["sur"],
+    "models": ["box", "parent", "origin"],
     "classes": [{"name": "video", "aim": 600_000_000, "deadline": 5_000_000_000, "idempotency": "free"}],
     "family-info": {"mid-kind": 1, "master-kind": 2},
     "limits": {"max-attempts": 3, "probing": True, "streams-per-conn": 8, "connect-timeout": 400_000_000},
     "stats": {"fields": ["rif", "busy"]},
-    "safety": {"cold-share": 0.2, "cold": 10_000_000_000, "overload-factor": 2, "tip-after": 1_000_000_000,
-               "answer-slack": 8_000_000, "drain-grace": 500_000_000}}
+    "safety": {
+        "cold-share": 0.2,
+        "cold": 10_000_000_000,
+        "overload-factor": 2,
+        "tip-after": 1_000_000_000,
+        "answer-slack": 8_000_000,
+        "drain-grace": 500_000_000,
+    },
+}
 
 
 class Found(NamedTuple):
@@ -61,11 +85,17 @@
 
     def prepare(self):
         drill, who = self.drill, self.who
-        seeds = [drill.ways.reached_at(seed) for seed in range(min(3, drill.count)) if seed != who or drill.count == 1]
+        seeds = [
+            drill.ways.reached_at(seed)
+            for seed in range(min(3, drill.count))
+            if seed != who or drill.count == 1
+        ]
         spans, leasing, plan = SPANS, drill.leasing, drill.plan
         mode = "one-owner" if plan.mode == Mode.ONE_OWNER else "at-least-once"
         self.write_keys(drill.keys)
-        self.replace("peers.ini", f"""[instance]
+        self.replace(
+            "peers.ini",
+            f"""[instance]
 name = {self.name}
 store = peers.db
 control = peers.sock
@@ -74,7 +104,7 @@
 [peers]
 listen = {HOST}:{drill.listens[who]}
 advertise = {HOST}:{drill.ways.reached_at(who)}
-seeds = {', '.join(f'{HOST}:{seed}' for seed in seeds) if drill.sharing else ''}
+seeds = {", ".join(f"{HOST}:{seed}" for seed in seeds) if drill.sharing else ""}
 keys = peers.keys
 period = {spans.period}us
 direct = {spans.direct}us
@@ -84,7 +114,7 @@
 [sharing]
 batch = {leasing.batch}us
 [leases]
-voters = {', '.join(leasing.voters if drill.sharing else (self.name,))}
+voters = {", ".join(leasing.voters if drill.sharing else (self.name,))}
 span = {leasing.span}us
 drift = {leasing.drift}
 slots = {leasing.slots}
@@ -92,12 +122,22 @@
 mode = {mode}
 interval = {plan.interval}us
 targets = caches
-""")
-        self.replace("front.json", json.dumps({
-            "name": self.name, "listen": f"{HOST}:{drill.fronts[who]}", "seed": f"{drill.seed * 1000 + who:x}",
-            "changelog": f"{HOST}:{drill.changes.ports[who].getHost().port}",
-            "limits": {"memory_mb": 192, "sockets": 1024, "leaving_ms": 700}, "settings": SETTINGS,
-            "known": {"seq": 1, "results": [{"seq": 1, "fleet": drill.fleet(who)}]}}))
+""",
+        )
+        self.replace(
+            "front.json",
+            json.dumps(
+                {
+                    "name": self.name,
+                    "listen": f"{HOST}:{drill.fronts[who]}",
+                    "seed": f"{drill.seed * 1000 + who:x}",
+                    "changelog": f"{HOST}:{drill.changes.ports[who].getHost().port}",
+                    "limits": {"memory_mb": 192, "sockets": 1024, "leaving_ms": 700},
+                    "settings": SETTINGS,
+                    "known": {"seq": 1, "results": [{"seq": 1, "fleet": drill.fleet(who)}]},
+                }
+            ),
+        )
 
     def words(self):
         return super().words() + ["--peers", self.path("peers.ini")]
@@ -107,18 +147,32 @@
 
 
 class Drill:
-    """What `findings` wants to know of a world, told by real processes. Times are microseconds since the start."""
+    """What `findings` wants to know of a world, told by real processes. Times are microseconds since the
+    start.
+    """
 
     def __init__(self, reactor, folder, instances, targets, plan, seed, sharing, loss):
         self.reactor, self.folder, self.count, self.plan, self.seed, self.sharing = (
-            reactor, folder, instances, plan, seed, sharing)
+            reactor,
+            folder,
+            instances,
+            plan,
+            seed,
+            sharing,
+        )
         self.chance, self.spans = Random(seed), SPANS
         self.leasing = LEASING._replace(voters=tuple(f"n{who}" for who in range(min(instances, 5))))
         self.leased = plan.mode == Mode.ONE_OWNER
         self.zero, self.wall_zero = time.monotonic_ns() // 1000, time.time_ns() // 1000
-        self.listens, self.fronts = free_ports(socket.SOCK_DGRAM, instances), free_ports(socket.SOCK_STREAM, instances)
+        self.listens, self.fronts = (
+            free_ports(socket.SOCK_DGRAM, instances),
+            free_ports(socket.SOCK_STREAM, instances),
+        )
         self.upon = Faults(Random(seed))
-        self.ways, self.passages = Datagrams(reactor, self.listens, self.upon), Connections(reactor, self.upon)
+        self.ways, self.passages = (
+            Datagrams(reactor, self.listens, self.upon),
+            Connections(reactor, self.upon),
+        )
         if loss:
             everyone = frozenset(range(instances))
             self.upon.begin(Way("loss", Kind.LOSE, everyone, everyone, loss))
@@ -138,16 +192,33 @@
 
     def come(self):
         name = f"t{len(self.born)}"
-        ports = [self.passages.open(who, CACHES, port) for who, port in enumerate(self.caches.open(name, self.count))]
+        ports = [
+            self.passages.open(who, CACHES, port)
+            for who, port in enumerate(self.caches.open(name, self.count))
+        ]
         self.entries[name] = ports
         self.targets[name] = self.born[name] = self.now()
         return name
 
     def fleet(self, who, complete=True):
-        return {"revision": 1 + len(self.changes.events), "complete": complete, "members": [
-            {"id": name, "host_port": f"{HOST}:{ports[who]}", "locality": "sur", "flavor": "box", "cell": 0,
-             "phase": "in_service", "size": 6, "up_since_ms": 0}
-            for name, ports in self.entries.items() if name in self.targets]}
+        return {
+            "revision": 1 + len(self.changes.events),
+            "complete": complete,
+            "members": [
+                {
+                    "id": name,
+                    "host_port": f"{HOST}:{ports[who]}",
+                    "locality": "sur",
+                    "flavor": "box",
+                    "cell": 0,
+                    "phase": "in_service",
+                    "size": 6,
+                    "up_since_ms": 0,
+                }
+                for name, ports in self.entries.items()
+                if name in self.targets
+            ],
+        }
 
     def probed(self, cache, who, epoch):
         """What one cache sees: whether it takes the probe."""
@@ -202,7 +273,9 @@
         kinds = []
         yield self.pause(2 * self.plan.interval)
         end = self.now() + START * SECOND
-        while not all((0, name) in self.serves for name in self.targets) and self.now() < end:  # until all are owned
+        while (
+            not all((0, name) in self.serves for name in self.targets) and self.now() < end
+        ):  # until all are owned
             yield self.pause(100 * MS)
         for _ in range(count):
             if not kinds:
@@ -210,7 +283,9 @@
                 self.chance.shuffle(kinds)
             kind = kinds.pop()
             length = self.chance.randrange(3_000, 8_000) * MS
-            who = tuple(self.chance.sample(range(self.count), self.count // 2 if kind in ("halves", "one-way") else 1))
+            who = tuple(
+                self.chance.sample(range(self.count), self.count // 2 if kind in ("halves", "one-way") else 1)
+            )
             who = tuple(range(self.count)) if kind == "all" else who
             if kind == "held" and (owners := sorted({served[-1][1] for served in self.serves.values()})):
                 who = (self.chance.choice(owners),)  # of one that owns nothing there is nothing to hold
@@ -257,14 +332,24 @@
             one = frozenset(fault.who)
             other = frozenset(range(self.count)) - one
             name = f"{kind} at {fault.at}"
-            cut = both_ways(name, Kind.CUT, one, other) if kind == "halves" else (Way(name, Kind.CUT, one, other),)
+            cut = (
+                both_ways(name, Kind.CUT, one, other)
+                if kind == "halves"
+                else (Way(name, Kind.CUT, one, other),)
+            )
             yield self.under(cut, fault.length)
-        elif kind == "held":  # what one says lies in the network while the others go on without it, then comes, late
+        elif (
+            kind == "held"
+        ):  # what one says lies in the network while the others go on without it, then comes, late
             others = frozenset(range(self.count)) - {fault.who[0]}
             self.died(nodes[0])
             held = both_ways(f"held at {fault.at}", Kind.HOLD, fault.who, others)
-            if self.leased:  # its probes too: caches know an older epoch; without one each would count as a double
-                held += (Way(f"probes held at {fault.at}", Kind.HOLD, frozenset(fault.who), frozenset((CACHES,))),)
+            if (
+                self.leased
+            ):  # its probes too: caches know an older epoch; without one each would count as a double
+                held += (
+                    Way(f"probes held at {fault.at}", Kind.HOLD, frozenset(fault.who), frozenset((CACHES,))),
+                )
             yield self.under(held, fault.length + self.bound().take_over)
         elif kind == "targets":
             gone = self.chance.sample(sorted(self.targets), max(1, len(self.targets) // 3))
@@ -319,12 +404,18 @@
                 told = node.shown()
             except Unanswered:
                 return False
-            views.add(tuple(sorted(row["token"] for row in told["members"] if row["state"] in ("alive", "suspect"))))
+            views.add(
+                tuple(sorted(row["token"] for row in told["members"] if row["state"] in ("alive", "suspect")))
+            )
         return len(views) == 1 and len(next(iter(views))) == self.count
 
     def look_back(self):
         """What the instances' logs tell: deaths declared of those that lived, and who gave way."""
-        away = [(at - 1, at + fault.length + self.bound().disagreement) for fault in self.faults for at in (fault.at,)]
+        away = [
+            (at - 1, at + fault.length + self.bound().disagreement)
+            for fault in self.faults
+            for at in (fault.at,)
+        ]
         for node in self.nodes:
             for line in node.lines():
                 if line.get("event") not in ("peer-dead", "gives-way", "fault"):
@@ -348,10 +439,13 @@
     """Run a drill in this process's reactor, once; give what was Found."""
     from twisted.internet import reactor
     from twisted.internet.task import LoopingCall
+
     raise_descriptors()
     flaws = []
     with tempfile.TemporaryDirectory(prefix="limepath-drill-") as scratch:
-        drill = Drill(reactor, keep or scratch, instances, targets, Plan("probe", mode, interval), seed, sharing, loss)
+        drill = Drill(
+            reactor, keep or scratch, instances, targets, Plan("probe", mode, interval), seed, sharing, loss
+        )
         beat = LoopingCall(drill.changes.beat)
         beat.start(0.5)
 
@@ -387,11 +481,19 @@
     alive = sum(min(drill.gone.get(name, drill.end), drill.end) - at for name, at in drill.born.items())
     rows = findings(Told(drill), drill.plan, drill.caches_first)
     rows = [row for row in rows if not row.what.startswith(("messages", "bytes"))]
-    rows += [Row("messages per instance and second", round(drill.messages / drill.count / span, 1)),
-             Row("bytes per instance and second", round(drill.bytes / drill.count / span)),
-             Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt()),
-             Row("probes per target and interval", round(rounds * drill.plan.interval / max(1, alive), 3))]
-    said = [f"at {(fault.at - since) / 1e6:6.1f} s  {fault.kind} for {fault.length / 1e6:.1f} s: "
-            f"{', '.join(f'n{who}' for who in fault.who)}" for fault in drill.faults] + [
-        f"took no effect: {name}" for name in drill.upon.unfelt()] + drill.said
+    rows += [
+        Row("messages per instance and second", round(drill.messages / drill.count / span, 1)),
+        Row("bytes per instance and second", round(drill.bytes / drill.count / span)),
+        Row("faults of the ways that took no effect", len(drill.upon.unfelt()), 0, not drill.upon.unfelt()),
+        Row("probes per target and interval", round(rounds * drill.plan.interval / max(1, alive), 3)),
+    ]
+    said = (
+        [
+            f"at {(fault.at - since) / 1e6:6.1f} s  {fault.kind} for {fault.length / 1e6:.1f} s: "
+            f"{', '.join(f'n{who}' for who in fault.who)}"
+            for fault in drill.faults
+        ]
+        + [f"took no effect: {name}" for name in drill.upon.unfelt()]
+        + drill.said
+    )
     return Found(rows, said)
--- a/limepath/testbed/faults.py
+++ b/limepath/testbed/faults.py
@@ -1,6 +1,8 @@
-"""What becomes of a piece of traffic between two parties: decided here, without I/O, and counted where it takes effect.
+"""What becomes of a piece of traffic between two parties: decided here, without I/O, and counted where it
+takes effect.
 
-A party is any hashable name. Times are whole microseconds, handed in. A fault is in force from `begin` to `end`.
+A party is any hashable name. Times are whole microseconds, handed in. A fault is in force from `begin` to
+`end`.
 """
 
 from collections import Counter
@@ -73,8 +75,10 @@
         return [fault for fault in self.live.values() if source in fault.sources and to in fault.targets]
 
     def delays(self, source, to, piece=None, ordered=False):
-        """The delays after which copies of a piece arrive; none where it is cut, lost or held. `ordered`: it is of a
-        connection, of which no piece may be lost or doubled; what a network loses of one comes late."""
+        """The delays after which copies of a piece arrive; none where it is cut, lost or held. `ordered`: it
+        is of a connection, of which no piece may be lost or doubled; what a network loses of one comes
+        late.
+        """
         delay, copies = 0, []
         for fault in self.between(source, to):
             if fault.kind in (Kind.CUT, Kind.HOLD):
--- a/limepath/testbed/process.py
+++ b/limepath/testbed/process.py
@@ -1,4 +1,6 @@
-"""One process of the program: its files, its start, its end. Signals go to processes that were started here, by id."""
+"""One process of the program: its files, its start, its end. Signals go to processes that were started here,
+by id.
+"""
 
 import json
 import os
@@ -17,7 +19,9 @@
 
 
 def free_ports(kind, count):
-    """Ports that nothing holds, below those that the system gives to connections, so that none takes them meanwhile."""
+    """Ports that nothing holds, below those that the system gives to connections, so that none takes them
+    meanwhile.
+    """
     ports, port = [], LOWEST + int.from_bytes(os.urandom(2), "big") % (HIGHEST - LOWEST)
     while len(ports) < count:
         port = port + 1 if port < HIGHEST else LOWEST
@@ -48,7 +52,9 @@
 
     def replace(self, name, text):
         """Write a file of this process whole, open to nobody else."""
-        with open(os.open(self.path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w") as file:
+        with open(
+            os.open(self.path(name + ".new"), os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600), "w"
+        ) as file:
             file.write(text)
         os.replace(self.path(name + ".new"), self.path(name))
 
@@ -63,8 +69,12 @@
         self.stopped = False
         with open(self.path("log"), "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "limepath", *self.words()], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
-                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})
+                [sys.executable, "-m", "limepath", *self.words()],
+                stderr=log,
+                stdout=log,
+                stdin=subprocess.DEVNULL,
+                env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+            )
 
     def running(self):
         return self.process is not None and self.process.poll() is None
--- a/limepath/testbed/stand_ins.py
+++ b/limepath/testbed/stand_ins.py
@@ -1,7 +1,8 @@
-"""Stand-ins for drills and stories of several processes: caches that count probes, caches that answer GETs, change logs.
+"""Stand-ins for drills and stories of several processes: caches that count probes, caches that answer GETs,
+change logs.
 
-Caches answer the probe words of the platform's protocol (FIT) and turn an older epoch away (UNFIT). A cache listens
-once for each instance, so that it is known who asks. All on loopback.
+Caches answer the probe words of the platform's protocol (FIT) and turn an older epoch away (UNFIT). A cache
+listens once for each instance, so that it is known who asks. All on loopback.
 """
 
 import json
@@ -35,7 +36,9 @@
         epoch = re.fullmatch(rb"p\d+-e(\d+)", words[1])
         if not self.cache.deaf:
             fit = self.cache.asked(self.who, int(epoch[1]) if epoch else 0)
-            self.transport.write(b"%b %b use=inflight:1;util:0.1 0\r\n\r\n" % (words[1], b"FIT" if fit else b"UNFIT"))
+            self.transport.write(
+                b"%b %b use=inflight:1;util:0.1 0\r\n\r\n" % (words[1], b"FIT" if fit else b"UNFIT")
+            )
 
 
 class StandInCaches:
@@ -90,7 +93,9 @@
 
 
 class StandInChangeLog:
-    """Tells events to all that follow; an event is a function of the instance, since caches' addresses differ."""
+    """Tells events to all that follow; an event is a function of the instance, since caches' addresses
+    differ.
+    """
 
     def __init__(self, reactor, instances):
         self.streams, self.events, self.ports = set(), [], []
@@ -162,9 +167,11 @@
 
 
 class StandInListService:
-    """The list service; each front has a port of its own there, so that it is known who calls. `mode`: up, refusing,
-    silent (accepts and says nothing), slow, breaking (off in an event) or still (says nothing more). `runs` tells whether
-    a front is not stopped: one that is holds its stream until the service ends it, and is not counted."""
+    """The list service; each front has a port of its own there, so that it is known who calls. `mode`: up,
+    refusing, silent (accepts and says nothing), slow, breaking (off in an event) or still (says nothing
+    more). `runs` tells whether a front is not stopped: one that is holds its stream until the service ends
+    it, and is not counted.
+    """
 
     def __init__(self, reactor, fronts, zone_of, runs=lambda who: True):
         self.reactor, self.mode, self.events, self.streams, self.bytes = reactor, "up", [], set(), 0
@@ -185,8 +192,10 @@
             return stream.transport.abortConnection()
         self.streams.add(stream)
         zone = self.zone_of(stream.who)
-        self.most_streams[zone] = max(self.most_streams.get(zone, 0),
-                                      sum(self.zone_of(one.who) == zone and self.runs(one.who) for one in self.streams))
+        self.most_streams[zone] = max(
+            self.most_streams.get(zone, 0),
+            sum(self.zone_of(one.who) == zone and self.runs(one.who) for one in self.streams),
+        )
 
     def said(self, at):
         return b"id: %d\ndata: %s\n\n" % (at + 1, self.events[at])
@@ -199,7 +208,9 @@
         return len(self.events)
 
     def turn(self, mode):
-        """Behave otherwise from now on; refusing ends the streams too, and after `still` those are of no more use."""
+        """Behave otherwise from now on; refusing ends the streams too, and after `still` those are of no more
+        use.
+        """
         before, self.mode = self.mode, mode
         if mode == "refusing" or before in ("still", "silent"):
             for stream in list(self.streams):
@@ -250,9 +261,11 @@
     def rawDataReceived(self, data):
         self.body -= len(data)
         if self.body <= -2:  # the line end behind the body
-            rest = data[len(data) + self.body + 2:]
+            rest = data[len(data) + self.body + 2 :]
             self.cache.forwards.append((self.cache.reactor.seconds(), self.asked))
-            self.transport.write(b"%b DONE rev=4be0,since=%d 4\r\nbody\r\n" % (self.asked, time.time() * 1000))
+            self.transport.write(
+                b"%b DONE rev=4be0,since=%d 4\r\nbody\r\n" % (self.asked, time.time() * 1000)
+            )
             self.setLineMode(rest)
 
 
--- a/limepath/testbed/ways.py
+++ b/limepath/testbed/ways.py
@@ -58,7 +58,9 @@
 
 
 class Half(Protocol):
-    """One of the two connections of a passage: what it reads goes to the other side, in order, as the faults let it."""
+    """One of the two connections of a passage: what it reads goes to the other side, in order, as the faults
+    let it.
+    """
 
     def __init__(self, way, source, to):
         self.way, self.source, self.to, self.other = way, source, to, None
@@ -84,11 +86,17 @@
 
 
 class Connections:
-    """Ways for connections from party `source` to party `to`, which listens at a port: `open` gives where to connect."""
+    """Ways for connections from party `source` to party `to`, which listens at a port: `open` gives where to
+    connect.
+    """
 
     def __init__(self, reactor, faults):
         self.reactor, self.faults, self.ports, self.halves = reactor, faults, [], set()
-        self.accepted, self.waiting, self.history = 0, [], []  # of history: (seconds, source, to) of each connection
+        self.accepted, self.waiting, self.history = (
+            0,
+            [],
+            [],
+        )  # of history: (seconds, source, to) of each connection
 
     def open(self, source, to, port):
         factory = Factory.forProtocol(lambda: None)
@@ -98,14 +106,18 @@
         return self.ports[-1].getHost().port
 
     def passage(self, source, to, port):
-        """One accepted connection and its way on; where it is cut it stays open and silent, like a machine that vanished."""
+        """One accepted connection and its way on; where it is cut it stays open and silent, like a machine
+        that vanished.
+        """
         self.accepted += 1
         self.history.append((self.reactor.seconds(), source, to))
         near, far = Half(self, source, to), Half(self, to, source)
         endpoint = TCP4ClientEndpoint(self.reactor, HOST, port, timeout=5)
         coming = endpoint.connect(Factory.forProtocol(lambda: far))
         near.other, far.other = far, near
-        coming.addCallbacks(lambda _: self.move(near), lambda _: near.open and near.transport.abortConnection())
+        coming.addCallbacks(
+            lambda _: self.move(near), lambda _: near.open and near.transport.abortConnection()
+        )
         return near
 
     def move(self, half):
--- a/limepath/tls/admission.py
+++ b/limepath/tls/admission.py
@@ -1,21 +1,34 @@
 """Who may shake hands when, and which server is left alone. Free of I/O: notes in, orders out, one agenda.
 
-A full handshake costs both sides much more than a GET. So they pass a budget, by server and in all: a bucket of `burst`
-that fills at `rate`, and so many under way at once. An offered session may be turned down by the server, which makes
-the handshake a full one; so each is charged as full when it begins, and what it did not cost is given back when it
-proves resumed. The budget is never overdrawn that way.
+A full handshake costs both sides much more than a GET. So they pass a budget, by server and in all: a bucket
+of `burst` that fills at `rate`, and so many under way at once. An offered session may be turned down by the
+server, which makes the handshake a full one; so each is charged as full when it begins, and what it did not
+cost is given back when it proves resumed. The budget is never overdrawn that way.
 
-Who goes first: the nearest latency objective, with a head start for who can resume. The head start is a span, so nobody
-waits for ever behind others; whose time is over is refused.
+Who goes first: the nearest latency objective, with a head start for who can resume. The head start is a span,
+so nobody waits for ever behind others; whose time is over is refused.
 
-A server whose handshakes fail is left alone, longer each time: shortly where the failure may pass by itself, long where
-somebody must mend a certificate. Then one try; then, with each success, one more at once until as before.
+A server whose handshakes fail is left alone, longer each time: shortly where the failure may pass by itself,
+long where somebody must mend a certificate. Then one try; then, with each success, one more at once until as
+before.
 """
 
 from sortedcontainers import SortedList
 
 from limepath.agenda import Agenda
-from limepath.tls.interface import (PASSING, Begin, Broken, Pace, Patience, Refuse, Shaken, Swapped, Told, Unwanted, Want)
+from limepath.tls.interface import (
+    PASSING,
+    Begin,
+    Broken,
+    Pace,
+    Patience,
+    Refuse,
+    Shaken,
+    Swapped,
+    Told,
+    Unwanted,
+    Want,
+)
 
 HEAD_START = 200_000  # microseconds for who can resume
 
@@ -50,7 +63,12 @@
     __slots__ = ("bucket", "under_way", "failures", "left_until", "limit", "line")
 
     def __init__(self, pace, now):
-        self.bucket, self.under_way, self.failures, self.left_until = Bucket(pace.rate, pace.burst, now), set(), 0, None
+        self.bucket, self.under_way, self.failures, self.left_until = (
+            Bucket(pace.rate, pace.burst, now),
+            set(),
+            0,
+            None,
+        )
         self.limit, self.line = pace.at_once, SortedList()
 
 
@@ -60,8 +78,13 @@
         self.bucket, self.servers, self.wants, self.under_way = None, {}, {}, {}
         self.looks_at = None
         self.counts = {"full": 0, "resumed": 0, "failed": 0, "refused": 0}
-        self.desks = {Want: self.wanted, Shaken: self.shaken, Broken: self.broken, Unwanted: self.unwanted,
-                      Swapped: self.swapped}
+        self.desks = {
+            Want: self.wanted,
+            Shaken: self.shaken,
+            Broken: self.broken,
+            Unwanted: self.unwanted,
+            Swapped: self.swapped,
+        }
 
     def handle(self, now, notes):
         """Take notes in at `now`; give the orders that follow."""
@@ -89,7 +112,11 @@
             return
         if note.until <= self.agenda.now:
             return self.refuse(note.id, "too late")
-        if server.left_until is not None and self.agenda.now < server.left_until and server.left_until >= note.until:
+        if (
+            server.left_until is not None
+            and self.agenda.now < server.left_until
+            and server.left_until >= note.until
+        ):
             return self.refuse(note.id, "left alone")
         self.wants[note.id] = note
         server.line.add(self.place(note))
@@ -133,8 +160,11 @@
         if server.left_until is not None and now < server.left_until:
             return  # one of several that were under way: told already
         passing = note.failure in PASSING
-        first, most = (self.patience.passing, self.patience.passing_most) if passing else (
-            self.patience.lasting, self.patience.lasting_most)
+        first, most = (
+            (self.patience.passing, self.patience.passing_most)
+            if passing
+            else (self.patience.lasting, self.patience.lasting_most)
+        )
         span = min(most, first << min(20, server.failures))
         span = int(span * (0.75 + self.agenda.chance() / 2))
         server.failures, server.limit, server.left_until = server.failures + 1, 1, now + span
@@ -173,8 +203,11 @@
         """Begin what the budget allows, the nearest objective of all servers first."""
         now = self.agenda.now
         while len(self.under_way) < self.pace.all_at_once:
-            able = [(server.line[0], ident) for ident, server in self.servers.items()
-                    if server.line and self.ready(server)]
+            able = [
+                (server.line[0], ident)
+                for ident, server in self.servers.items()
+                if server.line and self.ready(server)
+            ]
             if not able:
                 return
             if wait := self.bucket.wait(now):
--- a/limepath/tls/files.py
+++ b/limepath/tls/files.py
@@ -1,4 +1,6 @@
-"""Key files on the disk: read as a set, written for their owner alone. What fits together is decided in `material`."""
+"""Key files on the disk: read as a set, written for their owner alone. What fits together is decided in
+`material`.
+"""
 
 import os
 from typing import NamedTuple
@@ -35,10 +37,15 @@
 
 
 def key_set(opening, wall):
-    """The KeySet of a TlsOpening at this moment (Unix microseconds); BadMaterial names the part that won't do."""
+    """The KeySet of a TlsOpening at this moment (Unix microseconds); BadMaterial names the part that won't
+    do.
+    """
     chain = certificate = key = None
     if opening.certificate:
-        certificate, key = read(opening.certificate, "[client] certificate"), read(opening.key, "[client] key", True)
+        certificate, key = (
+            read(opening.certificate, "[client] certificate"),
+            read(opening.key, "[client] key", True),
+        )
         try:
             chain = hangs_together(certificate, key, wall=wall)
         except BadMaterial as flaw:
--- a/limepath/tls/host.py
+++ b/limepath/tls/host.py
@@ -1,7 +1,8 @@
-"""TLS on the sockets to servers: contexts of the keys in force, handshakes as `admission` lets them begin, sessions kept.
+"""TLS on the sockets to servers: contexts of the keys in force, handshakes as `admission` lets them begin,
+sessions kept.
 
-A connection is handed to the front once its handshake is done and its server verified; before that nothing of a
-forward is written, so a handshake that fails is proven not to have run and comes back as a ConnectError.
+A connection is handed to the front once its handshake is done and its server verified; before that nothing of
+a forward is written, so a handshake that fails is proven not to have run and comes back as a ConnectError.
 """
 
 import ipaddress
@@ -27,8 +28,15 @@
 
 VERSIONS = {"1.2": SSL.TLS1_2_VERSION, "1.3": SSL.TLS1_3_VERSION}
 # what OpenSSL's verification says, by the numbers of its x509_vfy.h
-FAILURES = {9: Failure.NOT_YET_VALID, 10: Failure.EXPIRED, 23: Failure.REVOKED, 62: Failure.WRONG_NAME,
-            66: Failure.WEAK, 67: Failure.WEAK, 68: Failure.WEAK} | dict.fromkeys((2, 18, 19, 20, 21, 24, 79), Failure.UNKNOWN_ISSUER)
+FAILURES = {
+    9: Failure.NOT_YET_VALID,
+    10: Failure.EXPIRED,
+    23: Failure.REVOKED,
+    62: Failure.WRONG_NAME,
+    66: Failure.WEAK,
+    67: Failure.WEAK,
+    68: Failure.WEAK,
+} | dict.fromkeys((2, 18, 19, 20, 21, 24, 79), Failure.UNKNOWN_ISSUER)
 DAY = 86_400_000_000
 
 
@@ -72,9 +80,22 @@
 
     def __init__(self, secured, number, member, under, trust, inner):
         self.secured, self.number, self.member, self.under, self.trust, self.inner = (
-            secured, number, member, under, trust, inner)
+            secured,
+            number,
+            member,
+            under,
+            trust,
+            inner,
+        )
         self.context, self.lists, self.verify = secured.contexts[trust.title]
-        self.done, self.failed, self.flaw, self.offered, self.timer, self.kept = Deferred(), False, None, None, None, False
+        self.done, self.failed, self.flaw, self.offered, self.timer, self.kept = (
+            Deferred(),
+            False,
+            None,
+            None,
+            None,
+            False,
+        )
         self.up = self.looked = False
         try:
             ipaddress.ip_address(under.name)
@@ -89,14 +110,19 @@
             self.flaw = FAILURES.get(number, Failure.UNKNOWN_ISSUER)
 
     def connectionMade(self):
-        self.timer = self.secured.reactor.callLater(self.secured.opening.limit / 1e6, self.fail, Failure.TIMED_OUT)
+        self.timer = self.secured.reactor.callLater(
+            self.secured.opening.limit / 1e6, self.fail, Failure.TIMED_OUT
+        )
 
     def handshakeCompleted(self):
         connection = self.transport.getHandle()
         if self.verify and (flaw := self.unfit(connection)):
             return self.fail(flaw)
         self.timer.cancel()
-        self.up, self.resumed = True, self.offered is not None and not self.looked  # a resumption looks at none
+        self.up, self.resumed = (
+            True,
+            self.offered is not None and not self.looked,
+        )  # a resumption looks at none
         self.protocol_name = connection.get_protocol_version_name()
         if self.protocol_name != "TLSv1.3":
             self.keep(connection)
@@ -107,7 +133,11 @@
         """Name and revocation lists, which the library's own verification leaves to us."""
         try:
             (verify_ip_address if self.address_only else verify_hostname)(connection, self.under.name)
-        except (VerificationError, CertificateError, ValueError):  # another name, no name, one that can't be read
+        except (
+            VerificationError,
+            CertificateError,
+            ValueError,
+        ):  # another name, no name, one that can't be read
             return Failure.WRONG_NAME
         chain = connection.get_verified_chain() or [connection.get_peer_certificate()]
         if any(is_revoked(one.to_cryptography(), self.lists) for one in chain if one):
@@ -123,13 +153,26 @@
         if self.offered and self.resumed:
             since, until = self.offered.wall_since, self.offered.wall_until
         else:
-            chain = [one.to_cryptography() for one in connection.get_verified_chain() or [connection.get_peer_certificate()]]
+            chain = [
+                one.to_cryptography()
+                for one in connection.get_verified_chain() or [connection.get_peer_certificate()]
+            ]
             since = max(unix(one.not_valid_before_utc) for one in chain)
             until = min(unix(one.not_valid_after_utc) for one in chain)
         now = clock()
-        self.secured.sessions.keep(now, unix_clock(), Session(
-            self.under, self.protocol_name, ticket, now + self.secured.sessions.longest, since, until,
-            self.protocol_name == "TLSv1.3"))
+        self.secured.sessions.keep(
+            now,
+            unix_clock(),
+            Session(
+                self.under,
+                self.protocol_name,
+                ticket,
+                now + self.secured.sessions.longest,
+                since,
+                until,
+                self.protocol_name == "TLSv1.3",
+            ),
+        )
 
     def dataReceived(self, data):
         if self.up:
@@ -149,7 +192,9 @@
         """What broke the handshake off, as far as the library's words tell."""
         if not isinstance(reason.value, SSL.Error):
             return Failure.BROKE_OFF
-        words = " ".join(str(one) for part in reason.value.args for one in (part if isinstance(part, list) else [part])).lower()
+        words = " ".join(
+            str(one) for part in reason.value.args for one in (part if isinstance(part, list) else [part])
+        ).lower()
         if "alert" in words and ("certificate" in words or "unknown ca" in words or "access denied" in words):
             return Failure.KEY_REFUSED
         if "too small" in words or "too weak" in words:
@@ -172,7 +217,10 @@
 
     def __init__(self, reactor, log, opening, kinds, seed):
         self.reactor, self.log, self.opening, self.kinds = reactor, log, opening, kinds
-        self.admission, self.sessions = Admission(seed, opening.pace, opening.patience), Sessions(*opening.sessions)
+        self.admission, self.sessions = (
+            Admission(seed, opening.pace, opening.patience),
+            Sessions(*opening.sessions),
+        )
         self.trust, self.client, self.numbers, self.wanted = 0, 0, count(1), {}
         self.contexts, self.timer, self.open, self.names, self.said = {}, None, set(), {}, {}
         self.counts = {"full": 0, "resumed": 0, "swaps": 0} | {failure.value: 0 for failure in Failure}
@@ -180,11 +228,18 @@
         self.build()
         for trust in opening.trusts:
             if not trust.verify:
-                log.say("tls-unverified", "whoever answers is believed", trust=trust.title, members=",".join(trust.members))
+                log.say(
+                    "tls-unverified",
+                    "whoever answers is believed",
+                    trust=trust.title,
+                    members=",".join(trust.members),
+                )
 
     def build(self):
-        self.contexts = {trust.title: (self.context(trust, found), found.lists, trust.verify)
-                         for trust, found in zip(self.opening.trusts, self.keys.trusts)}
+        self.contexts = {
+            trust.title: (self.context(trust, found), found.lists, trust.verify)
+            for trust, found in zip(self.opening.trusts, self.keys.trusts, strict=True)
+        }
 
     def context(self, trust, found):
         context = SSL.Context(SSL.TLS_CLIENT_METHOD)
@@ -197,7 +252,9 @@
             store.add_cert(crypto.X509.from_cryptography(root))
 
         def judge(connection, certificate, number, depth, fine):
-            connection.get_app_data().wrappedProtocol.judged(certificate, 0 if fine or not trust.verify else number)
+            connection.get_app_data().wrappedProtocol.judged(
+                certificate, 0 if fine or not trust.verify else number
+            )
             return bool(fine) or not trust.verify
 
         context.set_verify(SSL.VERIFY_PEER, judge)
@@ -215,9 +272,18 @@
         except BadMaterial as flaw:
             self.log.say("tls-keys", f"{flaw}; the old set stays")
             return False
-        trust = [(one.roots, tuple(x.fingerprint(x.signature_hash_algorithm) for x in one.lists)) for one in keys.trusts]
-        held = [(one.roots, tuple(x.fingerprint(x.signature_hash_algorithm) for x in one.lists)) for one in self.keys.trusts]
-        other_trust, other_key = trust != held, (keys.certificate, keys.key) != (self.keys.certificate, self.keys.key)
+        trust = [
+            (one.roots, tuple(x.fingerprint(x.signature_hash_algorithm) for x in one.lists))
+            for one in keys.trusts
+        ]
+        held = [
+            (one.roots, tuple(x.fingerprint(x.signature_hash_algorithm) for x in one.lists))
+            for one in self.keys.trusts
+        ]
+        other_trust, other_key = (
+            trust != held,
+            (keys.certificate, keys.key) != (self.keys.certificate, self.keys.key),
+        )
         if not (other_trust or other_key):
             return False
         self.keys = keys
@@ -239,7 +305,9 @@
             ends["our certificate"] = self.keys.chain.until
         for found in self.keys.trusts:
             for root in found.roots:
-                ends[f"root of {found.title}"] = min(unix(root.not_valid_after_utc), ends.get(f"root of {found.title}", 10 ** 18))
+                ends[f"root of {found.title}"] = min(
+                    unix(root.not_valid_after_utc), ends.get(f"root of {found.title}", 10**18)
+                )
         for what, until in ends.items():
             if mark := announced(until, wall, self.said.get(what)):
                 self.said[what] = mark
@@ -248,7 +316,9 @@
     # Connections
 
     def connect(self, peer, inner, until):
-        """A Deferred of `inner` once it is connected and its server verified; None where no trust covers this kind."""
+        """A Deferred of `inner` once it is connected and its server verified; None where no trust covers this
+        kind.
+        """
         trust = self.kinds.get(peer.kind)
         if trust is None:
             return None
@@ -268,8 +338,12 @@
                 shaking = self.wanted.pop(order.id)
                 self.reactor.callLater(0, shaking.done.errback, HandshakeFailed(None, order.why))
             elif isinstance(order, Told):
-                self.log.say("tls-server", order.what, server=self.names.get(order.server, order.server),
-                             **({"why": order.failure.value, "for_ms": order.span // 1000} if order.failure else {}))
+                self.log.say(
+                    "tls-server",
+                    order.what,
+                    server=self.names.get(order.server, order.server),
+                    **({"why": order.failure.value, "for_ms": order.span // 1000} if order.failure else {}),
+                )
         due = self.admission.next()
         if self.timer and self.timer.active():
             self.timer.cancel()
@@ -292,8 +366,11 @@
         endpoint.connect(factory).addErrback(self.no_socket, shaking)
 
     def no_socket(self, failure, shaking):
-        kind = Failure.REFUSED if failure.check(ConnectionRefusedError) else (
-            Failure.TIMED_OUT if failure.check(TimeoutError) else Failure.BROKE_OFF)
+        kind = (
+            Failure.REFUSED
+            if failure.check(ConnectionRefusedError)
+            else (Failure.TIMED_OUT if failure.check(TimeoutError) else Failure.BROKE_OFF)
+        )
         if not shaking.failed:
             shaking.failed = True
             self.broken(shaking, kind)
--- a/limepath/tls/interface.py
+++ b/limepath/tls/interface.py
@@ -1,7 +1,8 @@
-"""The interface of the TLS decisions. Times are whole microseconds: `now` of a monotonic clock, `wall` since 1970.
+"""The interface of the TLS decisions. Times are whole microseconds: `now` of a monotonic clock, `wall` since
+1970.
 
-A generation is a number that grows each time trust or the client's key is swapped; what was verified under another
-generation is not verified.
+A generation is a number that grows each time trust or the client's key is swapped; what was verified under
+another generation is not verified.
 """
 
 from enum import Enum
@@ -25,7 +26,9 @@
     KEY_REFUSED = "our key refused"
 
 
-PASSING = frozenset((Failure.REFUSED, Failure.TIMED_OUT, Failure.BROKE_OFF, Failure.PROTOCOL))  # may mend by itself
+PASSING = frozenset(
+    (Failure.REFUSED, Failure.TIMED_OUT, Failure.BROKE_OFF, Failure.PROTOCOL)
+)  # may mend by itself
 
 
 class Under(NamedTuple):
@@ -38,8 +41,9 @@
 
 
 class Session(NamedTuple):
-    """`ticket` is the library's. `until` ends its own lifetime (monotonic), `wall_until` its certificate chain's; from
-    `wall_since` on the chain is valid. `once`: it may be offered once (TLS 1.3)."""
+    """`ticket` is the library's. `until` ends its own lifetime (monotonic), `wall_until` its certificate
+    chain's; from `wall_since` on the chain is valid. `once`: it may be offered once (TLS 1.3).
+    """
 
     under: Under
     protocol: str
@@ -51,7 +55,9 @@
 
 
 class Pace(NamedTuple):
-    """Full handshakes: `rate` a second after `burst` at once, so many `at_once` under way; to one server and in all."""
+    """Full handshakes: `rate` a second after `burst` at once, so many `at_once` under way; to one server and
+    in all.
+    """
 
     rate: float = 20.0
     burst: int = 10
@@ -63,7 +69,9 @@
 
 
 class Patience(NamedTuple):
-    """How long a server is left alone after failures that may pass, and after those that somebody must mend."""
+    """How long a server is left alone after failures that may pass, and after those that somebody must
+    mend.
+    """
 
     passing: int = 200_000
     passing_most: int = 5_000_000
--- a/limepath/tls/making.py
+++ b/limepath/tls/making.py
@@ -1,4 +1,5 @@
-"""Certificates and keys made here: for installations without an authority of their own, and for our stand-ins.
+"""Certificates and keys made here: for installations without an authority of their own, and for our
+stand-ins.
 
 Nothing is written: PEM bytes come back. Serial numbers are drawn by the library.
 """
@@ -29,7 +30,9 @@
 
 
 def pem_of(key):
-    return key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    return key.private_bytes(
+        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+    )
 
 
 def name(text):
@@ -37,10 +40,19 @@
 
 
 def built(subject, issuer, public, signer, since, until, extensions):
-    made = (x509.CertificateBuilder().subject_name(subject).issuer_name(issuer).public_key(public)
-            .serial_number(x509.random_serial_number()).not_valid_before(moment(since)).not_valid_after(moment(until)))
+    made = (
+        x509.CertificateBuilder()
+        .subject_name(subject)
+        .issuer_name(issuer)
+        .public_key(public)
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(moment(since))
+        .not_valid_after(moment(until))
+    )
     made = made.add_extension(x509.SubjectKeyIdentifier.from_public_key(public), critical=False)
-    made = made.add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(signer.public_key()), critical=False)
+    made = made.add_extension(
+        x509.AuthorityKeyIdentifier.from_issuer_public_key(signer.public_key()), critical=False
+    )
     for extension, critical in extensions:
         made = made.add_extension(extension, critical)
     return made.sign(signer, hashes.SHA256())
@@ -57,13 +69,22 @@
     if above:
         signer, (parent, *_) = private_key(above.key), certificates(above.certificate)
         issuer = parent.subject
-    certificate = built(name(title), issuer, key.public_key(), signer, wall - DAY // 24 if since is None else since,
-                        wall + days * DAY, ((x509.BasicConstraints(True, None), True), (usage(True), True)))
+    certificate = built(
+        name(title),
+        issuer,
+        key.public_key(),
+        signer,
+        wall - DAY // 24 if since is None else since,
+        wall + days * DAY,
+        ((x509.BasicConstraints(True, None), True), (usage(True), True)),
+    )
     return Made(certificate.public_bytes(serialization.Encoding.PEM), pem_of(key))
 
 
 def issue(above, names, wall, days=90, kind="ec", since=None, client=True, key=None, bits=None):
-    """A certificate for these names (DNS or addresses), signed by `above`; the chain below the root comes with it."""
+    """A certificate for these names (DNS or addresses), signed by `above`; the chain below the root comes
+    with it.
+    """
     chain = certificates(above.certificate)
     signer = private_key(above.key)
     if not is_ca(chain[0]) or not same_key(chain[0].public_key(), signer.public_key()):
@@ -79,10 +100,20 @@
             alternatives.append(x509.DNSName(one))
     purposes = [ExtendedKeyUsageOID.SERVER_AUTH] + [ExtendedKeyUsageOID.CLIENT_AUTH] * client
     until = wall + int(days * DAY)
-    certificate = built(name(names[0][:64]), chain[0].subject, key.public_key(), signer,
-                        min(wall, until) - DAY // 24 if since is None else since, until,
-                        ((x509.BasicConstraints(False, None), True), (usage(False), True),
-                         (x509.ExtendedKeyUsage(purposes), False), (x509.SubjectAlternativeName(alternatives), False)))
+    certificate = built(
+        name(names[0][:64]),
+        chain[0].subject,
+        key.public_key(),
+        signer,
+        min(wall, until) - DAY // 24 if since is None else since,
+        until,
+        (
+            (x509.BasicConstraints(False, None), True),
+            (usage(False), True),
+            (x509.ExtendedKeyUsage(purposes), False),
+            (x509.SubjectAlternativeName(alternatives), False),
+        ),
+    )
     below_root = [one for one in chain if one.subject != one.issuer]
     whole = b"".join(one.public_bytes(serialization.Encoding.PEM) for one in (certificate, *below_root))
     return Made(whole, pem_of(key))
@@ -91,9 +122,14 @@
 def revoked(above, serials, wall, hours=24.0):
     """A revocation list of `above`, as PEM."""
     (issuer, *_), signer = certificates(above.certificate), private_key(above.key)
-    made = x509.CertificateRevocationListBuilder().issuer_name(issuer.subject).last_update(
-        moment(min(wall, wall + int(hours * 3600e6)) - 3_600_000_000)).next_update(moment(wall + int(hours * 3600e6)))
+    made = (
+        x509.CertificateRevocationListBuilder()
+        .issuer_name(issuer.subject)
+        .last_update(moment(min(wall, wall + int(hours * 3600e6)) - 3_600_000_000))
+        .next_update(moment(wall + int(hours * 3600e6)))
+    )
     for serial in serials:
-        made = made.add_revoked_certificate(x509.RevokedCertificateBuilder().serial_number(serial).revocation_date(
-            moment(wall)).build())
+        made = made.add_revoked_certificate(
+            x509.RevokedCertificateBuilder().serial_number(serial).revocation_date(moment(wall)).build()
+        )
     return made.sign(signer, hashes.SHA256()).public_bytes(serialization.Encoding.PEM)
--- a/limepath/tls/material.py
+++ b/limepath/tls/material.py
@@ -1,9 +1,12 @@
-"""Whether certificates, keys and trust fit together: bytes in, a checked set out, or the reason why not. Free of I/O.
+"""Whether certificates, keys and trust fit together: bytes in, a checked set out, or the reason why not. Free
+of I/O.
 
-X.509 is read by the library `cryptography`; names are matched by `service_identity` where a handshake runs (RFC 6125, 9525).
+X.509 is read by the library `cryptography`; names are matched by `service_identity` where a handshake runs
+(RFC 6125, 9525).
 """
 
 from datetime import UTC, datetime
+from itertools import pairwise
 from typing import NamedTuple
 
 from cryptography import x509
@@ -12,7 +15,14 @@
 from cryptography.hazmat.primitives.asymmetric import ec, ed25519, rsa
 
 LEAST_RSA, LEAST_CURVE, LONGEST_CHAIN = 2048, 224, 8  # bits, bits, certificates
-ANNOUNCED = (30, 14, 7, 3, 2, 1)  # days before its end that a certificate is announced, then each hour of the last day
+ANNOUNCED = (
+    30,
+    14,
+    7,
+    3,
+    2,
+    1,
+)  # days before its end that a certificate is announced, then each hour of the last day
 
 
 class BadMaterial(ValueError):
@@ -67,7 +77,9 @@
 
 
 def revocations(pem):
-    """{(issuer's name, serial): the list's next update}, and when each list ends, of PEM lists one after another."""
+    """{(issuer's name, serial): the list's next update}, and when each list ends, of PEM lists one after
+    another.
+    """
     lists = []
     mark = b"-----END X509 CRL-----"
     for part in pem.split(mark)[:-1]:
@@ -98,6 +110,7 @@
 def same_key(one, other):
     def raw(key):
         return key.public_bytes(serialization.Encoding.DER, serialization.PublicFormat.SubjectPublicKeyInfo)
+
     return raw(one) == raw(other)
 
 
@@ -130,28 +143,38 @@
         raise BadMaterial("key: it does not fit the certificate")
     if len(above) > LONGEST_CHAIN:
         raise BadMaterial(f"certificate: a chain of {len(above) + 1}")
-    for below, one in zip((leaf, *above), above):
+    for below, one in pairwise((leaf, *above)):
         if not issued(one, below):
             raise BadMaterial(f"chain: {subject(below)} does not hang on {subject(one)}")
     last = above[-1] if above else leaf
     if roots and not any(last == root or issued(root, last) for root in roots):
-        raise BadMaterial(f"chain: incomplete, or of another root: {subject(last)} hangs on {last.issuer.rfc4514_string()}")
+        raise BadMaterial(
+            f"chain: incomplete, or of another root: {subject(last)} hangs on {last.issuer.rfc4514_string()}"
+        )
     for one in (leaf, *above):
         strength(one.public_key())
         in_time(one, wall)
     whole = (leaf, *above)
-    return Chain(leaf, tuple(above), max(unix(one.not_valid_before_utc) for one in whole),
-                 min(unix(one.not_valid_after_utc) for one in whole))
+    return Chain(
+        leaf,
+        tuple(above),
+        max(unix(one.not_valid_before_utc) for one in whole),
+        min(unix(one.not_valid_after_utc) for one in whole),
+    )
 
 
 def in_time(certificate, wall):
     if wall is None:
         return
     if wall >= unix(certificate.not_valid_after_utc):
-        raise BadMaterial(f"certificate expired: {subject(certificate)} on {certificate.not_valid_after_utc:%Y-%m-%d %H:%M}")
+        raise BadMaterial(
+            f"certificate expired: {subject(certificate)} on {certificate.not_valid_after_utc:%Y-%m-%d %H:%M}"
+        )
     if wall < unix(certificate.not_valid_before_utc):
-        raise BadMaterial(f"certificate not yet valid: {subject(certificate)} from "
-                          f"{certificate.not_valid_before_utc:%Y-%m-%d %H:%M}")
+        raise BadMaterial(
+            f"certificate not yet valid: {subject(certificate)} from "
+            f"{certificate.not_valid_before_utc:%Y-%m-%d %H:%M}"
+        )
 
 
 def trusted(pem, wall=None):
@@ -169,15 +192,20 @@
     """(lists, whether one is stale): each signed by one of the roots."""
     lists = revocations(pem)
     for one in lists:
-        if not any(one.issuer == root.subject and one.is_signature_valid(root.public_key()) for root in roots):
+        if not any(
+            one.issuer == root.subject and one.is_signature_valid(root.public_key()) for root in roots
+        ):
             raise BadMaterial(f"revocation list: of {one.issuer.rfc4514_string()}, whom nobody here trusts")
     stale = any(one.next_update_utc is not None and unix(one.next_update_utc) <= wall for one in lists)
     return lists, stale
 
 
 def is_revoked(certificate, lists):
-    return any(one.issuer == certificate.issuer and one.get_revoked_certificate_by_serial_number(
-        certificate.serial_number) is not None for one in lists)
+    return any(
+        one.issuer == certificate.issuer
+        and one.get_revoked_certificate_by_serial_number(certificate.serial_number) is not None
+        for one in lists
+    )
 
 
 def subject(certificate):
@@ -197,15 +225,23 @@
         key = strength(certificate.public_key())
     except BadMaterial as flaw:
         key = str(flaw)
-    return Found(subject(certificate), certificate.issuer.rfc4514_string(), names_of(certificate),
-                 certificate.serial_number, key, f"{certificate.not_valid_before_utc:%Y-%m-%dT%H:%MZ}",
-                 f"{certificate.not_valid_after_utc:%Y-%m-%dT%H:%MZ}",
-                 round((unix(certificate.not_valid_after_utc) - wall) / 86_400e6, 2), is_ca(certificate),
-                 certificate.fingerprint(hashes.SHA256()).hex())
+    return Found(
+        subject(certificate),
+        certificate.issuer.rfc4514_string(),
+        names_of(certificate),
+        certificate.serial_number,
+        key,
+        f"{certificate.not_valid_before_utc:%Y-%m-%dT%H:%MZ}",
+        f"{certificate.not_valid_after_utc:%Y-%m-%dT%H:%MZ}",
+        round((unix(certificate.not_valid_after_utc) - wall) / 86_400e6, 2),
+        is_ca(certificate),
+        certificate.fingerprint(hashes.SHA256()).hex(),
+    )
 
 
 def announced(until, wall, last=None):
-    """The mark of an end that should be announced now, or None: days before, then hours; each mark once (`last`).
+    """The mark of an end that should be announced now, or None: days before, then hours; each mark once
+    (`last`).
 
     >>> day = 86_400_000_000
     >>> announced(10 * day, 3 * day), announced(10 * day, 3 * day, last="7 days"), announced(60 * day, 0)
--- a/limepath/tls/sessions.py
+++ b/limepath/tls/sessions.py
@@ -1,4 +1,5 @@
-"""Which session to offer. A resumption skips the verification, so every condition of the one it rests on must hold.
+"""Which session to offer. A resumption skips the verification, so every condition of the one it rests on must
+hold.
 
 Bounded in all and by member, the one unused for longest goes first. Free of I/O.
 """
@@ -65,7 +66,8 @@
     def resumable(self, now, wall, under):
         """Whether one could be offered, without taking it."""
         return (under.trust, under.client) == (self.trust, self.client) and any(
-            self.holds(now, wall, session) for session in self.kept.get(under, ()))
+            self.holds(now, wall, session) for session in self.kept.get(under, ())
+        )
 
     def forget(self, member):
         """A server fell back to a full handshake: it has lost its ticket keys, all that it gave is void."""
--- a/limepath/verdicts.py
+++ b/limepath/verdicts.py
@@ -1,4 +1,6 @@
-"""What a drill or a run in virtual time states: rows of what was measured, the bound where there is one, the verdict."""
+"""What a drill or a run in virtual time states: rows of what was measured, the bound where there is one, the
+verdict.
+"""
 
 from typing import Any, NamedTuple
 
@@ -31,18 +33,30 @@
     longest gap, s  5.2  33.0  holds
     serves           12     -  -
     """
-    drawn = [(row.what, shown(row.measured), shown(row.bound),
-              "-" if row.bound is None else "holds" if row.holds else "BROKEN") for row in rows]
+    drawn = [
+        (
+            row.what,
+            shown(row.measured),
+            shown(row.bound),
+            "-" if row.bound is None else "holds" if row.holds else "BROKEN",
+        )
+        for row in rows
+    ]
     wide = [max(len(row[i]) for row in drawn) for i in range(3)]
-    return "\n".join(f"{what:<{wide[0]}}  {value:>{wide[1]}}  {bound:>{wide[2]}}  {verdict}"
-                     for what, value, bound, verdict in drawn)
+    return "\n".join(
+        f"{what:<{wide[0]}}  {value:>{wide[1]}}  {bound:>{wide[2]}}  {verdict}"
+        for what, value, bound, verdict in drawn
+    )
 
 
 def shown(value):
     if value is None:
         return "-"
-    return f"{value:,.3f}".rstrip("0").rstrip(".") if isinstance(value, float) and value != int(value) else (
-        f"{value:,.1f}" if isinstance(value, float) else str(value))
+    return (
+        f"{value:,.3f}".rstrip("0").rstrip(".")
+        if isinstance(value, float) and value != int(value)
+        else (f"{value:,.1f}" if isinstance(value, float) else str(value))
+    )
 
 
 def hold(rows):
--- a/limepath/wirehost/dialect.py
+++ b/limepath/wirehost/dialect.py
@@ -27,7 +27,7 @@
 def load_of(cursor, fields):
     (count,) = cursor.take(U8)
     values = cursor.take(struct.Struct(f">{count}f"))
-    return dict(zip(fields, values))
+    return dict(zip(fields, values, strict=False))
 
 
 def read_up(cursor, _):
@@ -41,15 +41,25 @@
     members = []
     for _entry in range(count):
         standing, raw, started, cell, zone, kind, weight = cursor.take(ENTRY)
-        members.append(c.Member(enum_of(c.Standing, standing, where), cache_of(raw), -(-started // 1000),
-                                cell, zone, kind, weight))
+        members.append(
+            c.Member(
+                enum_of(c.Standing, standing, where),
+                cache_of(raw),
+                -(-started // 1000),
+                cell,
+                zone,
+                kind,
+                weight,
+            )
+        )
     return c.Roster(enum_of(c.Listing, mode, where), version, tuple(members))
 
 
 def read_arrival(cursor, _):
     op, ds, org, obj, patience, size, group, part, marks = cursor.take(struct.Struct(">IBIQQfffB"))
-    return c.Get(op, ds, org, obj, us(patience), size, int(group), int(part), bool(marks & 2),
-                 bool(marks & 4))
+    return c.Get(
+        op, ds, org, obj, us(patience), size, int(group), int(part), bool(marks & 2), bool(marks & 4)
+    )
 
 
 def read_purge(cursor, _):
@@ -60,8 +70,17 @@
 def read_outcome(cursor, fields):
     op, number, verdict, raw, took, waited, closed, hint = cursor.take(struct.Struct(">IBH6sQQBB"))
     where = f"batch {cursor.sequence}"
-    return c.Outcome(op, number, enum_of(c.Verdict, verdict, where), cache_of(raw), us(took), us(waited),
-                     bool(closed), enum_of(c.Hint, hint, where), load_of(cursor, fields))
+    return c.Outcome(
+        op,
+        number,
+        enum_of(c.Verdict, verdict, where),
+        cache_of(raw),
+        us(took),
+        us(waited),
+        bool(closed),
+        enum_of(c.Hint, hint, where),
+        load_of(cursor, fields),
+    )
 
 
 def read_under_way(cursor, _):
@@ -71,8 +90,12 @@
 
 def read_probe(cursor, fields):
     raw, verdict, took = cursor.take(struct.Struct(">6sHQ"))
-    return c.ProbeReport(cache_of(raw), enum_of(c.Verdict, verdict, f"batch {cursor.sequence}"), us(took),
-                         load_of(cursor, fields))
+    return c.ProbeReport(
+        cache_of(raw),
+        enum_of(c.Verdict, verdict, f"batch {cursor.sequence}"),
+        us(took),
+        load_of(cursor, fields),
+    )
 
 
 def read_peer(cursor, _):
@@ -107,7 +130,7 @@
 
 
 def ns(span):
-    return min(span, 2 ** 63 // 1000) * 1000
+    return min(span, 2**63 // 1000) * 1000
 
 
 def addr(cache):
@@ -116,8 +139,9 @@
 
 def write_forward(head, o):
     how = o.join + 2 * o.held_only + 4 * o.no_copy_above + 8 * o.renew
-    return struct.pack(">BII6sQ6sBQB", 60, head, o.id, addr(o.cache), ns(o.limit), addr(o.source), o.rank,
-                       ns(o.oldest), how)
+    return struct.pack(
+        ">BII6sQ6sBQB", 60, head, o.id, addr(o.cache), ns(o.limit), addr(o.source), o.rank, ns(o.oldest), how
+    )
 
 
 def write_text(code, head, text):
--- a/limepath/wirehost/frames.py
+++ b/limepath/wirehost/frames.py
@@ -53,6 +53,6 @@
         end = self.at + count
         if end > len(self.data):
             raise WireError(f"batch {self.sequence}: wrong length {count} at byte {HEADER.size + self.at}")
-        chunk = self.data[self.at:end]
+        chunk = self.data[self.at : end]
         self.at = end
         return chunk
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -8,10 +8,22 @@
 
 
 def service(**changes):
-    plain = c.DeliveryService(objective=600_000, stretch=1.6, viewer_timeout=5 * SECOND, revenue=1.0,
-                              late_share=0.2, repeats=c.Repeats.IDEMPOTENT, scope=c.Scope.ALL, window=SECOND,
-                              streamed=False, fresh=0, grace=0, stale_share=0.5, uncacheable=False,
-                              segmented=False)
+    plain = c.DeliveryService(
+        objective=600_000,
+        stretch=1.6,
+        viewer_timeout=5 * SECOND,
+        revenue=1.0,
+        late_share=0.2,
+        repeats=c.Repeats.IDEMPOTENT,
+        scope=c.Scope.ALL,
+        window=SECOND,
+        streamed=False,
+        fresh=0,
+        grace=0,
+        stale_share=0.5,
+        uncacheable=False,
+        segmented=False,
+    )
     return plain._replace(**changes)
 
 
@@ -19,24 +31,59 @@
     return c.Member(standing, cache, started, 0, 0 if kind == CACHE else 1, kind, weight)
 
 
-FLEET = (member(1), member(2), member(3), member(11, PARENT, weight=30.0), member(12, PARENT, weight=30.0),
-         member(21, ORIGIN, weight=20.0))
+FLEET = (
+    member(1),
+    member(2),
+    member(3),
+    member(11, PARENT, weight=30.0),
+    member(12, PARENT, weight=30.0),
+    member(21, ORIGIN, weight=20.0),
+)
 
 
 class FakeHost:
-    def __init__(self, services=(service(),), fleet=FLEET, seed=7, fronts=2, nearby=1, weighted=True,
-                 link=9000.0, **allowed):
-        allowance = c.Allowance(forwards=6, overlap=False, withdraw=True, probing=True, peers=False,
-                                come_back=SECOND, direct=True, joins=False, lateral="none", subscribe=False)
+    def __init__(
+        self,
+        services=(service(),),
+        fleet=FLEET,
+        seed=7,
+        fronts=2,
+        nearby=1,
+        weighted=True,
+        link=9000.0,
+        **allowed,
+    ):
+        allowance = c.Allowance(
+            forwards=6,
+            overlap=False,
+            withdraw=True,
+            probing=True,
+            peers=False,
+            come_back=SECOND,
+            direct=True,
+            joins=False,
+            lateral="none",
+            subscribe=False,
+        )
         self.front = Front(
-            seed=seed, services=services,
-            footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(link, 0.0), fronts_in_zone=nearby,
-                                  fronts=fronts, parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0,
-                                  weighted=weighted),
+            seed=seed,
+            services=services,
+            footprint=c.Footprint(
+                zone=0,
+                hub_of=(0, 0),
+                link_kb_s=(link, 0.0),
+                fronts_in_zone=nearby,
+                fronts=fronts,
+                parent_kind=PARENT,
+                origin_kind=ORIGIN,
+                flow_kb_s=1000.0,
+                weighted=weighted,
+            ),
             allowance=allowance._replace(**allowed),
             cache_warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND),
             parent_warmup=c.Warmup(0.1, 20 * SECOND, 2.0, SECOND),
-            grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND))
+            grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND),
+        )
         self.now, self.wake, self.ids, self.told = 100 * SECOND, None, 0, []
         self.hear(c.Roster(c.Listing.CACHED, 1, fleet))
 
--- a/tests/fleet_host.py
+++ b/tests/fleet_host.py
@@ -1,7 +1,8 @@
 """Many fronts on one fake set of members, in virtual time: what each does alone adds up, and is counted here.
 
-A member has lanes: with more transfers than these all get slower, with three times as many it is full. A look at a cache that
-lacks the object ends at once, a fill waits for its source. Arrivals, sizes and which objects are held are drawn by seed.
+A member has lanes: with more transfers than these all get slower, with three times as many it is full. A look
+at a cache that lacks the object ends at once, a fill waits for its source. Arrivals, sizes and which objects
+are held are drawn by seed.
 """
 
 from heapq import heappop, heappush
@@ -9,12 +10,14 @@
 
 from limepath import contract as c
 from limepath.choice import Front
-from tests.fake_host import CACHE, FLEET, ORIGIN, PARENT, SECOND, member, service
+from tests.fake_host import CACHE, ORIGIN, PARENT, SECOND, member, service
 
 V = c.Verdict
 WAY = 5_000  # from a front to a member and back, microseconds
 VIDEO = service(objective=600_000)
-ENTREGA = service(objective=800_000, viewer_timeout=3 * SECOND, repeats=c.Repeats.NON_IDEMPOTENT, uncacheable=True)
+ENTREGA = service(
+    objective=800_000, viewer_timeout=3 * SECOND, repeats=c.Repeats.NON_IDEMPOTENT, uncacheable=True
+)
 
 
 class FleetMember:
@@ -32,26 +35,83 @@
 class Fleet:
     """`rate` is GETs a second of all fronts; `held` the share of looks that find their object."""
 
-    def __init__(self, fronts, caches, seed=1, rate=100.0, held=0.6, weight=6.0, services=(VIDEO, ENTREGA), writes=0.03,
-                 mean=400_000, upper=150_000, link=None, warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND), uneven=1.0,
-                 told=0.0):
+    def __init__(
+        self,
+        fronts,
+        caches,
+        seed=1,
+        rate=100.0,
+        held=0.6,
+        weight=6.0,
+        services=(VIDEO, ENTREGA),
+        writes=0.03,
+        mean=400_000,
+        upper=150_000,
+        link=None,
+        warmup=c.Warmup(0.2, 10 * SECOND, 2.0, SECOND),
+        uneven=1.0,
+        told=0.0,
+    ):
         """`told`: sizes are told, of this spread (sigma of their logarithm)."""
         self.told, self.sizes = told, {}
         self.chance, self.now, self.serial, self.calendar = Random(seed), 0, 0, []
-        self.rate, self.held, self.writes, self.mean, self.upper, self.services = rate, held, writes, mean, upper, services
+        self.rate, self.held, self.writes, self.mean, self.upper, self.services = (
+            rate,
+            held,
+            writes,
+            mean,
+            upper,
+            services,
+        )
         fleet = [member(100 + i, weight=weight) for i in range(caches)]
-        fleet += [member(11, PARENT, weight=30.0), member(12, PARENT, weight=30.0), member(21, ORIGIN, weight=20.0)]
+        fleet += [
+            member(11, PARENT, weight=30.0),
+            member(12, PARENT, weight=30.0),
+            member(21, ORIGIN, weight=20.0),
+        ]
         self.members = {one.cache: FleetMember(one, self.chance) for one in fleet}
         link = link or caches * weight * 1000.0
-        allowance = c.Allowance(forwards=6, overlap=False, withdraw=True, probing=True, peers=False, come_back=SECOND,
-                                direct=True, joins=False, lateral="none", subscribe=False)
-        self.fronts = [Front(
-            seed=seed * 1000 + i, services=services, allowance=allowance, cache_warmup=warmup, parent_warmup=warmup,
-            footprint=c.Footprint(zone=0, hub_of=(0, 0), link_kb_s=(link, 0.0), fronts_in_zone=fronts, fronts=fronts,
-                                  parent_kind=PARENT, origin_kind=ORIGIN, flow_kb_s=1000.0, weighted=True),
-            grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND)) for i in range(fronts)]
+        allowance = c.Allowance(
+            forwards=6,
+            overlap=False,
+            withdraw=True,
+            probing=True,
+            peers=False,
+            come_back=SECOND,
+            direct=True,
+            joins=False,
+            lateral="none",
+            subscribe=False,
+        )
+        self.fronts = [
+            Front(
+                seed=seed * 1000 + i,
+                services=services,
+                allowance=allowance,
+                cache_warmup=warmup,
+                parent_warmup=warmup,
+                footprint=c.Footprint(
+                    zone=0,
+                    hub_of=(0, 0),
+                    link_kb_s=(link, 0.0),
+                    fronts_in_zone=fronts,
+                    fronts=fronts,
+                    parent_kind=PARENT,
+                    origin_kind=ORIGIN,
+                    flow_kb_s=1000.0,
+                    weighted=True,
+                ),
+                grace=c.Grace(8000, SECOND, 300_000, 6 * SECOND, 10 * SECOND),
+            )
+            for i in range(fronts)
+        ]
         self.shares = [self.chance.lognormvariate(0, uneven) for _ in range(fronts)]
-        self.ids, self.gets, self.ends, self.words = 0, {}, [], {}  # an end: (time, front, ds, word, took); words by GET
+        self.ids, self.gets, self.ends, self.words = (
+            0,
+            {},
+            [],
+            {},
+        )  # an end: (time, front, ds, word, took); words by GET
         self.forwards = 0
         for front in range(fronts):
             self.hear(front, c.Roster(c.Listing.CACHED, 1, tuple(fleet)))
@@ -76,9 +136,20 @@
         ds = int(self.chance.random() < self.writes)
         told = self.services[ds]
         if self.told and not ds:
-            self.sizes[self.ids] = self.chance.lognormvariate(-self.told ** 2 / 2, self.told)
+            self.sizes[self.ids] = self.chance.lognormvariate(-(self.told**2) / 2, self.told)
         size_kb = self.sizes.get(self.ids, 0.0) * self.mean / 1000  # at 1000 KB a second
-        get = c.Get(self.ids, ds, 0, self.chance.randrange(1, 1 << 40), told.viewer_timeout, size_kb, 0, 0, False, bool(ds))
+        get = c.Get(
+            self.ids,
+            ds,
+            0,
+            self.chance.randrange(1, 1 << 40),
+            told.viewer_timeout,
+            size_kb,
+            0,
+            0,
+            False,
+            bool(ds),
+        )
         self.gets[self.ids] = [front, ds, self.now, 0, False]
         self.at(self.now + told.viewer_timeout, self.over, self.ids)
         self.hear(front, get)
@@ -110,7 +181,13 @@
     def probe(self, front, order):
         one = self.members[order.cache]
         one.probes.append((self.now, front))
-        verdict, took = (V.TIMED_OUT, 250_000) if one.silent else (V.CONNECT_FAILED, WAY) if one.down else (V.RETURNED, WAY)
+        verdict, took = (
+            (V.TIMED_OUT, 250_000)
+            if one.silent
+            else (V.CONNECT_FAILED, WAY)
+            if one.down
+            else (V.RETURNED, WAY)
+        )
         load = {"util": min(1.0, one.out / one.member.weight)}
         self.at(self.now + took, self.hear, front, c.ProbeReport(order.cache, verdict, took, load))
 
@@ -129,7 +206,11 @@
             verdict = V.CONNECT_FAILED
         elif cache.out >= 3 * cache.member.weight:
             verdict = V.FULL
-        elif source is cache and cache.member.kind == CACHE and (get[1] or order.id * 0x9E3779B1 % 1000 >= self.held * 1000):
+        elif (
+            source is cache
+            and cache.member.kind == CACHE
+            and (get[1] or order.id * 0x9E3779B1 % 1000 >= self.held * 1000)
+        ):
             verdict = V.MISS
         elif source is not cache and (source.down or source.silent or source.out >= 3 * source.member.weight):
             verdict = V.FULL
@@ -159,7 +240,7 @@
     def answered_of_largest(self, part):
         """The share answered of the largest `part` of the sized GETs, over the share of all of them."""
         ended = sorted((ident for ident in self.sizes if ident in self.words), key=self.sizes.get)
-        largest = ended[-int(len(ended) * part):]
+        largest = ended[-int(len(ended) * part) :]
         share = lambda some: sum(self.words[ident] == "returned" for ident in some) / len(some)  # noqa: E731
         return share(largest) / share(ended)
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,9 @@
-"""KNOWN-RED.txt at the root: tests that fail for a real fault which is not mended yet, one line each, `test | cause | issue`.
+"""KNOWN-RED.txt at the root: tests that fail for a real fault which is not mended yet, one line each, `test |
+cause | issue`.
 
-A listed test that fails is printed with its cause and lets the run pass. A listed test that passes or is not found, a malformed
-line, or a fourth line fails the run: the list never grows old. Without the file, or with an empty one, nothing changes.
+A listed test that fails is printed with its cause and lets the run pass. A listed test that passes or is not
+found, a malformed line, or a fourth line fails the run: the list never grows old. Without the file, or with
+an empty one, nothing changes.
 """
 
 from pathlib import Path
@@ -46,7 +48,10 @@
             self.failed.add(item.nodeid)
             report.outcome, report.wasxfail = "skipped", self.listed[item.nodeid][0]
         elif report.when == "teardown" and item.nodeid not in self.failed:
-            report.outcome, report.longrepr = "failed", f"{item.nodeid} passes (or was not run): take it out of {FILE}"
+            report.outcome, report.longrepr = (
+                "failed",
+                f"{item.nodeid} passes (or was not run): take it out of {FILE}",
+            )
 
     def pytest_terminal_summary(self, terminalreporter):
         for test in sorted(self.failed):
@@ -58,5 +63,9 @@
     path = Path(config.rootpath, FILE)
     listed = read(path.read_text(encoding="utf-8")) if path.exists() else {}
     if listed:
-        chosen = config.option.keyword or config.option.markexpr or config.args_source is not config.ArgsSource.TESTPATHS
+        chosen = (
+            config.option.keyword
+            or config.option.markexpr
+            or config.args_source is not config.ArgsSource.TESTPATHS
+        )
         config.pluginmanager.register(KnownRed(listed, not chosen), "known-red-list")
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -14,19 +14,44 @@
 BOUND = 60  # seconds that anything may take before a story has failed
 MS = 1_000_000
 SETTINGS = {
-    "az": 0, "replicas-of-me": 1, "areas": ["sur", "hub"], "models": ["box", "parent", "origin"],
-    "classes": [{"name": "video", "aim": 600 * MS, "deadline": 1000 * BOUND * MS, "idempotency": "free"},
-                {"name": "tarea", "aim": 800 * MS, "deadline": 1000 * BOUND * MS,
-                 "idempotency": "single_shot"}],
-    "family-info": {"mid-kind": 1, "master-kind": 2, "never-kept": [False, True], "direct": True,
-                    "heed-within": 300 * MS, "gone-everywhere": 600_000 * MS, "one-flow-kb-per-s": 1000.0,
-                    "pipe-kb-per-s": [9000.0, 0.0]},
-    "limits": {"max-attempts": 6, "cancel": True, "probing": True, "retry-after": True,
-               "max-retry-after": 1000 * MS, "streams-per-conn": 32, "connect-timeout": 400 * MS,
-               "conn-idle": 30_000 * MS, "max-open": 1000},
+    "az": 0,
+    "replicas-of-me": 1,
+    "areas": ["sur", "hub"],
+    "models": ["box", "parent", "origin"],
+    "classes": [
+        {"name": "video", "aim": 600 * MS, "deadline": 1000 * BOUND * MS, "idempotency": "free"},
+        {"name": "tarea", "aim": 800 * MS, "deadline": 1000 * BOUND * MS, "idempotency": "single_shot"},
+    ],
+    "family-info": {
+        "mid-kind": 1,
+        "master-kind": 2,
+        "never-kept": [False, True],
+        "direct": True,
+        "heed-within": 300 * MS,
+        "gone-everywhere": 600_000 * MS,
+        "one-flow-kb-per-s": 1000.0,
+        "pipe-kb-per-s": [9000.0, 0.0],
+    },
+    "limits": {
+        "max-attempts": 6,
+        "cancel": True,
+        "probing": True,
+        "retry-after": True,
+        "max-retry-after": 1000 * MS,
+        "streams-per-conn": 32,
+        "connect-timeout": 400 * MS,
+        "conn-idle": 30_000 * MS,
+        "max-open": 1000,
+    },
     "stats": {"fields": ["rif", "busy"], "source": "probe"},
-    "safety": {"cold-share": 0.2, "cold": 10_000 * MS, "overload-factor": 2, "tip-after": 1000 * MS,
-               "answer-slack": 8 * MS, "drain-grace": 500 * MS},
+    "safety": {
+        "cold-share": 0.2,
+        "cold": 10_000 * MS,
+        "overload-factor": 2,
+        "tip-after": 1000 * MS,
+        "answer-slack": 8 * MS,
+        "drain-grace": 500 * MS,
+    },
 }
 
 
@@ -35,7 +60,7 @@
 
 
 def address(listener):
-    return "127.0.0.1:%d" % listener.getsockname()[1]
+    return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
 def until(holds):
@@ -54,6 +79,7 @@
 
 def accepting(listener, serve):
     """Hand each connection that comes to `serve`, until that says to accept no more."""
+
     def run():
         while True:
             try:
@@ -76,8 +102,9 @@
         self.fields = dict(field.split("=") for field in told.split(",")) if told != "-" else {}
 
     def answer(self, word, fields="-", body=b""):
-        self.connection.sendall(b"%s %s %s %d\r\n%s\r\n" % (
-            self.id.encode(), word.encode(), fields.encode(), len(body), body))
+        self.connection.sendall(
+            b"%s %s %s %d\r\n%s\r\n" % (self.id.encode(), word.encode(), fields.encode(), len(body), body)
+        )
 
     def hang_up(self):
         self.connection.shutdown(socket.SHUT_RDWR)
@@ -95,8 +122,16 @@
         accepting(self.listener, self.serve)
 
     def entry(self, phase="in_service", **changes):
-        return {"id": self.name, "host_port": address(self.listener), "locality": self.zone,
-                "flavor": self.kind, "cell": 0, "phase": phase, "size": 6, "up_since_ms": 0} | changes
+        return {
+            "id": self.name,
+            "host_port": address(self.listener),
+            "locality": self.zone,
+            "flavor": self.kind,
+            "cell": 0,
+            "phase": phase,
+            "size": 6,
+            "up_since_ms": 0,
+        } | changes
 
     def serve(self, connection):
         if self.crowded:
@@ -145,12 +180,24 @@
                 return
 
     def called_in_vain(self):
-        """Wait until somebody's connection to the crowded listener is under way: the system shows its first packet as sent."""
-        port, own = ":%04X" % self.listener.getsockname()[1], {":%04X" % one.getsockname()[1] for one in self.crowding}
-        until(lambda: any(words[2].endswith(port) and words[3] == "02" and words[1][-5:] not in own for words in connections()))
+        """Wait until somebody's connection to the crowded listener is under way: the system shows its first
+        packet as sent.
+        """
+        port, own = (
+            f":{self.listener.getsockname()[1]:04X}",
+            {f":{one.getsockname()[1]:04X}" for one in self.crowding},
+        )
+        until(
+            lambda: any(
+                words[2].endswith(port) and words[3] == "02" and words[1][-5:] not in own
+                for words in connections()
+            )
+        )
 
     def uncrowd(self):
-        """Accept again. Who called meanwhile comes up when the system sends its first packet again, a second after the first."""
+        """Accept again. Who called meanwhile comes up when the system sends its first packet again, a second
+        after the first.
+        """
         self.crowded = False
         self.listener.listen(128)
         for one in self.crowding:
@@ -207,14 +254,22 @@
         self.socket = socket.create_connection((host, int(port)), timeout=BOUND)
         self.stream = self.socket.makefile("rb")
 
-    def send(self, target="/invoke/video/7f3a9c21e0b4d655?block=3", body=None, txn="9b1f03aa5c7e2d41",
-             ttl=1000 * BOUND, **fields):
+    def send(
+        self,
+        target="/invoke/video/7f3a9c21e0b4d655?block=3",
+        body=None,
+        txn="9b1f03aa5c7e2d41",
+        ttl=1000 * BOUND,
+        **fields,
+    ):
         told = {"Host": "app.svc", "X-Txn": txn, "X-Ttl-Ms": ttl, "X-Family": 17} | {
-            name.replace("_", "-"): value for name, value in fields.items()}
+            name.replace("_", "-"): value for name, value in fields.items()
+        }
         if body is not None:
             told["Content-Length"] = len(body)
-        self.raw("%s %s HTTP/1.1\r\n%s\r\n" % ("GET" if body is None else "PUT", target, "".join(
-            f"{name}: {value}\r\n" for name, value in told.items())), body or b"")
+        method = "GET" if body is None else "PUT"
+        headers = "".join(f"{name}: {value}\r\n" for name, value in told.items())
+        self.raw(f"{method} {target} HTTP/1.1\r\n{headers}\r\n", body or b"")
         return self
 
     def raw(self, head, body=b""):
@@ -252,9 +307,15 @@
 
 
 def configuration(where, **changes):
-    return {"name": "n1", "listen": where, "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "changelog": "127.0.0.1:9",
-            "known": {"seq": 0, "results": []}, "settings": SETTINGS} | changes
+    return {
+        "name": "n1",
+        "listen": where,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "changelog": "127.0.0.1:9",
+        "known": {"seq": 0, "results": []},
+        "settings": SETTINGS,
+    } | changes
 
 
 def started(told, words=()):
@@ -262,8 +323,12 @@
     file = tempfile.NamedTemporaryFile("w", suffix=".json")
     file.write(told if isinstance(told, str) else json.dumps(told))
     file.flush()
-    process = subprocess.Popen([sys.executable, "-m", "limepath", *words], stderr=subprocess.PIPE, text=True,
-                               env=os.environ | {"ROUTER_CONFIG": file.name})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "limepath", *words],
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"ROUTER_CONFIG": file.name},
+    )
     process.file = file
     return process
 
@@ -275,11 +340,15 @@
         self.words = words
         self.caches = [StandInCache(name, "box", "sur", tls) for name in caches]
         self.cache = self.caches[0]
-        self.parent, self.origin = (StandInCache(name, kind, "hub", tls) for name, kind in (("p-1", "parent"), ("o-1", "origin")))
+        self.parent, self.origin = (
+            StandInCache(name, kind, "hub", tls) for name, kind in (("p-1", "parent"), ("o-1", "origin"))
+        )
         self.members, self.log = [*self.caches, self.parent, self.origin], StandInChangeLog()
         fleet = {"revision": 1, "complete": True, "members": [member.entry() for member in self.members]}
-        self.told = {"changelog": address(self.log.listener),
-                     "known": {"seq": 1, "results": [{"seq": 1, "fleet": fleet}]}} | changes
+        self.told = {
+            "changelog": address(self.log.listener),
+            "known": {"seq": 1, "results": [{"seq": 1, "fleet": fleet}]},
+        } | changes
 
     def start(self):
         """Whether the front came up; its port may have been taken since it was found free."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -82,7 +82,9 @@
 def test_a_silent_cache_is_probed_and_its_gets_called_back():
     host = FakeHost()
     (look,) = host.get()
-    assert not probed(host.wait(SECOND)) and probed(host.wait(SECOND)) == [look.cache]  # a transfer takes 0.6 s in the mean
+    assert not probed(host.wait(SECOND)) and probed(host.wait(SECOND)) == [
+        look.cache
+    ]  # a transfer takes 0.6 s in the mean
     host.probe_report(look.cache, V.TIMED_OUT)
     host.wait(SECOND // 2)
     assert c.Withdraw(look.id, 0) in host.probe_report(look.cache, V.TIMED_OUT)
@@ -346,7 +348,10 @@
     told = sorted(time for seed in range(20) for time in sent(seed))
     able = [6 * (0.2 + 0.8 * (time - 100 * SECOND) / (10 * SECOND)) for time in told]
     assert len(told) > 20  # at 0.6 s each, under 2 x what it can do, in every window of a second
-    assert all(0.6 * sum(then - SECOND < t <= then for t in told) <= 2 * can for then, can in zip(told, able))
+    assert all(
+        0.6 * sum(then - SECOND < t <= then for t in told) <= 2 * can
+        for then, can in zip(told, able, strict=True)
+    )
 
 
 def test_lost_fetches_close_the_window_to_the_fleets_least_and_time_opens_it():
@@ -521,7 +526,9 @@
 def test_without_probes_a_silent_cache_is_found_out_and_tried_again_more_and_more_seldom():
     host = FakeHost(probing=False)
     (look,) = host.get(patience=40 * SECOND)
-    (back,) = [o for o in host.wait(12 * SECOND) if isinstance(o, c.Withdraw)]  # its GET is called back, nothing asked
+    (back,) = [
+        o for o in host.wait(12 * SECOND) if isinstance(o, c.Withdraw)
+    ]  # its GET is called back, nothing asked
     assert back.id == look.id and not probed(host.told)
     (again,) = forwards(host.end(look, V.CANCELLED))
     assert again.cache != look.cache
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,9 +1,12 @@
-"""Stories of shared duties: the hard cases in virtual time, the leases one by one, and real fronts on loopback."""
+"""Stories of shared duties: the hard cases in virtual time, the leases one by one, and real fronts on
+loopback.
+"""
 
 import json
 import os
 import subprocess
 import sys
+from itertools import pairwise
 
 import pytest
 
@@ -12,8 +15,19 @@
 from limepath.duties import simulate
 from limepath.duties.bounds import bounds, doubles
 from limepath.duties.check import explored
-from limepath.duties.interface import (Claim, Epochs, Keep, Leasing, Mode, Plan, Reach, Release, Result, Serve,
-                                       Shared)
+from limepath.duties.interface import (
+    Claim,
+    Epochs,
+    Keep,
+    Leasing,
+    Mode,
+    Plan,
+    Reach,
+    Release,
+    Result,
+    Serve,
+    Shared,
+)
 from limepath.duties.learnt import CARRIED, IN_FLIGHT, Learnt
 from limepath.duties.leases import Leases, Voter, held_for, silence
 from limepath.duties.rounds import Rounds
@@ -49,8 +63,18 @@
 
 @pytest.mark.parametrize("mode", MODES)
 def test_loss_doubles_and_reordering_keep_the_bounds(mode):
-    found = simulated(5, 40, mode, 5 * SECOND, 120 * SECOND, seed=5, loss=0.3, doubled=0.1, late=0.1,
-                      kinds=("kill", "minority"))
+    found = simulated(
+        5,
+        40,
+        mode,
+        5 * SECOND,
+        120 * SECOND,
+        seed=5,
+        loss=0.3,
+        doubled=0.1,
+        late=0.1,
+        kinds=("kill", "minority"),
+    )
     assert found.faults and not broken(found)
 
 
@@ -67,8 +91,10 @@
 
 
 def test_the_same_seed_tells_the_same_day():
-    one, again, other = (simulated(3, 10, Mode.ONE_OWNER, length=50 * SECOND, seed=seed, loss=0.1, kinds=("kill",))
-                         for seed in (4, 4, 5))
+    one, again, other = (
+        simulated(3, 10, Mode.ONE_OWNER, length=50 * SECOND, seed=seed, loss=0.1, kinds=("kill",))
+        for seed in (4, 4, 5)
+    )
     assert one.rows == again.rows and one.faults == again.faults
     assert other.world.messages != one.world.messages
 
@@ -87,7 +113,7 @@
         world.at(dies, world.nodes[who].stop)
         world.run(at + 60 * SECOND)
         times = [when for when, _ in world.serves[0, 1]]
-        assert max(b - a for a, b in zip(times, times[1:])) <= bound and not world.both_held
+        assert max(b - a for a, b in pairwise(times)) <= bound and not world.both_held
         assert world.serves[0, 1][-1][1] != who
 
 
@@ -127,7 +153,9 @@
     assert bounds(Spans(), plan, LEASING, 5, 3).gap > plain.gap
     leased = plan._replace(mode=Mode.ONE_OWNER)
     short, long = (bounds(Spans(), leased, LEASING._replace(span=span * SECOND), 5) for span in (3, 60))
-    assert long.gap - short.gap >= 25 * SECOND and long.restart - long.gap == silence(LEASING._replace(span=60 * SECOND))
+    assert long.gap - short.gap >= 25 * SECOND and long.restart - long.gap == silence(
+        LEASING._replace(span=60 * SECOND)
+    )
     assert doubles(plan, plain, [0]) < doubles(plan, plain, [60 * SECOND]) and doubles(plan, plain, []) == 0
 
 
@@ -152,8 +180,17 @@
         for name in names:
             agenda = Agenda(ord(name))
             one = self.all[name] = Leases(
-                agenda, name, ord(name), leasing, (0,), lambda duty, name=name: self.wants[name], lambda duty: None,
-                lambda to, message, name=name: self.out.append((name, to, message)), 0, sure)
+                agenda,
+                name,
+                ord(name),
+                leasing,
+                (0,),
+                lambda duty, name=name: self.wants[name],
+                lambda duty: None,
+                lambda to, message, name=name: self.out.append((name, to, message)),
+                0,
+                sure,
+            )
             one.start()
 
     def run(self, span, lost=lambda source, to: False):
@@ -319,13 +356,15 @@
         agenda.run(agenda.now + SECOND // 2)
         rounds.own([7])
     times = [at for at, _ in told]
-    assert len(times) >= 4 and max(b - a for a, b in zip(times, times[1:])) <= 10 * SECOND
+    assert len(times) >= 4 and max(b - a for a, b in pairwise(times)) <= 10 * SECOND
 
 
 def learnt(live=(2, 3), interval=4 * SECOND):
     agenda = Agenda(1)
     agenda.now = 100 * SECOND
-    return agenda, Learnt(agenda, 1, [interval], LEASING, lambda: list(live), lambda token: token in (1, *live))
+    return agenda, Learnt(
+        agenda, 1, [interval], LEASING, lambda: list(live), lambda token: token in (1, *live)
+    )
 
 
 def result(target=5, prober=2, serial=1, age=SECOND, verdict=0):
@@ -405,16 +444,35 @@
 
 
 def drill(*words):
-    done = subprocess.run([sys.executable, "-m", "limepath", "duties", "drill", "--json", *words], capture_output=True,
-                          text=True, timeout=600, env=os.environ | {"PYTHONPATH": os.getcwd()})
+    done = subprocess.run(
+        [sys.executable, "-m", "limepath", "duties", "drill", "--json", *words],
+        capture_output=True,
+        text=True,
+        timeout=600,
+        env=os.environ | {"PYTHONPATH": os.getcwd()},
+    )
     assert done.returncode in (0, 1), done.stderr
     return json.loads(done.stdout)
 
 
 @pytest.mark.parametrize("mode", ("at-least-once", "one-owner"))
 def test_real_fronts_share_their_rounds_while_one_is_killed_and_stopped(mode):
-    told = drill("--instances", "3", "--targets", "12", "--interval", "1s", "--faults", "2", "--seed", "4", "--mode", mode,
-                 "--only", "kill,stop")
+    told = drill(
+        "--instances",
+        "3",
+        "--targets",
+        "12",
+        "--interval",
+        "1s",
+        "--faults",
+        "2",
+        "--seed",
+        "4",
+        "--mode",
+        mode,
+        "--only",
+        "kill,stop",
+    )
     rows = {row["what"]: row["measured"] for row in told["rows"]}
     assert rows["views agree at the end"] is True and rows["rounds served"] >= 12 and rows["gave way"] == 0
     assert rows["rounds at targets gone, after the grace"] == 0
@@ -422,9 +480,25 @@
 
 
 def test_what_an_owner_said_comes_after_another_took_over_and_is_turned_away():
-    told = drill("--instances", "3", "--targets", "24", "--interval", "500ms", "--faults", "1", "--seed", "2", "--mode", "one-owner",
-                 "--only", "held")
+    told = drill(
+        "--instances",
+        "3",
+        "--targets",
+        "24",
+        "--interval",
+        "500ms",
+        "--faults",
+        "1",
+        "--seed",
+        "2",
+        "--mode",
+        "one-owner",
+        "--only",
+        "held",
+    )
     rows = {row["what"]: row["measured"] for row in told["rows"]}
     assert rows["faults of the ways that took no effect"] == 0
-    assert rows["rounds turned away for an older epoch"] > 0 and rows["moments at which two held one slot"] == 0
+    assert (
+        rows["rounds turned away for an older epoch"] > 0 and rows["moments at which two held one slot"] == 0
+    )
     assert rows["views agree at the end"] is True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -1,4 +1,6 @@
-"""What is still owed in the instant in which something ends. On real sockets; the crossing is forced, not hoped for."""
+"""What is still owed in the instant in which something ends. On real sockets; the crossing is forced, not
+hoped for.
+"""
 
 import json
 import os
@@ -21,14 +23,26 @@
 from limepath.log import Log
 from limepath.opening.limits import planned
 from limepath.opening.platform import opening_of
-from tests.stand_ins import (BOUND, MS, SETTINGS, Site, StandInChangeLog, Viewer, address, configuration, free_address,
-                             until)
+from tests.stand_ins import (
+    BOUND,
+    MS,
+    SETTINGS,
+    Site,
+    StandInChangeLog,
+    Viewer,
+    address,
+    configuration,
+    free_address,
+    until,
+)
 
 NOW = "rev=4be0c1927d55a6f3,since=1764576000123"
 # forwards may wait for a connection for 5 s here, so that the system's second call comes up within it
-LONG_WAIT = SETTINGS | {"limits": SETTINGS["limits"] | {"connect-timeout": 5000 * MS},
-                        "safety": SETTINGS["safety"] | {"drain-grace": 5000 * MS},
-                        "family-info": SETTINGS["family-info"] | {"heed-within": 5000 * MS}}
+LONG_WAIT = SETTINGS | {
+    "limits": SETTINGS["limits"] | {"connect-timeout": 5000 * MS},
+    "safety": SETTINGS["safety"] | {"drain-grace": 5000 * MS},
+    "family-info": SETTINGS["family-info"] | {"heed-within": 5000 * MS},
+}
 
 
 def with_effect(settings, **changes):
@@ -49,7 +63,7 @@
 
 def established(where):
     """How many connections to this address the system has accepted."""
-    port = ":%04X" % int(where.rpartition(":")[2])
+    port = f":{int(where.rpartition(':')[2]):04X}"
     with open("/proc/net/tcp", encoding="ascii") as file:
         return sum(line.split()[1].endswith(port) and line.split()[3] == "01" for line in file)
 
@@ -96,12 +110,18 @@
         site.cache.crowd()
         viewer = site.viewer().send()
         site.cache.called_in_vain()
-        site.log.tell(2, fleet={"revision": 2, "complete": False, "members": [site.cache.entry("terminating")]})
-        site.log.tell(9, invalidate={"bucket": 3, "time": 0})  # a gap has it called anew: the drain has been read
+        site.log.tell(
+            2, fleet={"revision": 2, "complete": False, "members": [site.cache.entry("terminating")]}
+        )
+        site.log.tell(
+            9, invalidate={"bucket": 3, "time": 0}
+        )  # a gap has it called anew: the drain has been read
         assert site.log.called() == 2
         site.cache.uncrowd()
         asked = site.cache.next()
-        assert asked.cache == "p-1"  # sent by the old order, it reached the draining one a second after it was told
+        assert (
+            asked.cache == "p-1"
+        )  # sent by the old order, it reached the draining one a second after it was told
         asked.answer("DONE", NOW, b"x")
         assert viewer.answer()[2] == b"x"
 
@@ -114,7 +134,9 @@
         site.cache.crowd()
         looked.answer("LACK")  # an id goes out once on each connection: the fill needs another one
         site.cache.called_in_vain()
-        site.log.tell(2, fleet={"revision": 2, "complete": False, "members": [site.parent.entry("terminating")]})
+        site.log.tell(
+            2, fleet={"revision": 2, "complete": False, "members": [site.parent.entry("terminating")]}
+        )
         site.log.tell(9, invalidate={"bucket": 3, "time": 0})
         assert site.log.called() == 2
         site.cache.uncrowd()
@@ -161,12 +183,20 @@
 def test_within_its_window_a_repeat_by_token_goes_out_once_more():
     told = with_effect(SETTINGS, idempotency="guarded", **{"repeat-window": 60_000 * MS, "key-scope": "all"})
     with Site(settings=told) as site:
-        viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"once", X_Txn_Key="91e82ce155b7e128e0c16bd0886c0fa7")
+        viewer = site.viewer().send(
+            "/invoke/tarea/0000000000000001", b"once", X_Txn_Key="91e82ce155b7e128e0c16bd0886c0fa7"
+        )
         asked = site.origin.next()
-        assert asked.fields["uniq"] == "91e82ce155b7e128e0c16bd0886c0fa7"  # left out, the origin knows no repeat again
+        assert (
+            asked.fields["uniq"] == "91e82ce155b7e128e0c16bd0886c0fa7"
+        )  # left out, the origin knows no repeat again
         asked.hang_up()
         asked = site.origin.next()
-        assert (asked.id, asked.body, asked.fields["uniq"]) == ("9b1f03aa5c7e2d41", b"once", "91e82ce155b7e128e0c16bd0886c0fa7")
+        assert (asked.id, asked.body, asked.fields["uniq"]) == (
+            "9b1f03aa5c7e2d41",
+            b"once",
+            "91e82ce155b7e128e0c16bd0886c0fa7",
+        )
         asked.answer("DONE")
         assert viewer.answer()[0] == 200
 
@@ -205,8 +235,13 @@
     caches.listed(1, "s-1", ("127.0.0.1", 9), 0, c.Standing.READY)
 
     def get():
-        clients.arrived(SimpleNamespace(write=lambda *_: None), b"GET", b"/invoke/video/1",
-                        {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+        clients.arrived(
+            SimpleNamespace(write=lambda *_: None),
+            b"GET",
+            b"/invoke/video/1",
+            {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
+            b"",
+        )
         reactor.advance(0)
         return list(clients.open.values())[-1]
 
@@ -216,7 +251,7 @@
 class CacheTransport(StringTransport):
     """Of a connection to a cache: hands `taken` bytes to the system, keeps the rest."""
 
-    def __init__(self, taken=10 ** 9):
+    def __init__(self, taken=10**9):
         super().__init__()
         self.taken, self.aborted, self._tempDataBuffer, self.offset = taken, False, [], 0
 
@@ -224,7 +259,7 @@
 
     @property
     def dataBuffer(self):
-        return self.value()[self.taken:]
+        return self.value()[self.taken :]
 
     def abortConnection(self):
         self.aborted = True
@@ -246,7 +281,9 @@
     _, _, caches, get = parts(front)
     waiting = get()
     now = waiting.flights[0].at
-    monkeypatch.setattr(front_caches, "clock", lambda: now + 41_000)  # the process stood still, its timer is not yet run
+    monkeypatch.setattr(
+        front_caches, "clock", lambda: now + 41_000
+    )  # the process stood still, its timer is not yet run
     connection = up(caches)
     assert connection.transport.value() == b""
     caches.reactor.advance(0)
@@ -257,7 +294,9 @@
     _, _, caches, get = parts(Ordering())
     get()
     peer, old = caches.peers[1], CacheConnection(caches.peers[1])
-    caches.listed(1, "s-1", ("127.0.0.1", 9), 7, c.Standing.READY)  # started anew, at the address of the old one
+    caches.listed(
+        1, "s-1", ("127.0.0.1", 9), 7, c.Standing.READY
+    )  # started anew, at the address of the old one
     old.makeConnection(CacheTransport())
     peer.came_up(old)
     assert old.transport.value() == b"" and old.transport.disconnecting
@@ -320,13 +359,17 @@
     with Site() as site:
         viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine")
         asked = site.origin.next()
-        asked.connection.sendall(b"%s DONE - 0\r\n\r\nID DO" % asked.id.encode())  # whole, and half of a second one
+        asked.connection.sendall(
+            b"%s DONE - 0\r\n\r\nID DO" % asked.id.encode()
+        )  # whole, and half of a second one
         assert viewer.answer()[0] == 200
         viewer.send("/invoke/tarea/0000000000000001", b"next", txn="00000000000000fe")
         again = site.origin.next()
         assert again.connection is not asked.connection
         again.answer("DONE")
-        assert viewer.answer()[0] == 200  # read behind the half line its answer was none, and it may have run: 502
+        assert (
+            viewer.answer()[0] == 200
+        )  # read behind the half line its answer was none, and it may have run: 502
 
 
 def test_an_answer_in_the_same_read_as_the_end_counts():
@@ -370,13 +413,18 @@
 
 def test_a_request_that_crosses_the_close_of_its_connection_is_never_sent_on():
     with Site(limits={"leaving_ms": 200}) as site:
-        resting, busy = site.viewer().send(), site.viewer().send("/invoke/tarea/1", b"x", txn="00000000000000fe")
+        resting, busy = (
+            site.viewer().send(),
+            site.viewer().send("/invoke/tarea/1", b"x", txn="00000000000000fe"),
+        )
         site.cache.next().answer("DONE", NOW)
         assert resting.answer()[0] == 200
         asked = site.origin.next()  # keeps the front from ending
         site.terminate()
         assert resting.stream.read() == b""  # the front's end has come
-        resting.send("/invoke/tarea/1", b"y", txn="00000000000000ff")  # no reset, no answer: it may go elsewhere
+        resting.send(
+            "/invoke/tarea/1", b"y", txn="00000000000000ff"
+        )  # no reset, no answer: it may go elsewhere
         resting.socket.shutdown(socket.SHUT_WR)
         asked.answer("DONE")
         assert busy.answer()[0] == 200
@@ -498,9 +546,13 @@
 def test_a_signal_that_comes_while_the_front_starts_is_kept(tmp_path, number):
     pipe, first, second = Pipe(tmp_path), StandInChangeLog(), StandInChangeLog()
     told = configuration(free_address(), changelog=address(first.listener))
-    process = subprocess.Popen([sys.executable, "-m", "limepath"], stderr=subprocess.DEVNULL,
-                               env=os.environ | {"ROUTER_CONFIG": pipe.path})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "limepath"],
+        stderr=subprocess.DEVNULL,
+        env=os.environ | {"ROUTER_CONFIG": pipe.path},
+    )
     try:
+
         def crossing():  # the front has the old file open and has read nothing of it
             newer = tmp_path / "newer.json"
             newer.write_text(json.dumps(told | {"changelog": address(second.listener)}))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,6 @@
-"""What is harmless at one front and not at many: stories of a fleet on one fake set of members (virtual time)."""
+"""What is harmless at one front and not at many: stories of a fleet on one fake set of members (virtual
+time).
+"""
 
 import pytest
 
@@ -10,7 +12,9 @@
 def test_a_fleet_with_thin_traffic_does_not_probe_nearly_as_often_as_it_forwards():
     fleet = Fleet(fronts=60, caches=60, rate=600, seed=1)
     fleet.run(10 * SECOND)
-    assert fleet.ids > 5000 and fleet.probes() < 0.25 * fleet.ids  # 0.80 where 0.2 s was silence whatever was out
+    assert (
+        fleet.ids > 5000 and fleet.probes() < 0.25 * fleet.ids
+    )  # 0.80 where 0.2 s was silence whatever was out
 
 
 def test_a_silent_cache_is_still_found_out_by_each_front_that_asks_it():
@@ -76,7 +80,9 @@
     fleet = Fleet(fronts=6, caches=12, rate=60, seed=1, held=1.0, uneven=0.0)
     fleet.run(30 * SECOND)
     eases = [cache.ease for front in fleet.fronts for cache in front.caches.values() if cache.id >= 100]
-    assert sum(ease > 1.2 for ease in eases) < len(eases) / 5  # 69 of 72 where each hit in time counted, now 8
+    assert (
+        sum(ease > 1.2 for ease in eases) < len(eases) / 5
+    )  # 69 of 72 where each hit in time counted, now 8
 
 
 @pytest.mark.parametrize(("rate", "link", "least"), [(60, None, 2 / 3), (300, 20_000.0, 1 / 2)])
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -15,13 +15,23 @@
 from limepath.front.caches import CacheConnection, Caches, Probing, Unreadable, read_answer, read_load
 from limepath.front.changelog import ChangeLog, Chunks, EventReader, ident_of
 from limepath.front.clients import ClientConnection, Clients, Flaw, read_head
-from limepath.opening.limits import planned
 from limepath.front.turn import Turn
 from limepath.log import Log
+from limepath.opening.limits import planned
 from limepath.opening.platform import opening_of
 from tests.fake_host import FakeHost
-from tests.stand_ins import (BOUND, MS, SETTINGS, Site, StandInChangeLog, address, configuration,
-                             free_address, listening, started)
+from tests.stand_ins import (
+    BOUND,
+    MS,
+    SETTINGS,
+    Site,
+    StandInChangeLog,
+    address,
+    configuration,
+    free_address,
+    listening,
+    started,
+)
 
 NOW = "rev=4be0c1927d55a6f3,since=1764576000123"
 OBJECT = bytes(range(256)) * 40
@@ -99,7 +109,8 @@
     with Site() as site:
         viewer = site.viewer().raw(
             "PUT /invoke/tarea/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Ttl-Ms: 900\r\nX-Family: 1\r\n"
-            "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+            "Content-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+        )
         assert viewer.answer()[0] == 100
         viewer.raw("mine")
         asked = site.origin.next()
@@ -142,18 +153,19 @@
             return asked
 
         assert {asked_for(number).cache for number in range(40)} == {"s-1", "s-2"}
-        site.log.tell(2, fleet={"revision": 2, "complete": False, "members": [
-            site.cache.entry("terminating")]})
+        site.log.tell(
+            2, fleet={"revision": 2, "complete": False, "members": [site.cache.entry("terminating")]}
+        )
         site.log.tell(3, invalidate={"bucket": 17, "time": now - 100})
         site.log.tell(3, invalidate={"bucket": 17, "time": now - 90_000})  # a repeated number does nothing
         site.log.tell(4, invalidate={"object": "00000000000000aa", "time": now - 40_000})
-        while "cap" not in asked_for(0xaa, X_Family=3).fields:
+        while "cap" not in asked_for(0xAA, X_Family=3).fields:
             pass
         seen = [asked_for(number) for number in range(40)]
         assert {asked.cache for asked in seen} == {"s-2"}
         spent = int(time.time() * 1000) - now
         assert all(100 <= int(asked.fields["cap"]) <= 100 + spent for asked in seen)
-        assert 40_000 <= int(asked_for(0xaa, X_Family=3).fields["cap"]) < 90_000
+        assert 40_000 <= int(asked_for(0xAA, X_Family=3).fields["cap"]) < 90_000
 
 
 def test_the_change_log_is_called_anew_after_a_break_a_gap_and_a_bad_event():
@@ -182,7 +194,7 @@
         site.log.tell(2, invalidate={"bucket": 3, "time": int(time.time() * 1000)})
         for flawed in ("{", json.dumps(site.configuration | {"changelog": "nowhere"})):
             site.reload(flawed)
-            assert site.heard("event=reload ").endswith("the running values stay\"")
+            assert site.heard("event=reload ").endswith('the running values stay"')
         old, site.log = site.log, StandInChangeLog()
         site.reload(json.dumps(site.configuration | {"changelog": address(site.log.listener), "seed": "1"}))
         assert "seed" in site.heard("event=reload ") and site.log.called() == 2  # SIGHUP once ended the front
@@ -220,11 +232,17 @@
 
 def test_what_a_spoilt_answer_breaks_is_one_get_and_it_never_passes_for_whole():
     now = int(time.time() * 1000)
-    spoilt = [b"what\r\n", b"x DONE - 999999999\r\n", b"y" * 5000, b"ID DONE - 1\r\nx\r\n",
-              b"ID DONE rev=4b 1\r\nx\r\n", b"ID DONE rev=4b,since=soon 1\r\nx\r\n",
-              b"ID DONE rev=4b,since=%d 1\r\nx\r\n" % (now + 600_000),
-              b"ID DONE rev=4b,since=%d 2\r\nx\r\n\r\n" % now,
-              b"ID DONE rev=4b,since=%d 3000000000\r\nx" % now]
+    spoilt = [
+        b"what\r\n",
+        b"x DONE - 999999999\r\n",
+        b"y" * 5000,
+        b"ID DONE - 1\r\nx\r\n",
+        b"ID DONE rev=4b 1\r\nx\r\n",
+        b"ID DONE rev=4b,since=soon 1\r\nx\r\n",
+        b"ID DONE rev=4b,since=%d 1\r\nx\r\n" % (now + 600_000),
+        b"ID DONE rev=4b,since=%d 2\r\nx\r\n\r\n" % now,
+        b"ID DONE rev=4b,since=%d 3000000000\r\nx" % now,
+    ]
     with Site() as site:
         other = site.viewer().send("/invoke/video/1", txn="00000000000000fe")
         asked_for_other = site.cache.next()
@@ -269,8 +287,9 @@
     for unsent in (0, 1):
         connection = CacheConnection(caches.peers[1])
         caches.peers[1].idle.append(connection)
-        connection.transport = SimpleNamespace(dataBuffer=b"x" * (unsent + 1), offset=1, _tempDataBuffer=[],
-                                               writeSequence=lambda pieces: None)
+        connection.transport = SimpleNamespace(
+            dataBuffer=b"x" * (unsent + 1), offset=1, _tempDataBuffer=[], writeSequence=lambda pieces: None
+        )
         connection.send(SimpleNamespace(tag=b"aa"), b"ASK", b"\r\n")
         connection.connectionLost(None)
     assert verdicts == [c.Verdict.RESET, c.Verdict.CONNECT_FAILED]
@@ -336,20 +355,32 @@
 
 
 def test_bad_input_is_answered_and_harms_nobody():
-    head = ("GET /invoke/video/7f3a HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\n"
-            "X-Ttl-Ms: 900\r\nX-Family: 1\r\n")
+    head = (
+        "GET /invoke/video/7f3a HTTP/1.1\r\nHost: x\r\nX-Txn: 9b1f03aa5c7e2d41\r\n"
+        "X-Ttl-Ms: 900\r\nX-Family: 1\r\n"
+    )
     put = head.replace("GET", "PUT").replace("video", "tarea")
     cases = {
-        "GET /\r\n\r\n": 400, "\x16\x03\x01\r\n\r\n": 400, "GET / HTTP/1.1\r\nA: " + "x" * 9000: 431,
-        head + "X-Txn: 1\r\n\r\n": 400, head + "Content-Length: 3\r\n\r\nabc": 400, head + "\r\nGET": 400,
-        head.replace("video", "other") + "\r\n": 404, head.replace("7f3a", "zz") + "\r\n": 404,
+        "GET /\r\n\r\n": 400,
+        "\x16\x03\x01\r\n\r\n": 400,
+        "GET / HTTP/1.1\r\nA: " + "x" * 9000: 431,
+        head + "X-Txn: 1\r\n\r\n": 400,
+        head + "Content-Length: 3\r\n\r\nabc": 400,
+        head + "\r\nGET": 400,
+        head.replace("video", "other") + "\r\n": 404,
+        head.replace("7f3a", "zz") + "\r\n": 404,
         head.replace("GET", "DELETE") + "\r\n": 405,
         put.replace("tarea", "video") + "Content-Length: 0\r\n\r\n": 405,
-        put + "\r\n": 411, put + "Content-Length: 48001\r\n\r\n" + "x" * 48_001: 413,
-        put + "Content-Length: -1\r\n\r\n": 400, put + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 501,
-        head.replace("900", "0") + "\r\n": 400, head.replace("900", "120001") + "\r\n": 400,
-        head.replace("41\r", "4\r") + "\r\n": 400, head.replace("900", "soon") + "\r\n": 400,
-        head.replace("ly: 1", "ly: 256") + "\r\n": 400, head.replace("7f3a", "7f3a?part=1") + "\r\n": 400,
+        put + "\r\n": 411,
+        put + "Content-Length: 48001\r\n\r\n" + "x" * 48_001: 413,
+        put + "Content-Length: -1\r\n\r\n": 400,
+        put + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 501,
+        head.replace("900", "0") + "\r\n": 400,
+        head.replace("900", "120001") + "\r\n": 400,
+        head.replace("41\r", "4\r") + "\r\n": 400,
+        head.replace("900", "soon") + "\r\n": 400,
+        head.replace("ly: 1", "ly: 256") + "\r\n": 400,
+        head.replace("7f3a", "7f3a?part=1") + "\r\n": 400,
         head.replace("HTTP/1.1", "HTTP/2.0") + "\r\n": 505,
     }
     with Site() as site:
@@ -434,9 +465,22 @@
     changes = ChangeLog(reactor, turn, caches, limits, log, SETTINGS, 7)
 
     def tell(name, phase):
-        changes.take({"fleet": {"members": [
-            {"id": name, "host_port": "127.0.0.1:9", "locality": "sur", "flavor": "box", "phase": phase,
-             "up_since_ms": int(time.time() * 1000)}]}})
+        changes.take(
+            {
+                "fleet": {
+                    "members": [
+                        {
+                            "id": name,
+                            "host_port": "127.0.0.1:9",
+                            "locality": "sur",
+                            "flavor": "box",
+                            "phase": phase,
+                            "up_since_ms": int(time.time() * 1000),
+                        }
+                    ]
+                }
+            }
+        )
         reactor.advance(0)
 
     gate = host.front.gate
@@ -465,17 +509,29 @@
     taken = listening()
     less = {key: value for key, value in SETTINGS.items() if key != "safety"}
     fleet = {"seq": 1, "fleet": {"complete": True, "members": [{"id": "s-1", "host_port": "nowhere"}]}}
-    cases = [("{", "ROUTER_CONFIG"), ("[]", "ROUTER_CONFIG"), (whole | {"listen": "8080"}, "listen"),
-             (whole | {"listen": address(taken)}, "listen"), (whole | {"seed": 7}, "seed"),
-             (whole | {"seed": "xyz"}, "seed"), (whole | {"changelog": None}, "changelog"),
-             (whole | {"limits": {"sockets": "many"}}, "limits.sockets"),
-             (whole | {"settings": less}, "safety"),
-             (whole | {"settings": SETTINGS | {"models": 3}}, "models"),
-             (whole | {"settings": SETTINGS | {"az": "sur"}}, "az"),
-             (whole | {"settings": SETTINGS | {"classes": [{"name": "video", "deadline": 1, "aim": "soon",
-                                                            "idempotency": "free"}]}}, "aim"),
-             (whole | {"known": {"seq": 1, "results": [fleet]}}, "known.results"),
-             (whole | {"known": {"results": []}}, "known.seq")]
+    cases = [
+        ("{", "ROUTER_CONFIG"),
+        ("[]", "ROUTER_CONFIG"),
+        (whole | {"listen": "8080"}, "listen"),
+        (whole | {"listen": address(taken)}, "listen"),
+        (whole | {"seed": 7}, "seed"),
+        (whole | {"seed": "xyz"}, "seed"),
+        (whole | {"changelog": None}, "changelog"),
+        (whole | {"limits": {"sockets": "many"}}, "limits.sockets"),
+        (whole | {"settings": less}, "safety"),
+        (whole | {"settings": SETTINGS | {"models": 3}}, "models"),
+        (whole | {"settings": SETTINGS | {"az": "sur"}}, "az"),
+        (
+            whole
+            | {
+                "settings": SETTINGS
+                | {"classes": [{"name": "video", "deadline": 1, "aim": "soon", "idempotency": "free"}]}
+            },
+            "aim",
+        ),
+        (whole | {"known": {"seq": 1, "results": [fleet]}}, "known.results"),
+        (whole | {"known": {"results": []}}, "known.seq"),
+    ]
     processes = [(started(told), key) for told, key in cases]
     for process, key in processes:
         _, said = process.communicate(timeout=BOUND)
@@ -511,8 +567,13 @@
     clients = Clients(clock, turn, limits, log, {b"video": (0, False, 5_000_000)})
     connection = FakeConnection()
     turn.joined(clients, Caches(clock, turn, clients, limits, log, b"INFO"))
-    clients.arrived(connection, b"GET", b"/invoke/video/1",
-                    {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+    clients.arrived(
+        connection,
+        b"GET",
+        b"/invoke/video/1",
+        {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
+        b"",
+    )
     purge = c.Purge(1, 0, 0)
     turn.gather(purge)
     clock.advance(0)
@@ -524,11 +585,20 @@
 
 def test_a_cache_s_answer_line_is_read_or_named_as_what_it_is():
     assert read_answer(b"9b1f DONE rev=4be0,since=1764576000123 5", 10) == (
-        b"9b1f", b"DONE", {b"rev": b"4be0", b"since": b"1764576000123"}, 5)
+        b"9b1f",
+        b"DONE",
+        {b"rev": b"4be0", b"since": b"1764576000123"},
+        5,
+    )
     assert read_answer(b"9b1f LACK - 0", 10) == (b"9b1f", b"LACK", {}, 0)
-    for line, said in ((b"x", "1 of 4 words"), (b"x MAYBE - 0", "unknown word b'MAYBE'"),
-                       (b"x DONE - eleven", "length b'eleven'"), (b"x DONE - 11", "length b'11'"),
-                       (b"x DONE rev 1", "field b'rev'"), (b"x DONE - -1", "length b'-1'")):
+    for line, said in (
+        (b"x", "1 of 4 words"),
+        (b"x MAYBE - 0", "unknown word b'MAYBE'"),
+        (b"x DONE - eleven", "length b'eleven'"),
+        (b"x DONE - 11", "length b'11'"),
+        (b"x DONE rev 1", "field b'rev'"),
+        (b"x DONE - -1", "length b'-1'"),
+    ):
         with pytest.raises(Unreadable, match=re.escape(said)):
             read_answer(line, 10)
     assert read_load(b"inflight:7;util:0.61") == {"inflight": 7.0, "util": 0.61}
@@ -537,12 +607,22 @@
 
 def test_a_head_is_read_once_whole_and_refused_for_what_is_wrong():
     whole = b"GET /a?block=1 HTTP/1.1\r\nHost: x\r\nX-Txn:  9b\r\n\r\n"
-    assert read_head(bytearray(whole), 100, 9) == (b"GET", b"/a?block=1", {b"host": b"x", b"x-txn": b"9b"}, 48)
+    assert read_head(bytearray(whole), 100, 9) == (
+        b"GET",
+        b"/a?block=1",
+        {b"host": b"x", b"x-txn": b"9b"},
+        48,
+    )
     assert {read_head(bytearray(whole[:i]), 100, 9) for i in range(len(whole))} == {None}
-    for head, status in ((b"GET / HTTP/1.1\r\na: " + b"x" * 60, 431), (b"GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\n\r\n", 431),
-                         (b"GET /\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505),
-                         (b"GET / HTTP/1.1\r\na b\r\n\r\n", 400), (b"G\0T / HTTP/1.1\r\na : 1\r\n\r\n", 400),
-                         (b"GET / HTTP/1.1\r\nhost: 1\r\nHost: 2\r\n\r\n", 400)):
+    for head, status in (
+        (b"GET / HTTP/1.1\r\na: " + b"x" * 60, 431),
+        (b"GET / HTTP/1.1\r\na:\r\nb:\r\nc:\r\n\r\n", 431),
+        (b"GET /\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\n\r\n", 505),
+        (b"GET / HTTP/1.1\r\na b\r\n\r\n", 400),
+        (b"G\0T / HTTP/1.1\r\na : 1\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nhost: 1\r\nHost: 2\r\n\r\n", 400),
+    ):
         with pytest.raises(Flaw) as flaw:
             read_head(bytearray(head), 60, 2)
         assert flaw.value.status == status, head
@@ -555,7 +635,7 @@
 def test_events_and_chunks_may_be_split_at_any_byte():
     reader, chunks = EventReader(100), Chunks()
     stream = b": hi\n\nid: 4\ndata: {\ndata: }\n\nid:5\r\ndata:x\r\n\r\n"
-    events = [event for i in range(len(stream)) for event in reader.feed(stream[i:i + 1])]
+    events = [event for i in range(len(stream)) for event in reader.feed(stream[i : i + 1])]
     assert events == [("4", "{\n}"), ("5", "x")]
     assert b"".join(chunks.feed(bytes((b,))) for b in b"3\r\nabc\r\n2;x\r\nde\r\n0\r\n\r\n") == b"abcde"
 
@@ -570,12 +650,18 @@
     stream = b"aa DONE rev=1,since=2 4\r\nx\r\ny\r\nbb LACK - 0\r\n\r\np7 FIT use=util:0.5 0\r\n\r\n"
     for split in range(len(stream) + 1):
         heard = []
-        told = SimpleNamespace(limits=planned(1024, 192, 32, open_gets=9), send_waiting=lambda: None, address=None, since=0,
-                               answered_probe=lambda: None, caches=SimpleNamespace(
-                                   ended=lambda *told: heard.append((told[2], told[4]))))
+        told = SimpleNamespace(
+            limits=planned(1024, 192, 32, open_gets=9),
+            send_waiting=lambda: None,
+            address=None,
+            since=0,
+            answered_probe=lambda: None,
+            caches=SimpleNamespace(ended=lambda *told, heard=heard: heard.append((told[2], told[4]))),
+        )
         connection = CacheConnection(told)
-        flight = SimpleNamespace(get=SimpleNamespace(note=SimpleNamespace(write=False)),
-                                 order=SimpleNamespace(oldest=0))
+        flight = SimpleNamespace(
+            get=SimpleNamespace(note=SimpleNamespace(write=False)), order=SimpleNamespace(oldest=0)
+        )
         told.idle, told.waiting = [], []
         connection.out = {b"aa": flight, b"bb": flight, b"p7": Probing(1, b"p7", 1)}
         connection.dataReceived(stream[:split])
@@ -594,8 +680,12 @@
         log.say("cache", "line 5")
     lines = [line.partition("instance=")[2] for line in said.getvalue().splitlines()]
     assert lines == [
-        'n1 event=cache said="line 0"', 'n1 event=cache said="line 1"', 'n1 event=client said="another kind"',
-        "n1 event=cache left_out=3", 'n1 event=cache said="line 5"']
+        'n1 event=cache said="line 0"',
+        'n1 event=cache said="line 1"',
+        'n1 event=client said="another kind"',
+        "n1 event=cache left_out=3",
+        'n1 event=cache said="line 5"',
+    ]
 
 
 class EagerFront(BrokenFront):
@@ -603,8 +693,11 @@
 
     def handle(self, now, notes):
         self.told += notes
-        return [c.Forward(note.id, 1, 0, 1, 0, 0) for note in notes if isinstance(note, (c.Get, c.Outcome))
-                and not getattr(note, "closed", False)]
+        return [
+            c.Forward(note.id, 1, 0, 1, 0, 0)
+            for note in notes
+            if isinstance(note, (c.Get, c.Outcome)) and not getattr(note, "closed", False)
+        ]
 
 
 def test_a_forward_ordered_as_its_viewer_leaves_still_has_its_outcome():
@@ -615,8 +708,13 @@
     caches = Caches(reactor, turn, clients, limits, log, b"INFO")
     turn.joined(clients, caches)
     caches.listed(1, "s-1", ("127.0.0.1", 9), 0, c.Standing.READY)
-    clients.arrived(FakeConnection(), b"GET", b"/invoke/video/1",
-                    {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+    clients.arrived(
+        FakeConnection(),
+        b"GET",
+        b"/invoke/video/1",
+        {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
+        b"",
+    )
     reactor.advance(0)
     (get,) = clients.open.values()
     caches.ended(get.flights[0], c.Verdict.MISS)  # in one pass with the viewer's end
@@ -625,7 +723,9 @@
     reactor.advance(0)
     outcomes = [note for note in front.told if isinstance(note, c.Outcome)]
     assert [(note.forward, note.verdict, note.closed) for note in outcomes] == [
-        (0, c.Verdict.MISS, False), (1, c.Verdict.MOOT, True)]
+        (0, c.Verdict.MISS, False),
+        (1, c.Verdict.MOOT, True),
+    ]
     assert not clients.open
 
 
@@ -636,8 +736,13 @@
     turn = Turn(clock, front, limits, log)
     clients = Clients(clock, turn, limits, log, {b"video": (0, False, 5_000_000)})
     turn.joined(clients, Caches(clock, turn, clients, limits, log, b"INFO"))
-    clients.arrived(connection, b"GET", b"/invoke/video/1",
-                    {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"}, b"")
+    clients.arrived(
+        connection,
+        b"GET",
+        b"/invoke/video/1",
+        {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
+        b"",
+    )
     clock.advance(0.9)
     assert connection.answers == []
     clock.advance(0.045)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -12,6 +12,7 @@
 @pytest.fixture
 def run(pytester, request, monkeypatch):
     """Give (exit status, output) of a run over TESTS with this list."""
+
     def run(text, *words):
         pytester.makeini("[pytest]\ntestpaths = inner")
         pytester.mkdir("inner")
@@ -25,12 +26,20 @@
     return run
 
 
-BAD, WORSE = "inner/test_inner.py::test_bad | one is not two | 18", "inner/test_inner.py::test_worse | nor three | 19"
+BAD, WORSE = (
+    "inner/test_inner.py::test_bad | one is not two | 18",
+    "inner/test_inner.py::test_worse | nor three | 19",
+)
 
 
 def test_listed_tests_that_fail_let_the_run_pass_and_are_printed(run):
     status, said = run(f"{BAD}\n\n{WORSE}\n")
-    assert status == 0 and f"KNOWN RED {BAD}" in said and f"KNOWN RED {WORSE}" in said and "1 passed, 2 xfailed" in said
+    assert (
+        status == 0
+        and f"KNOWN RED {BAD}" in said
+        and f"KNOWN RED {WORSE}" in said
+        and "1 passed, 2 xfailed" in said
+    )
 
 
 def test_another_failure_still_fails_the_run(run):
@@ -49,10 +58,19 @@
     assert status == 1 and "test_good passes" in said
 
 
-@pytest.mark.parametrize(("text", "named"), [
-    (f"{BAD}\ninner/test_inner.py::test_gone | moved | 18", "no such test: inner/test_inner.py::test_gone"),
-    ("inner/test_inner.py::test_bad | no issue", "KNOWN-RED.txt:1"), ("test_bad | cause | 18", "KNOWN-RED.txt:1"),
-    (f"{BAD}\n{BAD}", "KNOWN-RED.txt:2"), ("\n".join(f"inner/test_inner.py::test_{i} | c | 1" for i in range(4)), "4 tests listed")])
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (
+            f"{BAD}\ninner/test_inner.py::test_gone | moved | 18",
+            "no such test: inner/test_inner.py::test_gone",
+        ),
+        ("inner/test_inner.py::test_bad | no issue", "KNOWN-RED.txt:1"),
+        ("test_bad | cause | 18", "KNOWN-RED.txt:1"),
+        (f"{BAD}\n{BAD}", "KNOWN-RED.txt:2"),
+        ("\n".join(f"inner/test_inner.py::test_{i} | c | 1" for i in range(4)), "4 tests listed"),
+    ],
+)
 def test_a_list_that_cannot_be_taken_fails_the_run(run, text, named):
     status, said = run(text)
     assert status not in (0, 1, 5) and named in said
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -40,7 +40,11 @@
     assert dict(pace.rooms(0)) == {1: False, 2: False} and pace.next() == 5 * SECOND
     pace.took(1, 5 * SECOND)
     pace.changed(1, 1)
-    assert dict(pace.rooms(5 * SECOND)) == {1: True, 2: True} and not pace.may(1, 14 * SECOND) and pace.may(1, 15 * SECOND)
+    assert (
+        dict(pace.rooms(5 * SECOND)) == {1: True, 2: True}
+        and not pace.may(1, 14 * SECOND)
+        and pace.may(1, 15 * SECOND)
+    )
     pace.changed(1, 0)
     assert pace.rooms(6 * SECOND) == [(1, False)] and pace.next() == 15 * SECOND
     pace.listed(6 * SECOND, [2])
@@ -85,7 +89,11 @@
             ident += 1
             old.hear(get(ident, obj))
     counts = old.hear(c.AskCounts(10, 5))[-1]
-    assert counts.cookie == 5 and {obj for obj, _, _ in counts.counts[:3]} == {1, 2, 3} and counts.counts[0][2] == 20
+    assert (
+        counts.cookie == 5
+        and {obj for obj, _, _ in counts.counts[:3]} == {1, 2, 3}
+        and counts.counts[0][2] == 20
+    )
     new.hear(c.Learnt(counts.counts))
     ranks = []
     for host in (new, blank):
@@ -128,9 +136,18 @@
     assert not one.handle(SECOND, [FromPeer(asked, tally)]) and not run(one, 60 * SECOND)
 
 
-@pytest.mark.parametrize("nonsense", [Tally(-1, ((7, 0, 8.0),)), Tally(0, ((7, 0, -1.0),)), Tally(0, ((7, 0, float("nan")),)),
-                                      Tally(0, ((-7, 0, 1.0),)), Tally(0, ((7, 0, 1.0),), 3, 2), Tally(0, ((7, 0, 1.0),), 0, 99),
-                                      Tally(0, ((7, 0, 1.0),) * (CARRIED + 1))])
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        Tally(-1, ((7, 0, 8.0),)),
+        Tally(0, ((7, 0, -1.0),)),
+        Tally(0, ((7, 0, float("nan")),)),
+        Tally(0, ((-7, 0, 1.0),)),
+        Tally(0, ((7, 0, 1.0),), 3, 2),
+        Tally(0, ((7, 0, 1.0),), 0, 99),
+        Tally(0, ((7, 0, 1.0),) * (CARRIED + 1)),
+    ],
+)
 def test_nonsense_is_refused_whole_and_another_is_asked(nonsense):
     one = newcomer()
     asked = run(one, SECOND)[0].token
@@ -141,13 +158,24 @@
 def test_a_whole_table_is_told_in_bounded_parts_and_a_fleet_that_asks_at_once_is_held_off():
     one = newcomer()
     one.handle(0, [])
-    asks = [order for token in range(300) for order in one.handle(10, [FromPeer(token, AskTally())]) if isinstance(order, Ask)]
+    asks = [
+        order
+        for token in range(300)
+        for order in one.handle(10, [FromPeer(token, AskTally())])
+        if isinstance(order, Ask)
+    ]
     assert len(asks) == ASKED and asks[0].most == MOST
     table = tuple((obj, 0, 2.0) for obj in range(1000))
-    assert one.handle(20, [Counted(5, table)]) == [Reach(5, Tally(0, (), 0, 1))]  # it has counted nothing itself
+    assert one.handle(20, [Counted(5, table)]) == [
+        Reach(5, Tally(0, (), 0, 1))
+    ]  # it has counted nothing itself
     one.saw_get(10)
     parts = [order.message for order in one.handle(30, [Counted(5, table)])]
-    assert sum(len(part.counts) for part in parts) == MOST and {part.of for part in parts} == {len(parts)} and parts[0].age == 20
+    assert (
+        sum(len(part.counts) for part in parts) == MOST
+        and {part.of for part in parts} == {len(parts)}
+        and parts[0].age == 20
+    )
 
 
 def test_the_pace_wants_to_know_how_many_share_it(tmp_path):
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -1,4 +1,6 @@
-"""Stories of the list told once to a fleet: the logic by itself, in virtual time, and in several real processes."""
+"""Stories of the list told once to a fleet: the logic by itself, in virtual time, and in several real
+processes.
+"""
 
 import json
 import subprocess
@@ -10,8 +12,28 @@
 from limepath.duties.world import World
 from limepath.listing.bounds import QUIET, bounds, fresh
 from limepath.listing.calls import Budget
-from limepath.listing.interface import (AskPiece, Beat, Call, Confirmed, Events, Follow, FromPeer, HangUp, Piece, Place, Reach,
-                                        Role, Save, Say, StreamEvent, StreamLost, StreamSays, StreamUp, Take, Terms)
+from limepath.listing.interface import (
+    AskPiece,
+    Beat,
+    Call,
+    Confirmed,
+    Events,
+    Follow,
+    FromPeer,
+    HangUp,
+    Piece,
+    Place,
+    Reach,
+    Role,
+    Save,
+    Say,
+    StreamEvent,
+    StreamLost,
+    StreamSays,
+    StreamUp,
+    Take,
+    Terms,
+)
 from limepath.listing.relay import BAD, Listing
 from limepath.listing.simulate import KINDS, member, simulated
 from limepath.listing.state import DATA, List, mark_of
@@ -30,7 +52,9 @@
 
 
 def whole(number=1, caches=2):
-    return event(number, fleet={"complete": True, "revision": 1, "members": [member(f"s-{i}") for i in range(caches)]})
+    return event(
+        number, fleet={"complete": True, "revision": 1, "members": [member(f"s-{i}") for i in range(caches)]}
+    )
 
 
 def held(numbers=1, generation=0):
@@ -138,7 +162,9 @@
     front.run(TERMS.silence - QUIET - 1)
     front.hear(StreamSays())
     front.run(10)
-    assert front.logic.list.place == (1, 2) and any(said.event == "list-backwards" for said in front.said(Say))
+    assert front.logic.list.place == (1, 2) and any(
+        said.event == "list-backwards" for said in front.said(Say)
+    )
 
 
 def test_an_event_told_anew_and_otherwise_is_no_duplicate():
@@ -188,19 +214,34 @@
 def test_a_relay_that_says_it_is_up_to_date_and_stays_behind_is_passed_over():
     front = Fronting([2, 3], held(6).packed(), TERMS._replace(relays=3)).run(SECOND)
     for _ in range(6):
-        front.hear(FromPeer(2, Beat("sur", 0, 6, held(6).digest, 400 * MS)), FromPeer(3, Beat("sur", 0, 4, held(4).digest, 10 * MS)))
+        front.hear(
+            FromPeer(2, Beat("sur", 0, 6, held(6).digest, 400 * MS)),
+            FromPeer(3, Beat("sur", 0, 4, held(4).digest, 10 * MS)),
+        )
         front.run(TERMS.beat)
-    assert front.logic.flaw_of(front.logic.sources[3]) == "bad" and not front.logic.flaw_of(front.logic.sources[2])
+    assert front.logic.flaw_of(front.logic.sources[3]) == "bad" and not front.logic.flaw_of(
+        front.logic.sources[2]
+    )
     front.run(BAD)
     assert front.logic.flaw_of(front.logic.sources[3]) != "bad"
 
 
-@pytest.mark.parametrize("nonsense", [Events(0, 4, ("{",), 0), Events(0, 4, (event(9),), 0),
-                                      Events(0, 4, (event(4, fleet={"members": [{"id": ""}]}),), 0)])
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        Events(0, 4, ("{",), 0),
+        Events(0, 4, (event(9),), 0),
+        Events(0, 4, (event(4, fleet={"members": [{"id": ""}]}),), 0),
+    ],
+)
 def test_a_relays_nonsense_is_named_and_nothing_of_it_is_taken(nonsense):
     front = Fronting([2], held(3).packed()).run(SECOND)
     front.hear(FromPeer(2, nonsense))
-    assert front.logic.list.place.number == 3 and front.logic.counts["nonsense"] == 1 and front.logic.flaw_of(front.logic.sources[2]) == "bad"
+    assert (
+        front.logic.list.place.number == 3
+        and front.logic.counts["nonsense"] == 1
+        and front.logic.flaw_of(front.logic.sources[2]) == "bad"
+    )
     assert front.logic.list.digest == held(3).digest
 
 
@@ -217,12 +258,16 @@
     done = 0
     for _ in range(3000):
         newcomer.run(10 * MS)
-        asked = [order.message for order in newcomer.out[done:] if isinstance(order, Reach) and isinstance(order.message, AskPiece)]
+        asked = [
+            order.message
+            for order in newcomer.out[done:]
+            if isinstance(order, Reach) and isinstance(order.message, AskPiece)
+        ]
         done = len(newcomer.out)
         if not newcomer.logic.fetch:
             break
         for ask in asked:
-            for answer in of(served.handle(newcomer.now + 10 ** 9, [FromPeer(1, ask)]), Reach):
+            for answer in of(served.handle(newcomer.now + 10**9, [FromPeer(1, ask)]), Reach):
                 if isinstance(answer.message, Piece):
                     newcomer.hear(FromPeer(2, spoil(answer.message)))
     return newcomer
@@ -244,15 +289,25 @@
 def test_a_list_that_is_too_long_or_does_not_fit_its_digest_is_refused_by_name():
     served = full(500)
     assert "over 1000 bytes" in fetched(served, 1000).said(Say)[-1].fields["why"]
-    spoilt = fetched(served, spoil=lambda piece: piece._replace(data=b"x" * len(piece.data)) if hasattr(piece, "_replace") else Piece(
-        piece.generation, piece.number, piece.piece, piece.of, mark_of(b""), piece.data))
+    spoilt = fetched(
+        served,
+        spoil=lambda piece: (
+            piece._replace(data=b"x" * len(piece.data))
+            if hasattr(piece, "_replace")
+            else Piece(piece.generation, piece.number, piece.piece, piece.of, mark_of(b""), piece.data)
+        ),
+    )
     assert not spoilt.said(Take) and "does not fit its digest" in spoilt.said(Say)[-1].fields["why"]
 
 
 def test_a_small_view_does_not_make_a_front_think_that_it_is_nearly_alone():
     budget = Budget(Terms(fronts=200), lambda: 0.0)
     budget.view(0, 3)
-    assert budget.sharing(0, 2) == 200 and budget.sharing(3 * SECOND, 2) == 2 and budget.sharing(3 * SECOND, 0) == 200
+    assert (
+        budget.sharing(0, 2) == 200
+        and budget.sharing(3 * SECOND, 2) == 2
+        and budget.sharing(3 * SECOND, 0) == 200
+    )
     lonely = Fronting([], terms=TERMS._replace(fronts=200)).run(120 * SECOND)
     for _ in range(3):
         lonely.hear(StreamLost("refused"))
@@ -284,7 +339,9 @@
 
 def test_the_bounds_follow_from_the_settings():
     one = bounds(Terms(fronts=10), 10)
-    assert bounds(Terms(fronts=10, silence=5 * SECOND), 10).relays_gone > one.relays_gone and one.known_late == fresh(Terms())
+    assert bounds(
+        Terms(fronts=10, silence=5 * SECOND), 10
+    ).relays_gone > one.relays_gone and one.known_late == fresh(Terms())
     assert bounds(Terms(fronts=300), 300).alone > one.alone and one.calls <= Terms().rate
 
 
@@ -325,9 +382,16 @@
 """
 
 
-@pytest.mark.parametrize("lines, says", [
-    ("calls = 20", "fronts: missing"), ("fronts = 0", "at least 1"), ("fronts = 5\npatience = 600ms", "at least twice beat"),
-    ("fronts = 5\nrelay = 2", "did you mean 'relays'"), ("fronts = 5\nrelays = 9", "at most 8")])
+@pytest.mark.parametrize(
+    "lines, says",
+    [
+        ("calls = 20", "fronts: missing"),
+        ("fronts = 0", "at least 1"),
+        ("fronts = 5\npatience = 600ms", "at least twice beat"),
+        ("fronts = 5\nrelay = 2", "did you mean 'relays'"),
+        ("fronts = 5\nrelays = 9", "at most 8"),
+    ],
+)
 def test_settings_of_the_list_that_cannot_be_used_are_named(tmp_path, lines, says):
     file = tmp_path / "peers.ini"
     file.write_text(f"{PEERS}[listing]\n{lines}\n")
@@ -345,7 +409,9 @@
 
 
 def command(*words):
-    return subprocess.run([sys.executable, "-m", "limepath", *words], capture_output=True, text=True, timeout=400)
+    return subprocess.run(
+        [sys.executable, "-m", "limepath", *words], capture_output=True, text=True, timeout=400
+    )
 
 
 def test_the_bounds_are_shown_and_what_is_missing_is_named(tmp_path):
@@ -355,7 +421,10 @@
     assert done.returncode == 2 and "[listing]: missing" in done.stderr
     file.write_text(PEERS + "[listing]\nfronts = 200\n")
     done = command("listing", "bounds", str(file), "--zones", "2", "--json")
-    assert done.returncode == 0 and json.loads(done.stdout)["rows"][0]["measured"] == bounds(Terms(fronts=200), 200, 2).event / SECOND
+    assert (
+        done.returncode == 0
+        and json.loads(done.stdout)["rows"][0]["measured"] == bounds(Terms(fronts=200), 200, 2).event / SECOND
+    )
 
 
 # Several real processes
@@ -372,8 +441,13 @@
     kinds = "start-killed,relays-killed,relay-held,slow,restored,stores-cut"
     status, rows = drill("--fronts", "6", "--faults", kinds, "--seed", "2")
     known = {what: row for what, row in rows.items() if ": a drain and a purge" in what}
-    assert len(known) == 5 and all(row["measured"] < row["bound"] + 25 for row in known.values())  # all came to know, however slow
-    assert rows["faults of the ways that took no effect"]["holds"] and rows["most streams of one zone, those of stopped processes aside"]["holds"]
+    assert len(known) == 5 and all(
+        row["measured"] < row["bound"] + 25 for row in known.values()
+    )  # all came to know, however slow
+    assert (
+        rows["faults of the ways that took no effect"]["holds"]
+        and rows["most streams of one zone, those of stopped processes aside"]["holds"]
+    )
     assert "200: " in rows["GETs answered, shed, errored or not taken"]["measured"]
     assert rows["GETs answered before any list was confirmed"]["measured"] == 0
 
--- a/tests/test_opening.py
+++ b/tests/test_opening.py
@@ -49,30 +49,46 @@
 
 def test_a_whole_file_is_read_with_defaults_and_paths_beside_it(tmp_path):
     told = read(tmp_path)
-    assert told.store == str(tmp_path / "state/n1.db") and told.control == "" and told.advertise == ("127.0.0.1", 7946)
+    assert (
+        told.store == str(tmp_path / "state/n1.db")
+        and told.control == ""
+        and told.advertise == ("127.0.0.1", 7946)
+    )
     assert told.spans.period == 1_000_000 and told.leasing.voters == ("n1", "n2", "n3")
     assert [(plan.name, plan.interval) for plan in told.plans] == [("probe", 5_000_000)]
     assert peers.read("deploy/peers.ini").kinds == {"probe": ("caches", "parents", "origin")}
 
 
-@pytest.mark.parametrize("old, new, told", (
-    ("interval = 5s", "intervall = 5s", "/peers.ini: [duty probe] intervall: no such key; did you mean 'interval'?"),
-    ("interval = 5s", "interval = 5", "[duty probe] interval: '5': a duration with its unit"),
-    ("interval = 5s", "interval = 5ms", "[duty probe] interval: '5ms': at least 100ms is wanted"),
-    ("interval = 5s", "mode = one-ownr", "did you mean 'one-owner'?"),
-    ("interval = 5s", "targets = caches, cachs", "[duty probe] targets: 'caches, cachs': one of"),
-    ("[leases]", "[leasez]", "/peers.ini: [leasez]: no such section; did you mean 'leases'?"),
-    ("voters = n1, n2, n3", "voters = n1, n1", "[leases] voters: 'n1, n1': the same stands twice"),
-    ("voters = n1, n2, n3\n", "[duty b]\nmode = one-owner\n", "[leases] voters: missing; [duty b]"),
-    ("voters = n1, n2, n3", "drift = 30%", "[leases] drift: '30%': at most 0.2 is wanted"),
-    ("listen = 127.0.0.1:7946", "listen = localhost:1", "[peers] listen: 'localhost:1': an address with a port"),
-    ("listen = 127.0.0.1:7946", "", "[peers] listen: missing"),
-    ("keys =", "direct = 600ms\nkeys =", "[peers] direct: twice this must be below period"),
-    ("keys = peers.keys", "keys = a\nkeys = b", "[peers] keys: stands twice"),
-    ("name = n1", "name = n 1", "[instance] name: 'n 1': a name of up to 32"),
-    ("[instance]\n", "name\n[instance]\n", "line 1: stands before the first [section]"),
-    ("[duty probe]\ninterval = 5s\n", "", "[duty NAME]: missing"),
-    ("[duty probe]", "[duty probe]\ninterval = 1s\n[duty probe]", "[duty probe]: stands twice")))
+@pytest.mark.parametrize(
+    "old, new, told",
+    (
+        (
+            "interval = 5s",
+            "intervall = 5s",
+            "/peers.ini: [duty probe] intervall: no such key; did you mean 'interval'?",
+        ),
+        ("interval = 5s", "interval = 5", "[duty probe] interval: '5': a duration with its unit"),
+        ("interval = 5s", "interval = 5ms", "[duty probe] interval: '5ms': at least 100ms is wanted"),
+        ("interval = 5s", "mode = one-ownr", "did you mean 'one-owner'?"),
+        ("interval = 5s", "targets = caches, cachs", "[duty probe] targets: 'caches, cachs': one of"),
+        ("[leases]", "[leasez]", "/peers.ini: [leasez]: no such section; did you mean 'leases'?"),
+        ("voters = n1, n2, n3", "voters = n1, n1", "[leases] voters: 'n1, n1': the same stands twice"),
+        ("voters = n1, n2, n3\n", "[duty b]\nmode = one-owner\n", "[leases] voters: missing; [duty b]"),
+        ("voters = n1, n2, n3", "drift = 30%", "[leases] drift: '30%': at most 0.2 is wanted"),
+        (
+            "listen = 127.0.0.1:7946",
+            "listen = localhost:1",
+            "[peers] listen: 'localhost:1': an address with a port",
+        ),
+        ("listen = 127.0.0.1:7946", "", "[peers] listen: missing"),
+        ("keys =", "direct = 600ms\nkeys =", "[peers] direct: twice this must be below period"),
+        ("keys = peers.keys", "keys = a\nkeys = b", "[peers] keys: stands twice"),
+        ("name = n1", "name = n 1", "[instance] name: 'n 1': a name of up to 32"),
+        ("[instance]\n", "name\n[instance]\n", "line 1: stands before the first [section]"),
+        ("[duty probe]\ninterval = 5s\n", "", "[duty NAME]: missing"),
+        ("[duty probe]", "[duty probe]\ninterval = 1s\n[duty probe]", "[duty probe]: stands twice"),
+    ),
+)
 def test_each_flaw_is_told_with_file_section_and_key(tmp_path, old, new, told):
     assert told in flaw(tmp_path, old, new)
 
@@ -130,14 +146,16 @@
     store.close()
     whole = path.read_bytes()
     if harm == "cut":
-        path.write_bytes(whole[:len(whole) // 2 + 7])
+        path.write_bytes(whole[: len(whole) // 2 + 7])
     elif harm == "noise":
-        path.write_bytes(whole[:len(whole) - 4000] + b"\x55" * 4000)
+        path.write_bytes(whole[: len(whole) - 4000] + b"\x55" * 4000)
     elif harm == "no database":
         path.write_bytes(b"hello" * 500)
     else:
         base = sqlite3.connect(path)
-        base.execute("UPDATE state SET value = ? WHERE name = 'life'", (b"" if harm == "empty row" else b"8",))
+        base.execute(
+            "UPDATE state SET value = ? WHERE name = 'life'", (b"" if harm == "empty row" else b"8",)
+        )
         base.commit()
         base.close()
     found = Store(str(path))
@@ -158,13 +176,19 @@
 
 def test_a_write_killed_half_way_leaves_all_of_it_or_nothing(tmp_path):
     path = str(tmp_path / "s.db")
-    script = ("import sys; from limepath.store import Store; store = Store(sys.argv[1])\n"
-              "for number in range(10**9):\n"
-              "    store.put({name: b'%d' % number for name in ('a', 'b', 'c')})\n"
-              "    print(number, flush=True)\n")
+    script = (
+        "import sys; from limepath.store import Store; store = Store(sys.argv[1])\n"
+        "for number in range(10**9):\n"
+        "    store.put({name: b'%d' % number for name in ('a', 'b', 'c')})\n"
+        "    print(number, flush=True)\n"
+    )
     for least in (3, 11):
-        process = subprocess.Popen([sys.executable, "-c", script, path], stdout=subprocess.PIPE, text=True,
-                                   env=os.environ | {"PYTHONPATH": os.getcwd()})
+        process = subprocess.Popen(
+            [sys.executable, "-c", script, path],
+            stdout=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"PYTHONPATH": os.getcwd()},
+        )
         while (told := int(process.stdout.readline())) < least:
             pass
         process.kill()
@@ -209,12 +233,27 @@
 
 
 def test_every_command_has_help_and_a_wrong_word_ends_with_2():
-    for words in ((), ("run",), ("duties",), ("duties", "drill"), ("duties", "simulate"), ("duties", "check"),
-                  ("duties", "bounds"), ("peers",), ("peers", "show"), ("opening",), ("opening", "check")):
+    for words in (
+        (),
+        ("run",),
+        ("duties",),
+        ("duties", "drill"),
+        ("duties", "simulate"),
+        ("duties", "check"),
+        ("duties", "bounds"),
+        ("peers",),
+        ("peers", "show"),
+        ("opening",),
+        ("opening", "check"),
+    ):
         shown = told(*words, "--help")
         assert shown.exit_code == 0 and "Usage" in shown.output and len(shown.output) > 100, words
-    for words in (("dutys",), ("duties", "simulate", "--loss", "2"), ("duties", "simulate", "--interval", "5"),
-                  ("duties", "simulate", "--faults", "kil")):
+    for words in (
+        ("dutys",),
+        ("duties", "simulate", "--loss", "2"),
+        ("duties", "simulate", "--interval", "5"),
+        ("duties", "simulate", "--faults", "kil"),
+    ):
         assert told(*words).exit_code == 2, words
 
 
@@ -244,15 +283,25 @@
 def test_a_wrong_peers_file_ends_the_start_with_2_and_the_key(tmp_path):
     front, shared = tmp_path / "front.json", tmp_path / "peers.ini"
     front.write_text(json.dumps(configuration(free_address())))
-    for text, says in ((WHOLE.replace("5s", "0s"), "[duty probe] interval"), (WHOLE, "peers.keys: No such file")):
+    for text, says in (
+        (WHOLE.replace("5s", "0s"), "[duty probe] interval"),
+        (WHOLE, "peers.keys: No such file"),
+    ):
         shared.write_text(text)
-        done = subprocess.run([sys.executable, "-m", "limepath", "run", "--config", str(front), "--peers", str(shared)],
-                              capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "limepath", "run", "--config", str(front), "--peers", str(shared)],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert done.returncode == 2 and says in done.stderr and done.stderr.count("\n") == 1, done.stderr
 
 
 def test_where_nothing_is_shared_nothing_of_it_is_loaded():
-    script = ("import sys, limepath.front.start; print([name for name in sys.modules if name.startswith(('limepath.peers',"
-              " 'limepath.duties', 'click', 'msgspec', 'sqlite3'))])")
+    script = (
+        "import sys, limepath.front.start; "
+        "print([name for name in sys.modules if name.startswith(('limepath.peers',"
+        " 'limepath.duties', 'click', 'msgspec', 'sqlite3'))])"
+    )
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stdout
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,14 +8,29 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from limepath.duties.interface import Leasing, Mode, Plan
 from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
+from limepath.duties.interface import Leasing, Mode, Plan
 from limepath.duties.world import World
 from limepath.log import Log
 from limepath.peers.guard import LARGEST, Dropped, Guard, keys_of
 from limepath.peers.host import SLICE, TAKEN, Line
-from limepath.peers.interface import (MESSAGES, REFUTALS, Ack, GiveWay, Heard, Hello, Message, News, Page, Ping, Pull,
-                                      Send, Spans, State, Welcome)
+from limepath.peers.interface import (
+    MESSAGES,
+    REFUTALS,
+    Ack,
+    GiveWay,
+    Heard,
+    Hello,
+    Message,
+    News,
+    Page,
+    Ping,
+    Pull,
+    Send,
+    Spans,
+    State,
+    Welcome,
+)
 from limepath.peers.members import DOUBLED, REPLACED, Members, detection, spread
 
 SECOND = 1_000_000
@@ -24,7 +39,15 @@
 
 
 def news(token, life=1, birth=1, name=None, port=None, state=State.ALIVE, refuted=0):
-    return News(token, name or f"n{token}", "127.0.0.1", port or 1000 + token, (life << REFUTALS) + refuted, birth, state)
+    return News(
+        token,
+        name or f"n{token}",
+        "127.0.0.1",
+        port or 1000 + token,
+        (life << REFUTALS) + refuted,
+        birth,
+        state,
+    )
 
 
 def instance(token=1, others=(2, 3, 4), **changes):
@@ -55,8 +78,19 @@
     forged[20] ^= 1
     stranger = Guard(keys_of(NEW)).seal(news(2), 7, Ping(1))
     other_generation = b"LP" + bytes((0x21,)) + sealed[3:]
-    told = [opened(us, one) for one in (
-        sealed, bytes(forged), stranger, sealed[:-1], sealed[:9], b"x" * 1000, b"x" * (LARGEST + 1), other_generation)]
+    told = [
+        opened(us, one)
+        for one in (
+            sealed,
+            bytes(forged),
+            stranger,
+            sealed[:-1],
+            sealed[:9],
+            b"x" * 1000,
+            b"x" * (LARGEST + 1),
+            other_generation,
+        )
+    ]
     assert told == ["replayed", "forged", "unknown key", "forged", "noise", "noise", "oversized", "version"]
     assert us.counts["forged"] == 2 and us.counts["taken"] == 1
 
@@ -67,6 +101,7 @@
 
     class Longer(Message, tag="p"):
         """A ping of a later version: one more field at its end."""
+
         seq: int
         news: tuple
         digest: int
@@ -83,15 +118,17 @@
 
 def test_no_message_is_larger_than_a_datagram():
     guard = Guard(keys_of(OLD))
-    widest = News(2 ** 63 - 1, "n" * 32, "2001:db8:1234:5678:9abc:def0:1234:5678", 65_535, 2 ** 60, 2 ** 60, 1, 2 ** 63)
+    widest = News(
+        2**63 - 1, "n" * 32, "2001:db8:1234:5678:9abc:def0:1234:5678", 65_535, 2**60, 2**60, 1, 2**63
+    )
     members = instance(others=())
     for token in range(100):
-        members.apply(widest._replace(token=2 ** 62 + token))
-    ping = Ping(2 ** 40, members.told(2 ** 62), 2 ** 64 - 1)
+        members.apply(widest._replace(token=2**62 + token))
+    ping = Ping(2**40, members.told(2**62), 2**64 - 1)
     (page,) = [o.message for o in hear(members, news(2), Pull()) if isinstance(o.message, Page)]
     assert len(ping.news) == 8 and len(page.news) == 12
     for message in (ping, page):
-        assert len(guard.seal(widest, 2 ** 64 - 1, message)) <= LARGEST
+        assert len(guard.seal(widest, 2**64 - 1, message)) <= LARGEST
 
 
 @given(st.binary(max_size=1500))
@@ -123,7 +160,9 @@
         now += SECOND // 20
         for order in members.handle(now, ()):
             said.append((now, order))
-            if isinstance(order, Send) and isinstance(order.message, Ping) and order.port != 1002:  # 2 is silent
+            if (
+                isinstance(order, Send) and isinstance(order.message, Ping) and order.port != 1002
+            ):  # 2 is silent
                 token = order.port - 1000
                 hear(members, news(token), Ack(order.message.seq), now)
         if members.table[2].state == State.DEAD:
@@ -198,11 +237,15 @@
     first = instance(life=4, birth=8)
     assert not [o for o in hear(first, news(1, life=4, birth=9), Ping(1)) if isinstance(o, GiveWay)]
     restarted = instance(life=4, birth=9)
-    assert not [o for o in hear(restarted, news(2), Ping(1, (news(1, life=3, birth=8),))) if isinstance(o, GiveWay)]
+    assert not [
+        o for o in hear(restarted, news(2), Ping(1, (news(1, life=3, birth=8),))) if isinstance(o, GiveWay)
+    ]
 
 
 def small(instances, seed, **network):
-    world = World(instances, 10, (Plan("probe", Mode.AT_LEAST_ONCE, 5 * SECOND),), SPANS, Leasing(), seed, **network)
+    world = World(
+        instances, 10, (Plan("probe", Mode.AT_LEAST_ONCE, 5 * SECOND),), SPANS, Leasing(), seed, **network
+    )
     return world
 
 
@@ -219,23 +262,39 @@
         assert all(one.counts["suspected"] == 0 for one in lone)
         world.targets.clear()
         costs.append((world.messages - before) / instances / 10)
-    assert costs[1] < costs[0] * 4  # the results of rounds spread as an epidemic there; checks alone cost the same
+    assert (
+        costs[1] < costs[0] * 4
+    )  # the results of rounds spread as an epidemic there; checks alone cost the same
 
 
 def test_an_instance_of_an_older_version_is_understood():
     world = small(4, 3)
     for node in world.nodes[:2]:
         start = node.start
-        node.start = lambda seeds, start=start, node=node: (start(seeds), setattr(node.instance.members, "speaks", 1))[0]
+        node.start = lambda seeds, start=start, node=node: (
+            start(seeds),
+            setattr(node.instance.members, "speaks", 1),
+        )[0]
     world.open(preset=False)
     world.run(12 * SECOND)
     assert world.views_agree() and world.nodes[0].instance.members.shown() == 0
 
 
 @settings(max_examples=25, deadline=None, derandomize=True)
-@given(st.integers(0, 10_000), st.lists(st.tuples(st.sampled_from(
-    ("kill", "start", "pause", "resume", "cut", "one-way", "heal", "lose store", "wait")), st.integers(0, 4),
-    st.integers(1, 12)), min_size=1, max_size=12))
+@given(
+    st.integers(0, 10_000),
+    st.lists(
+        st.tuples(
+            st.sampled_from(
+                ("kill", "start", "pause", "resume", "cut", "one-way", "heal", "lose store", "wait")
+            ),
+            st.integers(0, 4),
+            st.integers(1, 12),
+        ),
+        min_size=1,
+        max_size=12,
+    ),
+)
 def test_whatever_happens_the_view_is_one_again_once_it_is_over(seed, history):
     world = small(5, seed, loss=0.1, doubled=0.1, late=0.1)
     world.open(preset=True)
@@ -282,8 +341,14 @@
     clock, log = Clock(), Log("n1", 0, 1)
     line = Line(clock, ("127.0.0.1", 1), str(tmp_path / "keys"), MESSAGES, log, lambda note: None)
     reads = []
-    line.port = type("Port", (), {"stopReading": lambda self: reads.append("stop"),
-                                  "startReading": lambda self: reads.append("start")})()
+    line.port = type(
+        "Port",
+        (),
+        {
+            "stopReading": lambda self: reads.append("stop"),
+            "startReading": lambda self: reads.append("start"),
+        },
+    )()
     for _ in range(TAKEN - 1):
         line.datagramReceived(b"noise" * 10, ("127.0.0.1", 9))
     clock.advance(SLICE / 1e6)
@@ -300,7 +365,11 @@
     path.write_text(OLD)
     path.chmod(0o600)
     line = Line(Clock(), ("127.0.0.1", 1), str(path), MESSAGES, Log("n1", 0, 1), lambda note: None)
-    for text, mode, keys in (("noise", 0o600, OLD), (NEW + "\n" + OLD, 0o644, OLD), (NEW + "\n" + OLD, 0o600, NEW + "\n" + OLD)):
+    for text, mode, keys in (
+        ("noise", 0o600, OLD),
+        (NEW + "\n" + OLD, 0o644, OLD),
+        (NEW + "\n" + OLD, 0o600, NEW + "\n" + OLD),
+    ):
         path.write_text(text)
         path.chmod(mode)
         os.utime(path, ns=(len(text) + mode,) * 2)
