--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -30,27 +30,49 @@
 
 
 BAD = [
-    (("classes",), [], "settings.classes"), (("classes", 1), "tarea", r"settings.classes\[1\]"),
-    (("classes", 1, "name"), "video", r"settings.classes\[1\].name"), (("classes", 0, "name"), "a/b", r"settings.classes\[0\].name"),
+    (("classes",), [], "settings.classes"),
+    (("classes", 1), "tarea", r"settings.classes\[1\]"),
+    (("classes", 1, "name"), "video", r"settings.classes\[1\].name"),
+    (("classes", 0, "name"), "a/b", r"settings.classes\[0\].name"),
     (("classes", 0, "deadline"), None, r"settings.classes\[0\].deadline: missing"),
-    (("classes", 0, "deadline"), 0, r"settings.classes\[0\].deadline"), (("classes", 0, "aim"), -1, r"settings.classes\[0\].aim"),
-    (("classes", 0, "aim"), NAN, r"settings.classes\[0\].aim"), (("classes", 0, "deadline"), INFINITE, r"settings.classes\[0\].deadline"),
-    (("classes", 1, "idempotency"), "often", r"settings.classes\[1\].idempotency: 'often' is none of free, guarded, single_shot"),
+    (("classes", 0, "deadline"), 0, r"settings.classes\[0\].deadline"),
+    (("classes", 0, "aim"), -1, r"settings.classes\[0\].aim"),
+    (("classes", 0, "aim"), NAN, r"settings.classes\[0\].aim"),
+    (("classes", 0, "deadline"), INFINITE, r"settings.classes\[0\].deadline"),
+    (
+        ("classes", 1, "idempotency"),
+        "often",
+        r"settings.classes\[1\].idempotency: 'often' is none of free, guarded, single_shot",
+    ),
     (("classes", 1, "key-scope"), "town", r"settings.classes\[1\].key-scope"),
     (("classes", 1, "repeat-window"), -5, r"settings.classes\[1\].repeat-window"),
     (("classes", 1, "worth"), True, r"settings.classes\[1\].worth"),
-    (("replicas-of-me",), 0, "settings.replicas-of-me"), (("replicas-of-me",), 1.5, "settings.replicas-of-me"),
-    (("az",), 2, "settings.az"), (("az",), -1, "settings.az"),
-    (("safety", "cold-share"), 1.2, "settings.safety.cold-share"), (("safety", "drain-grace"), -1, "settings.safety.drain-grace"),
+    (("replicas-of-me",), 0, "settings.replicas-of-me"),
+    (("replicas-of-me",), 1.5, "settings.replicas-of-me"),
+    (("az",), 2, "settings.az"),
+    (("az",), -1, "settings.az"),
+    (("safety", "cold-share"), 1.2, "settings.safety.cold-share"),
+    (("safety", "drain-grace"), -1, "settings.safety.drain-grace"),
     (("safety", "tip-after"), None, "settings.safety.tip-after: missing"),
-    (("limits", "max-attempts"), 0, "settings.limits.max-attempts"), (("limits", "streams-per-conn"), 0, "settings.limits.streams-per-conn"),
-    (("limits", "connect-timeout"), 0, "settings.limits.connect-timeout"), (("limits", "cancel"), "yes", "settings.limits.cancel"),
-    (("family-info", "mid-kind"), 3, "settings.family-info.mid-kind"), (("family-info", "mid-kind"), 2, "settings.family-info.mid-kind"),
+    (("limits", "max-attempts"), 0, "settings.limits.max-attempts"),
+    (("limits", "streams-per-conn"), 0, "settings.limits.streams-per-conn"),
+    (("limits", "connect-timeout"), 0, "settings.limits.connect-timeout"),
+    (("limits", "cancel"), "yes", "settings.limits.cancel"),
+    (("family-info", "mid-kind"), 3, "settings.family-info.mid-kind"),
+    (("family-info", "mid-kind"), 2, "settings.family-info.mid-kind"),
     (("family-info", "lateral"), "up", "settings.family-info.lateral"),
-    (("family-info", "never-kept"), [True], "settings.family-info.never-kept: 1 entries for 2 of settings.classes"),
+    (
+        ("family-info", "never-kept"),
+        [True],
+        "settings.family-info.never-kept: 1 entries for 2 of settings.classes",
+    ),
     (("family-info", "never-kept"), [0, 1], r"settings.family-info.never-kept\[0\]"),
     (("family-info", "pipe-kb-per-s"), [1.0, -1.0], r"settings.family-info.pipe-kb-per-s\[1\]"),
-    (("family-info", "zone-balancers"), [1, 1, 1], "settings.family-info.zone-balancers: 3 entries for 2 of settings.areas"),
+    (
+        ("family-info", "zone-balancers"),
+        [1, 1, 1],
+        "settings.family-info.zone-balancers: 3 entries for 2 of settings.areas",
+    ),
     (("stats", "fields"), "rif", "settings.stats.fields"),
 ]
 
@@ -61,10 +83,21 @@
         opening_of(told(path, value), {})
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    (("classes", 1, "idempotency"), "guarded"), (("classes", 1, "repeat-window"), 0), (("classes", 0, "worth"), 0),
-    (("family-info", "mid-kind"), -1), (("family-info", "never-kept"), []), (("family-info", "heed-within"), 0),
-    (("limits", "max-retry-after"), 0), (("safety", "drain-grace"), 0), (("a-key-of-next-year",), {"x": 1}), (("tenants",), [])])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("classes", 1, "idempotency"), "guarded"),
+        (("classes", 1, "repeat-window"), 0),
+        (("classes", 0, "worth"), 0),
+        (("family-info", "mid-kind"), -1),
+        (("family-info", "never-kept"), []),
+        (("family-info", "heed-within"), 0),
+        (("limits", "max-retry-after"), 0),
+        (("safety", "drain-grace"), 0),
+        (("a-key-of-next-year",), {"x": 1}),
+        (("tenants",), []),
+    ],
+)
 def test_zero_and_absent_are_taken_where_they_have_a_meaning(path, value):
     assert opening_of(told(path, value), {}).arguments
 
@@ -72,7 +105,9 @@
 def test_a_fleet_in_which_nothing_topples_has_no_cold_budget():
     for key in ("overload-factor", "tip-after"):
         arguments = opening_of(told(("safety", key), 0), {}).arguments
-        assert arguments["cache_warmup"].span == 0  # once a division by zero at the first forward to a new cache
+        assert (
+            arguments["cache_warmup"].span == 0
+        )  # once a division by zero at the first forward to a new cache
     assert opening_of(told(("safety", "tip-after"), MS), {}).arguments["cache_warmup"].span > 0
 
 
@@ -85,7 +120,12 @@
 def test_a_reload_with_settings_that_cannot_be_used_changes_nothing():
     with Site() as site:
         assert site.log.called() == 1
-        site.reload(json.dumps(site.configuration | {"changelog": "127.0.0.1:9", "settings": SETTINGS | {"replicas-of-me": 0}}))
+        site.reload(
+            json.dumps(
+                site.configuration
+                | {"changelog": "127.0.0.1:9", "settings": SETTINGS | {"replicas-of-me": 0}}
+            )
+        )
         line = site.heard("event=reload ")
         assert "settings.replicas-of-me" in line and "the running values stay" in line
         viewer = site.viewer().send()
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -1,4 +1,6 @@
-"""The testbed's ways, on loopback sockets: pieces that are cut, late, doubled and held, each counted where it took effect."""
+"""The testbed's ways, on loopback sockets: pieces that are cut, late, doubled and held, each counted where it
+took effect.
+"""
 
 import socket
 import threading
@@ -42,8 +44,12 @@
         for end in ends:
             end.bind(("127.0.0.1", 0))
             end.settimeout(BOUND)
-        network.ways = network.do(Datagrams, network.reactor, [end.getsockname()[1] for end in ends], network.faults)
-        network.say = lambda source, text: ends[source].sendto(text, ("127.0.0.1", network.ways.reached_at(1 - source)))
+        network.ways = network.do(
+            Datagrams, network.reactor, [end.getsockname()[1] for end in ends], network.faults
+        )
+        network.say = lambda source, text: ends[source].sendto(
+            text, ("127.0.0.1", network.ways.reached_at(1 - source))
+        )
         network.hear = lambda who: ends[who].recv(100)
         yield network
         for end in ends:
@@ -74,8 +80,11 @@
 
 def test_a_one_way_cut_and_a_double(datagrams):
     network = datagrams
-    network.do(network.faults.begin, Fault("cut", Kind.CUT, frozenset((0,)), frozenset((1,))),
-               Fault("twice", Kind.DOUBLE, frozenset((1,)), frozenset((0,))))
+    network.do(
+        network.faults.begin,
+        Fault("cut", Kind.CUT, frozenset((0,)), frozenset((1,))),
+        Fault("twice", Kind.DOUBLE, frozenset((1,)), frozenset((0,))),
+    )
     network.say(0, b"lost")
     felt(network, "cut", 1)
     network.say(1, b"echo")
@@ -121,8 +130,10 @@
 
 def test_what_a_connection_carries_is_neither_lost_nor_doubled():
     faults = Faults(Random(1))
-    faults.begin(Fault("loss", Kind.LOSE, frozenset("a"), frozenset("b"), span=1000),
-                 Fault("twice", Kind.DOUBLE, frozenset("a"), frozenset("b"), span=1000))
+    faults.begin(
+        Fault("loss", Kind.LOSE, frozenset("a"), frozenset("b"), span=1000),
+        Fault("twice", Kind.DOUBLE, frozenset("a"), frozenset("b"), span=1000),
+    )
     assert faults.delays("a", "b") == ()
     (delay,) = faults.delays("a", "b", ordered=True)
     assert 0 <= delay < 1000 and faults.felt == {"loss": 2, "twice": 0}
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -4,6 +4,7 @@
 import signal
 import ssl
 import time
+from itertools import pairwise
 
 import pytest
 from click.testing import CliRunner
@@ -12,10 +13,31 @@
 
 from limepath.cli import root
 from limepath.tls.admission import HEAD_START, Admission
-from limepath.tls.interface import (Begin, Broken, Failure, Pace, Patience, Refuse, Session, Shaken, Swapped, Told, Under,
-                                    Unwanted, Want)
+from limepath.tls.interface import (
+    Begin,
+    Broken,
+    Failure,
+    Pace,
+    Patience,
+    Refuse,
+    Session,
+    Shaken,
+    Swapped,
+    Told,
+    Under,
+    Unwanted,
+    Want,
+)
 from limepath.tls.making import DAY, Made, authority, issue, revoked
-from limepath.tls.material import (BadMaterial, certificates, checked_lists, hangs_together, is_revoked, shown, trusted)
+from limepath.tls.material import (
+    BadMaterial,
+    certificates,
+    checked_lists,
+    hangs_together,
+    is_revoked,
+    shown,
+    trusted,
+)
 from limepath.tls.sessions import Sessions
 from tests.stand_ins import Site
 
@@ -24,7 +46,7 @@
 NAME = Under(1, "c1.sur.example.org", 0, 0)
 
 
-def session(under=NAME, ticket="t", until=100 * SECOND, since=0, end=10 ** 18, once=False):
+def session(under=NAME, ticket="t", until=100 * SECOND, since=0, end=10**18, once=False):
     return Session(under, "TLSv1.3" if once else "TLSv1.2", ticket, until, since, end, once)
 
 
@@ -32,10 +54,17 @@
     kept = Sessions(10, 4, 3600 * SECOND)
     assert kept.keep(0, WALL, session(end=WALL + 50 * SECOND))
     assert kept.offer(SECOND, WALL, NAME).ticket == "t"
-    for other in (NAME._replace(member=2), NAME._replace(name="c2"), NAME._replace(trust=1), NAME._replace(client=1)):
+    for other in (
+        NAME._replace(member=2),
+        NAME._replace(name="c2"),
+        NAME._replace(trust=1),
+        NAME._replace(client=1),
+    ):
         assert kept.offer(SECOND, WALL, other) is None
     assert kept.resumable(SECOND, WALL, NAME)
-    assert kept.offer(SECOND, WALL + 50 * SECOND, NAME) is None  # the clock has stepped past its certificate's end
+    assert (
+        kept.offer(SECOND, WALL + 50 * SECOND, NAME) is None
+    )  # the clock has stepped past its certificate's end
     assert kept.offer(SECOND, WALL, NAME) is None  # gone with that
     assert kept.keep(0, WALL, session()) and kept.offer(100 * SECOND, WALL, NAME) is None
     assert not kept.keep(0, WALL, session(since=WALL + 1))
@@ -64,18 +93,33 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.lists(st.one_of(
-    st.tuples(st.just("keep"), st.integers(0, 3), st.integers(0, 1), st.integers(1, 40), st.integers(1, 40), st.booleans()),
-    st.tuples(st.just("offer"), st.integers(0, 3), st.integers(0, 1)),
-    st.tuples(st.just("swap"), st.integers(0, 1), st.integers(0, 1)),
-    st.tuples(st.just("forget"), st.integers(0, 3)),
-    st.tuples(st.just("wait"), st.integers(0, 20), st.integers(-10, 30))), max_size=60))
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(
+                st.just("keep"),
+                st.integers(0, 3),
+                st.integers(0, 1),
+                st.integers(1, 40),
+                st.integers(1, 40),
+                st.booleans(),
+            ),
+            st.tuples(st.just("offer"), st.integers(0, 3), st.integers(0, 1)),
+            st.tuples(st.just("swap"), st.integers(0, 1), st.integers(0, 1)),
+            st.tuples(st.just("forget"), st.integers(0, 3)),
+            st.tuples(st.just("wait"), st.integers(0, 20), st.integers(-10, 30)),
+        ),
+        max_size=60,
+    )
+)
 def test_no_session_is_ever_offered_that_fails_a_condition_and_the_store_stays_bounded(history):
     kept, now, wall, used = Sessions(6, 3, 15), 0, 100, set()
     for number, (what, *said) in enumerate(history):
         if what == "keep":
             member, trust, until, end, once = said
-            kept.keep(now, wall, session(Under(member, "x", trust, 0), number, now + until, 0, wall + end, once))
+            kept.keep(
+                now, wall, session(Under(member, "x", trust, 0), number, now + until, 0, wall + end, once)
+            )
         elif what == "offer":
             under = Under(said[0], "x", said[1], 0)
             offered = kept.offer(now, wall, under)
@@ -127,8 +171,16 @@
     pace = Pace(rate=1.0, burst=1, at_once=1)
     doors = Admission(1, pace)
     doors.handle(0, [want(0, objective=0)])
-    later = doors.handle(1, [Shaken(0, False), want(1, objective=900_000), want(2, objective=800_000),
-                             want(3, resumable=True, objective=850_000), want(4, resumable=True, objective=800_001 + HEAD_START)])
+    later = doors.handle(
+        1,
+        [
+            Shaken(0, False),
+            want(1, objective=900_000),
+            want(2, objective=800_000),
+            want(3, resumable=True, objective=850_000),
+            want(4, resumable=True, objective=800_001 + HEAD_START),
+        ],
+    )
     order = begun(later)
     now = 1
     while now < 8 * SECOND:
@@ -152,8 +204,13 @@
         ident = 100 * turn
         orders = doors.handle(now, [want(ident + n, until=now + 100 * SECOND) for n in range(8)])
         assert len(begun(orders)) == (8 if turn == 0 else 1)
-        told = [o for o in doors.handle(now, [Broken(o.id, Failure.EXPIRED) for o in orders if isinstance(o, Begin)])
-                if isinstance(o, Told)]
+        told = [
+            o
+            for o in doors.handle(
+                now, [Broken(o.id, Failure.EXPIRED) for o in orders if isinstance(o, Begin)]
+            )
+            if isinstance(o, Told)
+        ]
         assert len(told) == 1 and told[0].failure == Failure.EXPIRED
         spans.append(told[0].span)
         now += told[0].span - 1
@@ -161,7 +218,7 @@
         for n in range(8):
             doors.handle(now, [Unwanted(ident + n)])
         now += 1
-    assert all(b > a * 1.1 for a, b in zip(spans, spans[1:4])) and max(spans) <= 60 * SECOND * 1.25
+    assert all(b > a * 1.1 for a, b in pairwise(spans[:4])) and max(spans) <= 60 * SECOND * 1.25
     orders = doors.handle(now, [want(1000 + n, until=now + 100 * SECOND) for n in range(30)])
     grown = []
     for _ in range(4):
@@ -172,9 +229,17 @@
 
 def test_what_may_pass_is_tried_sooner_and_a_swap_tries_all_again():
     doors = Admission(1)
-    (soon,) = [o for o in doors.handle(0, [want(1)]) + doors.handle(0, [Broken(1, Failure.TIMED_OUT)]) if isinstance(o, Told)]
+    (soon,) = [
+        o
+        for o in doors.handle(0, [want(1)]) + doors.handle(0, [Broken(1, Failure.TIMED_OUT)])
+        if isinstance(o, Told)
+    ]
     assert soon.span <= Patience().passing * 1.25
-    (late,) = [o for o in doors.handle(0, [want(2, 9)]) + doors.handle(0, [Broken(2, Failure.WRONG_NAME)]) if isinstance(o, Told)]
+    (late,) = [
+        o
+        for o in doors.handle(0, [want(2, 9)]) + doors.handle(0, [Broken(2, Failure.WRONG_NAME)])
+        if isinstance(o, Told)
+    ]
     assert late.span > 10 * soon.span
     (refused,) = doors.handle(1, [want(3, 9, until=SECOND)])
     assert refused == Refuse(3, "left alone")
@@ -183,9 +248,17 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=150)
-@given(st.integers(0, 99), st.lists(st.tuples(
-    st.sampled_from(("want", "shaken", "resumed", "broken", "unwanted", "swapped", "wait", "wait")), st.integers(0, 2),
-    st.integers(1, 600)), max_size=80))
+@given(
+    st.integers(0, 99),
+    st.lists(
+        st.tuples(
+            st.sampled_from(("want", "shaken", "resumed", "broken", "unwanted", "swapped", "wait", "wait")),
+            st.integers(0, 2),
+            st.integers(1, 600),
+        ),
+        max_size=80,
+    ),
+)
 def test_the_budget_is_never_overdrawn_and_nobody_waits_for_ever(seed, history):
     pace = Pace(rate=5.0, burst=3, at_once=2, all_rate=8.0, all_burst=4, all_at_once=3)
     doors, now, ident, out, ended, full, gave_back = Admission(seed, pace), 0, 0, {}, {}, [], 0.0
@@ -255,7 +328,7 @@
     assert chain.until == WALL + 90 * DAY and shown(chain.leaf, WALL).names == ("c1.example.org", "127.0.0.1")
     below = issue(made["middle"], ["c2"], WALL)
     assert len(hangs_together(below.certificate, below.key, roots, WALL).above) == 1
-    first = below.certificate[:below.certificate.index(b"-----END") + 26]
+    first = below.certificate[: below.certificate.index(b"-----END") + 26]
     assert "chain: incomplete" in flaw(first, below.key, roots)
     assert "does not fit" in flaw(leaf.certificate, below.key, roots)
     assert "expired" in flaw(leaf.certificate, leaf.key, roots, WALL + 91 * DAY)
@@ -302,13 +375,20 @@
 
 def test_the_tools_make_what_the_check_takes(site):
     done = told("check", site / "tls.ini")
-    assert done.exit_code == 0 and "[client] certificate" in done.output and "[trust servers] root" in done.output
+    assert (
+        done.exit_code == 0
+        and "[client] certificate" in done.output
+        and "[trust servers] root" in done.output
+    )
     shown_one = json.loads(told("inspect", site / "keys/front.pem", "--json").output)
     assert shown_one[0]["names"] == ["front-1", "127.0.0.1"] and 89 < shown_one[0]["days_left"] <= 90
     assert (site / "keys/front.key").stat().st_mode & 0o077 == 0
     again = told("issue", site / "keys", "front-1", "--file", "front")
     assert again.exit_code == 2 and "is there already" in again.output
-    assert told("issue", site / "keys", "front-1", "--file", "front", "--days", "3", "--overwrite").exit_code == 0
+    assert (
+        told("issue", site / "keys", "front-1", "--file", "front", "--days", "3", "--overwrite").exit_code
+        == 0
+    )
     soon = told("check", site / "tls.ini")
     assert soon.exit_code == 1 and "SOON" in soon.output
     assert told("check", site / "tls.ini", "--days", "1").exit_code == 0
@@ -334,23 +414,38 @@
     (site / "tls.ini").write_text(text.replace("; lists", "lists"))
 
 
-@pytest.mark.parametrize("spoil, says", (
-    (spoil_key, "[client] key: no private key"), (open_key, "open to others"), (swap_pair, "does not fit the certificate"),
-    (stale_list, "past the next update"), (lambda site: (site / "keys/ca.pem").unlink(), "[trust servers] roots"),
-    (lambda site: (site / "keys/ca.pem").write_bytes((site / "keys/front.pem").read_bytes()), "is no CA"),
-    (lambda site: (site / "keys/front.pem").write_bytes(b""), "no certificate that can be read")))
+@pytest.mark.parametrize(
+    "spoil, says",
+    (
+        (spoil_key, "[client] key: no private key"),
+        (open_key, "open to others"),
+        (swap_pair, "does not fit the certificate"),
+        (stale_list, "past the next update"),
+        (lambda site: (site / "keys/ca.pem").unlink(), "[trust servers] roots"),
+        (lambda site: (site / "keys/ca.pem").write_bytes((site / "keys/front.pem").read_bytes()), "is no CA"),
+        (lambda site: (site / "keys/front.pem").write_bytes(b""), "no certificate that can be read"),
+    ),
+)
 def test_a_set_that_does_not_fit_is_refused_with_its_part(site, spoil, says):
     spoil(site)
     done = told("check", site / "tls.ini")
     assert done.exit_code == 2 and says in done.output, done.output
 
 
-@pytest.mark.parametrize("old, new, says", (
-    ("verify = on", "verify = off", ""), ("verify = on", "verify = perhaps", "[trust servers] verify: 'perhaps': on or off"),
-    ("members = caches, parents, origin", "members =", "[trust servers] members: missing"),
-    ("{id}.cajas.example.org", "cajas.example.org", "'{id}' is missing"), ("least = 1.2", "least = 1.1", "[versions] least"),
-    ("key = keys/front.key", "", "[client] key: missing"), ("at-once = 4\n", "at-once = 40\n", "above all-at-once"),
-    ("passing = 200ms", "passing = 9s", "[left-alone] passing: above"), ("[trust servers]", "[trusts servers]", "did you mean")))
+@pytest.mark.parametrize(
+    "old, new, says",
+    (
+        ("verify = on", "verify = off", ""),
+        ("verify = on", "verify = perhaps", "[trust servers] verify: 'perhaps': on or off"),
+        ("members = caches, parents, origin", "members =", "[trust servers] members: missing"),
+        ("{id}.cajas.example.org", "cajas.example.org", "'{id}' is missing"),
+        ("least = 1.2", "least = 1.1", "[versions] least"),
+        ("key = keys/front.key", "", "[client] key: missing"),
+        ("at-once = 4\n", "at-once = 40\n", "above all-at-once"),
+        ("passing = 200ms", "passing = 9s", "[left-alone] passing: above"),
+        ("[trust servers]", "[trusts servers]", "did you mean"),
+    ),
+)
 def test_the_settings_are_checked(site, old, new, says):
     text = (site / "tls.ini").read_text()
     assert old in text
@@ -372,8 +467,10 @@
         (folder / "keys").mkdir()
         (folder / "keys/ca.pem").write_bytes(self.root.certificate)
         (folder / "tls.ini").write_text(
-            "[trust servers]\nroots = keys/ca.pem\nmembers = caches, parents, origin\nname = {id}.cajas.example.org\n"
-            "[left-alone]\nlasting = 1s\n")
+            "[trust servers]\nroots = keys/ca.pem\nmembers = caches, parents, origin\n"
+            "name = {id}.cajas.example.org\n"
+            "[left-alone]\nlasting = 1s\n"
+        )
         self.words = ("run", "--tls", str(folder / "tls.ini"))
 
     def certify(self, member, names=None, above=None, version=None, client=None, **told):
@@ -413,7 +510,9 @@
     servers.certify("s-1", version=version)
     with servers.site() as site:
         viewers = [site.viewer(), site.viewer()]
-        for number, asking in enumerate((viewers[:1], viewers)):  # the second of two at once needs a connection of its own
+        for number, asking in enumerate(
+            (viewers[:1], viewers)
+        ):  # the second of two at once needs a connection of its own
             for viewer in asking:
                 viewer.send(txn=f"0000000000000f{number}{viewers.index(viewer)}")
             for asked in [site.cache.next() for _ in asking]:
@@ -435,7 +534,7 @@
         servers.certify("s-1", above=authority("root", servers.now))
     elif what == "missing link":
         made = servers.certify("s-1", above=authority("middle", servers.now, above=servers.root))
-        first = made.certificate[:made.certificate.index(b"-----END") + 26]
+        first = made.certificate[: made.certificate.index(b"-----END") + 26]
         (servers.folder / "s-1.pem").write_bytes(first)
         servers.contexts["s-1"] = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
         servers.contexts["s-1"].load_cert_chain(servers.folder / "s-1.pem", servers.folder / "s-1.key")
@@ -444,15 +543,24 @@
     elif what == "revoked":
         made = servers.certify("s-1")
         (servers.folder / "keys/revoked.pem").write_bytes(
-            revoked(servers.root, [certificates(made.certificate)[0].serial_number], servers.now))
+            revoked(servers.root, [certificates(made.certificate)[0].serial_number], servers.now)
+        )
         text = (servers.folder / "tls.ini").read_text()
         (servers.folder / "tls.ini").write_text(text.replace("[left", "lists = keys/revoked.pem\n[left"))
 
 
-@pytest.mark.parametrize("what, why", (
-    ("expired", "certificate expired"), ("not yet valid", "certificate not yet valid"), ("wrong name", "wrong name"),
-    ("unknown issuer", "unknown issuer"), ("missing link", "unknown issuer"), ("weak key", "weak key"),
-    ("revoked", "revoked")))
+@pytest.mark.parametrize(
+    "what, why",
+    (
+        ("expired", "certificate expired"),
+        ("not yet valid", "certificate not yet valid"),
+        ("wrong name", "wrong name"),
+        ("unknown issuer", "unknown issuer"),
+        ("missing link", "unknown issuer"),
+        ("weak key", "weak key"),
+        ("revoked", "revoked"),
+    ),
+)
 def test_a_server_that_must_not_be_believed_gets_nothing_and_the_get_goes_elsewhere(servers, what, why):
     spoilt(servers, what)
     with servers.site() as site:
@@ -480,13 +588,15 @@
     paths = [servers.folder / "keys/front.pem", servers.folder / "keys/front.key"]
 
     def put(one):
-        for path, data in zip(paths, (one.certificate, one.key)):
+        for path, data in zip(paths, (one.certificate, one.key), strict=True):
             path.write_bytes(data)
             path.chmod(0o600)
 
     put(pair)
     text = (servers.folder / "tls.ini").read_text()
-    (servers.folder / "tls.ini").write_text("[client]\ncertificate = keys/front.pem\nkey = keys/front.key\n" + text)
+    (servers.folder / "tls.ini").write_text(
+        "[client]\ncertificate = keys/front.pem\nkey = keys/front.key\n" + text
+    )
     with servers.site() as site:
         viewer = site.viewer().send()
         out = site.cache.next()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,17 +8,25 @@
 from limepath.wirehost.host import serve
 
 SETTINGS = {
-    "az": 0, "replicas-of-me": 1, "models": ["cache", "parent", "origin"],
+    "az": 0,
+    "replicas-of-me": 1,
+    "models": ["cache", "parent", "origin"],
     "classes": [{"aim": 600_000_000, "deadline": 5_000_000_000, "idempotency": "free", "unheard-of": 1}],
     "family-info": {"mid-kind": 1, "master-kind": 2, "max-age": [8_000_000_500]},
     "limits": {"max-attempts": 6},
-    "safety": {"cold-share": 0.2, "cold": 10 ** 10, "overload-factor": 2, "tip-after": 10 ** 9,
-               "answer-slack": 8_000_000, "drain-grace": 10 ** 9},
+    "safety": {
+        "cold-share": 0.2,
+        "cold": 10**10,
+        "overload-factor": 2,
+        "tip-after": 10**9,
+        "answer-slack": 8_000_000,
+        "drain-grace": 10**9,
+    },
 }
 CACHE = bytes((10, 18, 74, 7)) + struct.pack(">H", 8080)
 
 
-def batch(*records, clock=10 ** 9):
+def batch(*records, clock=10**9):
     body = b"".join(records)
     return struct.pack(">IIQ", 7, 16 + len(body), clock) + body
 
@@ -53,7 +61,7 @@
 
 def test_an_arrival_becomes_a_look_with_an_age_rounded_down():
     reply = played(batch(up()), batch(arrival()))
-    look = reply[reply.index(struct.pack(">BII", 60, 3, 77)):][:39]
+    look = reply[reply.index(struct.pack(">BII", 60, 3, 77)) :][:39]
     assert look[9:15] == CACHE == look[23:29] and struct.unpack(">Q", look[30:38]) == (8_000_000_000,)
 
 
