A front that is told to end answers what is open before it may be killed

Traced by a request's id (scratch copy, a line at arrival, answer and shutdown): all of them hang on caches that hang, with 8.7 s of time, when SIGKILL comes 3.7 s after SIGTERM, as the protocol page says (longest deadline, 3 s of it at most, and 0.7 s). Ruled out: connections not taken over at the end of taking (none left), answers held in lingering connections (those had been answered). Change: from SIGTERM on no request has longer than that less 0.1 s; the module is told (contract.ShuttingDown) and sheds or fails what is left. Tests: two of three fail on the text before (no answer in 30 s); the third guards short requests.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -31,6 +31,7 @@
     Roster,
     Scope,
     Shed,
+    ShuttingDown,
     Standing,
     Streaming,
     Subscribe,
@@ -569,6 +570,10 @@
         if self.allowance.withdraw and get.out:
             self.loop.orders.append(Withdraw(*get.out))
 
+    def shutting_down(self, note):
+        for get in self.open.values():
+            get.due = min(get.due, self.loop.now + note.within)
+
     def left(self, note):
         if get := self.open.pop(note.id, None):
             get.closed = True
@@ -591,6 +596,7 @@
             Outcome: (self.door, "ended"),
             Left: (self.door, "left"),
             Streaming: (self.door, "left"),
+            ShuttingDown: (self.door, "shutting_down"),
             Purge: (self.gate, "purged"),
             Roster: (self, "roster"),
             ProbeReport: (self, "probed"),
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -182,6 +182,12 @@
     id: int
 
 
+class ShuttingDown(NamedTuple):
+    """This front ends: no open request has more than `within` microseconds left from now on."""
+
+    within: int
+
+
 class Purge(NamedTuple):
     """`obj` is 0 where the whole group was purged."""
 
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -153,6 +153,10 @@
             ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key)
         )
 
+    def shorten(self, due):
+        """Its time ends at `due`, sooner than its client told."""
+        self.due, self.note = due, self.note._replace(patience=max(1, due - clock()))
+
 
 class State(Enum):
     """Of a client's connection (docs/front.md tells what is owed in each)."""
@@ -343,6 +347,7 @@
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
         self.unready = False  # the list is not known yet
         self.last_call, self.done, self.accepted = None, [], 0
+        self.last_answer_at = None  # when shutting down, until when all that is open is answered
 
     def listen(self, endpoint):
         """Give a Deferred that fires once clients can connect."""
@@ -386,6 +391,8 @@
             return
         self.open[get.id], connection.get = get, get
         self.txns.add(get.txn)
+        if self.last_answer_at is not None and get.due > self.last_answer_at:
+            get.shorten(self.last_answer_at)
         get.timer = self.reactor.callLater(get.note.patience / 1e6, self.over, get)
         self.turn.gather(get.note)
 
@@ -478,8 +485,20 @@
         if not self.leaving:
             self.leaving = True
             self.log.say("leaving", gets=len(self.open))
+            self.shorten_open()
             self.reactor.callLater(self.limits.leaving / 1e6, self.close_up)
 
+    def shorten_open(self):
+        """Whoever told this front to end kills it once the longest deadline is over, as far as that is waited
+        for: what has more time than that gets its answer while there is still one to give.
+        """
+        self.last_answer_at = clock() + self.limits.last_answer
+        self.turn.gather(c.ShuttingDown(self.limits.last_answer))
+        for get in self.open.values():
+            if get.timer is not None and not get.closed and get.due > self.last_answer_at:
+                get.shorten(self.last_answer_at)
+                get.timer.reset(self.limits.last_answer / 1e6)
+
     def close_up(self):
         """Nothing new from here on. What the system has accepted for this front is taken over first, and what
         has come on connections is read once more: a GET in there counts as taken.
--- a/limepath/opening/limits.py
+++ b/limepath/opening/limits.py
@@ -44,6 +44,7 @@
     feed_pause: int = 100_000  # the first before the change log is called again; they double
     feed_longest_pause: int = 600_000
     sweep: int = 250_000  # between looks at what is idle or silent
+    last_answer: int = 3_600_000  # after SIGTERM, until all that is open has had its answer
     leaving: int = 1_200_000  # after SIGTERM; new GETs come for 600 ms of it, the rest is for a busy core
     log_lines: int = 5  # of one kind
     log_span: int = 10_000_000
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -23,6 +23,10 @@
 
 
 ANY, SOME, COUNT, SHARE = Number(), Number(over=True), Number(1, whole=True), Number(most=1.0)
+# The protocol page: SIGKILL comes no sooner than the longest deadline, 3 s of it at most, and 0.7 s after
+# SIGTERM.
+LONGEST_WAITED_FOR = 3_000_000
+LAST_ANSWER_AFTER = 600_000
 KIND = Number(-1, whole=True)  # a place in `models`; -1 where the site has none
 NEEDED = {
     "": {
@@ -244,6 +248,9 @@
     sockets = int(part(machine, "sockets", COUNT, 1024, "limits."))
     memory_mb = int(part(machine, "memory_mb", COUNT, 192, "limits."))
     leaving = int(part(machine, "leaving_ms", Number(whole=True), 1200, "limits.")) * 1000
+    longest = max(one.viewer_timeout for one in arguments["services"])
+    last_answer = min(longest, LONGEST_WAITED_FOR) + LAST_ANSWER_AFTER
+    told_last = part(machine, "last_answer_ms", Number(whole=True), last_answer // 1000, "limits.")
     allowed = settings.get("limits", {})
     us = opening_values.us
     connect, grace = us(allowed.get("connect-timeout", 400_000_000)), arguments["grace"]
@@ -253,7 +260,8 @@
         allowed.get("streams-per-conn", 1),
         open_gets=allowed.get("max-open", 20_000),
         leaving=leaving,
-        last_call=max(one.viewer_timeout for one in arguments["services"]),
+        last_answer=int(told_last) * 1000,
+        last_call=longest,
         connect=connect,
         come_back=arguments["allowance"].come_back // 10,
         wait=min(connect, grace.drain, grace.purge or connect),
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -311,7 +311,7 @@
         "name": "n1",
         "listen": where,
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "last_answer_ms": 1000 * BOUND},
         "changelog": "127.0.0.1:9",
         "known": {"seq": 0, "results": []},
         "settings": SETTINGS,
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -519,6 +519,44 @@
         assert site.process.wait(BOUND) == 0
 
 
+def test_a_front_that_shuts_down_answers_before_it_is_killed_what_has_longer_than_that():
+    """Requests with a minute left on a hanging cache: one that was open, one that came after SIGTERM."""
+    assert opening_of(configuration("127.0.0.1:1", limits={}), {}).limits.last_answer == 3_600_000
+    with Site(limits={"leaving_ms": 500, "sockets": 256}) as site:
+        viewers = [site.viewer().send(), site.viewer()]
+        for viewer in viewers:
+            viewer.socket.settimeout(BOUND / 2)  # their own time is BOUND
+        site.cache.next()
+        site.terminate()
+        while site.health()[0] == 200:
+            pass
+        viewers[1].send(txn="00000000000000fe")
+        site.cache.next()
+        answers = [viewer.answer() for viewer in viewers]
+        assert [answer[0] for answer in answers] == [503, 503]
+        assert site.process.wait(BOUND) == 0
+
+
+def test_a_write_that_may_have_run_is_failed_not_shed_when_its_front_shuts_down():
+    with Site(limits={"leaving_ms": 300, "last_answer_ms": 600}) as site:
+        viewer = site.viewer().send("/invoke/tarea/7f3a9c21e0b4d655", body=b"essay")
+        viewer.socket.settimeout(BOUND / 2)  # its own time is BOUND
+        asked = site.origin.next()
+        site.terminate()
+        assert viewer.answer()[0] == 502
+        assert asked.id == "9b1f03aa5c7e2d41"
+        assert site.process.wait(BOUND) == 0
+
+
+def test_what_has_less_time_than_a_shutdown_leaves_keeps_it():
+    with Site(limits={"leaving_ms": 300, "last_answer_ms": 1000 * BOUND}) as site:
+        viewer = site.viewer().send(ttl=700)
+        site.cache.next()
+        site.terminate()
+        assert viewer.answer()[0] == 503
+        assert site.process.wait(BOUND) == 0
+
+
 class Pipe:
     """A configuration file that the front gets to read only when the test lets it."""
 
