--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -8,6 +8,7 @@
 from twisted.internet.error import ConnectError
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.tcp import Connection as TcpConnection
 from zope.interface import implementer
 
 from limepath import contract as c
@@ -160,9 +161,10 @@
             None,
         )  # of what is unfinished, the bytes and the first line as read
         self.state, self.full, self.silent, self.heard = State.CONNECTING, False, False, clock()
+        self.direct = False  # whether the transport is a plain TCP connection, which can be written at once
 
     def connectionMade(self):
-        self.state = State.OPEN
+        self.state, self.direct = State.OPEN, isinstance(self.transport, TcpConnection)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
 
@@ -203,6 +205,8 @@
         self.queued += sum(map(len, pieces))
         flight.end = self.queued
         self.transport.writeSequence(pieces)
+        if self.direct:  # now, and not a pass later, in which its client could go; errors are told there
+            self.transport.doWrite()
 
     def done(self, tag):
         del self.out[tag]
@@ -342,6 +346,8 @@
 
     def send(self, flight):
         """A forward has a connection to itself where one can be had: what breaks takes no other along."""
+        if isinstance(flight, Flight) and self.caches.client_has_gone(flight):
+            return
         connection = self.fit_for(flight)
         if connection is None:
             self.waiting.append(flight)
@@ -352,6 +358,7 @@
             self.caches.time(flight, self.limits.probe, self.caches.unanswered)
         else:
             connection.send(flight, flight.words(), flight.get.body, b"\r\n")
+            flight.get.begun.append(clock())
             if flight.limit < flight.get.due:
                 self.caches.time(flight, flight.limit - clock(), self.caches.timed_out)
 
@@ -371,6 +378,8 @@
 
     def send_waiting(self):
         for _ in range(len(self.waiting)):
+            if not self.waiting:  # others of a GET whose client has gone went with it, or found their way
+                return
             flight = self.waiting.popleft()
             if clock() >= flight.send_by:  # its timer is late: the loop was busy, or the process stood still
                 self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
@@ -552,6 +561,16 @@
             verdict = c.Verdict.CONNECT_FAILED if verdict == c.Verdict.TIMED_OUT else c.Verdict.MOOT
         self.ended(flight, verdict)
 
+    def client_has_gone(self, flight):
+        """Whether this attempt's client has gone, its end read or not; the attempt has ended then. Asked of
+        the system before each attempt: a late pass, or one that brings an answer before an end, can't know.
+        """
+        client = flight.get.connection
+        if client is None or not client.has_gone():
+            return False
+        client.hold_back()
+        return True
+
     def abandoned(self, get):
         """The client has left: what has not gone out whole goes no more, whether its effect could be repeated
         or not.
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -9,6 +9,7 @@
 from zope.interface import implementer
 
 from limepath import contract as c
+from limepath.front.departures import Departures, has_ended, since_last_packet
 from limepath.front.turn import clock
 
 REASONS = {
@@ -109,6 +110,7 @@
         "note",
         "due",
         "sent",
+        "begun",
         "flights",
         "closed",
         "timer",
@@ -149,6 +151,7 @@
         self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
         self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
         self.sent, self.flights, self.closed, self.timer = 0, {}, False, None
+        self.begun = []  # when its attempts were handed to the system
         self.note = c.Get(
             ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key)
         )
@@ -189,6 +192,9 @@
     def resumeProducing(self):
         self.stuck, self.moved = False, clock()
         self.transport.resumeProducing()
+        if self.buffer and self.state is State.RESTING:
+            data, self.buffer = bytes(self.buffer), bytearray()
+            self.dataReceived(data)
 
     def stopProducing(self):
         self.stuck = False
@@ -199,6 +205,9 @@
             if self.dropped > self.clients.limits.dropped:
                 self.transport.pauseProducing()
             return
+        if self.stuck:  # read in the pass in which the answer got stuck; a GET open here would be unwatched
+            self.buffer += data
+            return
         if not self.buffer and self.asked:
             self.moved = clock()
         self.buffer += data
@@ -311,11 +320,24 @@
         self.moved, self.flushed, self.stuck = clock(), True, False
         self.transport.resumeProducing()
 
+    def has_gone(self):
+        """Whether the client's end has come, read or not."""
+        return has_ended(self.transport.socket)
+
+    def hold_back(self):
+        """The client was found gone before its next attempt began: its GET ends as if the end were read."""
+        self.clients.departures.hold_back(self.get.sent - 1, since_last_packet(self.transport.socket))
+        self.client_left()
+        self.close(abort=True)
+
     def readConnectionLost(self):
         """The client has closed. With a GET open it has left; half closed is taken for that too, as the two
         look alike. Otherwise it may still take what is held.
         """
         if self.get is not None:
+            if self.get.begun:
+                gone_at = clock() - since_last_packet(self.transport.socket)
+                self.clients.departures.left(self.get.begun, gone_at)
             self.client_left()
             self.close(abort=True)
         else:
@@ -341,6 +363,7 @@
         self.reactor, self.turn, self.limits, self.log, self.services = reactor, turn, limits, log, services
         self.connections, self.open, self.ids, self.txns = set(), {}, count(1), set()
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
+        self.departures = Departures(log)
         self.unready = False  # the list is not known yet
         self.last_call, self.done, self.accepted = None, [], 0
 
--- /dev/null
+++ b/limepath/front/departures.py
@@ -0,0 +1,49 @@
+"""Clients that have gone: what the system knows of a connection's end before the front has read it.
+
+Bytes that wait unread hide an end from `recv`, and a transport that is not read sees none; the state of the
+TCP connection (tcp(7), TCP_INFO) tells it in either case. Asking costs one system call and reads nothing.
+"""
+
+import socket
+import struct
+
+TCP_ESTABLISHED = 1  # of tcp_states.h: any other state of an accepted connection is an end of the client's
+LAST_PACKET_AT = 56  # byte at which struct tcp_info of linux/tcp.h keeps tcpi_last_ack_recv, milliseconds
+RESOLUTION = 10_000  # microseconds by which the system's own times are coarse (its tick, rounded up)
+BREAK = 100_000  # microseconds after which an attempt for a client that has gone is one too many
+
+
+def has_ended(connected):
+    """Whether the other side of this socket has closed, half closed or reset the connection."""
+    return connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+
+
+def since_last_packet(connected):
+    """Microseconds since the system took the last packet there; with an end unread, that was the end."""
+    told = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_PACKET_AT + 4)
+    return struct.unpack_from("I", told, LAST_PACKET_AT)[0] * 1000
+
+
+class Departures:
+    """Counts attempts for clients that had gone: those held back, and those that began all the same."""
+
+    def __init__(self, log):
+        self.log, self.held_back, self.begun, self.latest = log, 0, 0, 0
+
+    def hold_back(self, number, late):
+        """An attempt (0 the first) found its client gone for `late` microseconds and does not begin."""
+        self.held_back += 1
+        self.say(number, late, begun=False)
+
+    def left(self, begun, gone_at):
+        """A client's end is read; `begun` has the times at which its attempts began."""
+        for number, at in enumerate(begun):
+            if (late := at - gone_at) > RESOLUTION:
+                self.begun += 1
+                self.latest = max(self.latest, late)
+                self.say(number, late, begun=True)
+
+    def say(self, number, late, begun):
+        if late > BREAK:
+            attempt = "further" if number else "first"
+            self.log.say("client-gone", attempt=attempt, late_ms=late // 1000, begun="yes" if begun else "no")
--- /dev/null
+++ b/tests/test_departed_clients.py
@@ -0,0 +1,237 @@
+"""A client that has gone gets no further work done: no attempt, first or further, begins for it. On real
+sockets; each crossing is forced while the front stands still, and waits longer than is allowed.
+"""
+
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from limepath.front import departures
+from limepath.front.clients import ClientConnection, Clients
+from limepath.front.turn import clock
+from limepath.log import Log
+from limepath.opening.limits import planned
+from tests.stand_ins import Site, connections, listening, until
+from tests.test_endings import LONG_WAIT, NOW, going_on, slow_to_read, stopped, with_effect
+
+LATE = 0.15  # seconds that a client has been gone when the front wakes; 0.1 are allowed
+OTHER = "00000000000000fe"
+CLOSE_WAIT, CLOSED = "08", "07"
+
+
+def state_at_the_front(viewer):
+    """How the system sees the front's end of this client's connection, as proc(5) numbers it."""
+    near = f":{viewer.socket.getsockname()[1]:04X}"
+    return [words[3] for words in connections() if words[2].endswith(near)]
+
+
+def gone_for_long(viewer, leave=None):
+    """The client goes; by the time of return its end has waited at the front for LATE."""
+    near = f":{viewer.socket.getsockname()[1]:04X}"
+    (leave or viewer.close)()
+    until(
+        lambda: (
+            not any(
+                words[2].endswith(near) and words[3] == "01"  # established no more
+                for words in connections()
+            )
+        )
+    )
+    since = time.monotonic()
+    until(lambda: time.monotonic() - since > LATE)
+
+
+def asked_first(site, where):
+    """Who is asked first at this member: the one that stays, or the one that has gone."""
+    stays = site.viewer().send(txn=OTHER)
+    asked = where.next()
+    asked.answer("DONE", NOW, b"x")
+    assert stays.answer()[2] == b"x"
+    return asked.id
+
+
+def lines(site, word):
+    return [line for line in site.said if f"event={word} " in line]
+
+
+@pytest.mark.parametrize("connected", [True, False])
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_request_and_the_end_behind_it_wait_for_a_late_pass(connected, reset):
+    with Site() as site:
+        viewer = site.viewer() if connected else None
+        if connected:
+            assert viewer.raw("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").answer()[0] == 200
+        stopped(site)
+        viewer = viewer or site.viewer()  # else the system has accepted it, and the front does so late
+        if reset:
+            viewer.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        viewer.send()
+        gone_for_long(viewer)
+        going_on(site)
+        assert asked_first(site, site.cache) == OTHER
+        assert site.cache.asked.empty()
+
+
+def test_a_put_and_the_end_behind_it_wait_for_a_late_pass():
+    with Site() as site:
+        stopped(site)
+        viewer = site.viewer().send("/invoke/tarea/0000000000000001", b"mine")
+        gone_for_long(viewer)
+        going_on(site)
+        stays = site.viewer().send("/invoke/tarea/0000000000000002", b"stays", txn=OTHER)
+        asked = site.origin.next()
+        assert asked.id == OTHER
+        asked.answer("DONE")
+        assert stays.answer()[0] == 200 and site.origin.asked.empty()
+
+
+def test_an_answer_that_leads_to_a_further_attempt_comes_with_the_end_of_its_client():
+    with Site() as site:
+        viewer = site.viewer().send()
+        asked = site.cache.next()
+        stopped(site)
+        asked.answer("LACK")  # a fill follows
+        gone_for_long(viewer)
+        going_on(site)
+        assert asked_first(site, site.cache) == OTHER
+
+
+def test_an_answer_frees_the_connection_that_another_waits_for_whose_client_has_gone():
+    with Site(settings=LONG_WAIT) as site:
+        first = site.viewer().send()
+        asked = site.cache.next()
+        site.cache.crowd()
+        waits = site.viewer().send(txn="00000000000000aa")
+        site.cache.called_in_vain()
+        stopped(site)
+        asked.answer("DONE", NOW, b"x")  # is read before the end, in one pass
+        gone_for_long(waits)
+        going_on(site)
+        assert first.answer()[2] == b"x"
+        assert asked_first(site, site.cache) == OTHER
+
+
+@pytest.mark.parametrize("effect", ["free", "single_shot", "guarded"])
+def test_a_connection_comes_up_together_with_the_end_of_the_client_whose_request_waits_for_it(effect):
+    with Site(settings=with_effect(LONG_WAIT, idempotency=effect)) as site:
+        target, member, body = (
+            ("/invoke/video/1", site.cache, None)
+            if effect == "free"
+            else ("/invoke/tarea/1", site.origin, b"mine")
+        )
+        member.crowd()
+        waits = site.viewer().send(target, body, txn="00000000000000aa")
+        member.called_in_vain()
+        stopped(site)
+        before = member.connected
+        member.uncrowd()
+        until(lambda: member.connected > before)  # the system has it up, the front does not know
+        gone_for_long(waits)
+        going_on(site)
+        stays = site.viewer().send(target, body, txn=OTHER)
+        asked = member.next()
+        assert asked.id == OTHER
+        asked.answer("DONE", NOW if effect == "free" else "-", b"")
+        assert stays.answer()[0] == 200 and member.asked.empty()
+
+
+def test_a_request_behind_an_answer_that_gets_stuck_is_not_open_on_a_connection_that_is_not_read():
+    body = b"z" * 240_000
+    with Site() as site:
+        viewer = slow_to_read(site)
+        asked = site.cache.next()
+        whole = b"%s DONE %s %d\r\n%s\r\n" % (asked.id.encode(), NOW.encode(), len(body), body)
+        asked.connection.sendall(whole[:-2])
+        read = asked.connection.getsockname()[1]
+        until(lambda: unread_at_the_front(read) == 0)
+        stopped(site)
+        asked.connection.sendall(whole[-2:])  # the answer is whole, and gets stuck as it is written,
+        viewer.send(txn="00000000000000aa")  # in the pass that brings this one
+        until(lambda: unread_at_the_front(viewer.socket.getsockname()[1]) > 0)
+        going_on(site)
+        viewer.socket.recv(1, socket.MSG_PEEK)
+        assert site.health()[0] == 200
+        assert site.cache.asked.empty()  # it waits as long as nobody would see its client go
+        assert viewer.answer()[2] == body
+        again = site.cache.next()
+        assert again.id == "00000000000000aa"
+        viewer.close()
+        assert site.cache.next("QUIT").id == again.id
+
+
+def unread_at_the_front(far):
+    """Bytes that the system holds for the front from this port."""
+    return sum(
+        int(words[4].partition(":")[2], 16) for words in connections() if words[2].endswith(f":{far:04X}")
+    )
+
+
+def test_half_closed_is_taken_for_gone():
+    with Site() as site:
+        stopped(site)
+        viewer = site.viewer().send()
+        gone_for_long(viewer, lambda: viewer.socket.shutdown(socket.SHUT_WR))
+        going_on(site)
+        assert viewer.ended()  # no answer, though it could have been taken
+        assert asked_first(site, site.cache) == OTHER
+
+
+# The count
+
+
+def connected_pair():
+    with listening() as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+    return near, far
+
+
+def test_the_system_tells_an_end_behind_unread_bytes_and_how_long_ago_it_came():
+    near, far = connected_pair()
+    with near, far:
+        near.sendall(b"unread")
+        assert not departures.has_ended(far)
+        before = clock()
+        near.shutdown(socket.SHUT_WR)
+        until(lambda: departures.has_ended(far))
+        until(lambda: clock() - before > 150_000)
+        ago = departures.since_last_packet(far)
+        assert 150_000 - departures.RESOLUTION <= ago <= clock() - before + departures.RESOLUTION
+        assert far.recv(9) == b"unread"  # nothing was read by asking
+
+
+def test_an_attempt_that_began_after_its_client_had_gone_is_counted_with_how_late(capsys):
+    limits = planned(1024, 192, 32, open_gets=9)
+    turn = SimpleNamespace(gather=lambda *notes: None)
+    log = Log("n1", 5, 10_000_000)
+    clients = Clients(None, turn, limits, log, {})
+    clients.caches = SimpleNamespace(abandoned=lambda get: None)
+    near, far = connected_pair()
+    with near, far:
+        connection = ClientConnection(clients)
+        connection.transport = SimpleNamespace(
+            socket=far, unregisterProducer=lambda: None, abortConnection=lambda: None
+        )
+        before = clock()
+        near.close()
+        until(lambda: departures.has_ended(far))
+        until(lambda: clock() - before > 150_000)
+        connection.get = SimpleNamespace(
+            id=1, txn=b"aa", flights={}, timer=None, begun=[before - 50_000, clock()], closed=False
+        )
+        connection.readConnectionLost()
+    counted = clients.departures
+    assert counted.begun == 1 and 140_000 <= counted.latest <= clock() - before
+    assert "event=client-gone attempt=further" in capsys.readouterr().err
+
+
+def test_an_attempt_held_back_is_counted_and_told():
+    with Site() as site:
+        stopped(site)
+        gone_for_long(site.viewer().send())
+        going_on(site)
+        line = site.heard("event=client-gone")
+        assert "attempt=first" in line and "begun=no" in line
+        assert int(line.partition("late_ms=")[2].split()[0]) >= 1000 * LATE - 10
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -236,7 +236,7 @@
 
     def get():
         clients.arrived(
-            SimpleNamespace(write=lambda *_: None),
+            SimpleNamespace(write=lambda *_: None, has_gone=lambda: False),
             b"GET",
             b"/invoke/video/1",
             {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
@@ -392,6 +392,7 @@
     one = Viewer.__new__(Viewer)
     one.socket = socket.socket()
     one.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    one.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)  # else its sender's buffer takes a MB
     one.socket.settimeout(BOUND)
     one.socket.connect((host, int(port)))
     one.stream = one.socket.makefile("rb")
