--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -227,7 +227,7 @@
 def parts(front, reactor=None, **limits):
     """The front's parts on a reactor of the test's own, and a way to send one GET in."""
     reactor, limits = reactor or MemoryReactorClock(), planned(1024, 192, 32, open_gets=9, **limits)
-    log = Log("n1", 0, 1)
+    log = Log("n1", 5, 1)
     turn = Turn(reactor, front, limits, log)
     clients = Clients(reactor, turn, limits, log, {b"video": (0, False, 5_000_000)})
     caches = Caches(reactor, turn, clients, limits, log, b"INFO")
@@ -236,7 +236,7 @@
 
     def get():
         clients.arrived(
-            SimpleNamespace(write=lambda *_: None),
+            SimpleNamespace(write=lambda *_: None, has_gone=lambda: False),
             b"GET",
             b"/invoke/video/1",
             {b"x-txn": b"9b1f03aa5c7e2d41", b"x-ttl-ms": b"900", b"x-family": b"1"},
@@ -392,6 +392,7 @@
     one = Viewer.__new__(Viewer)
     one.socket = socket.socket()
     one.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    one.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)  # else its sender's buffer takes a MB
     one.socket.settimeout(BOUND)
     one.socket.connect((host, int(port)))
     one.stream = one.socket.makefile("rb")
