Cold members: fronts are drawn once for a ramp, as many as the sum of all can bear

A cold member falls beyond N + 2 x root of N + 2 requests in a window. The turns of fronts whose part is under one forward were laid for one turn a window: a burst out of silence finds two of each front's, a start that is told twice drew the turns anew, and each class of work had turns of its own. Measured through Front.handle on the text before, 1,000 draws each: no fall with 2, 20 and 30 fronts; with 200 fronts 28 falls in a burst of one class, 34 of two classes.

Now a front has one place for a member, by hash of its seed and the member; how many places are in turn follows from the number of fronts, the mean work and the room up to the limit (docs/design.md), and the parts of all come to 0.8 of the budget whatever the mixture of classes. Places come from the 64-bit mix and not from crc32, which draws near seeds together.

A class six times dearer than the mean may still topple a member: 1 of 100 is the bound.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict, deque
-from math import log
+from math import log, sqrt
 from zlib import crc32
 
 from sortedcontainers import SortedList
@@ -56,7 +56,8 @@
 UNPROBED = 4  # times that again where no probe can tell a slow answer from none
 DOUBT_AFTER, STRIKES = 2, 3  # probes unanswered in a row before a recall, connections broken before doubt
 SATED, LONG_GONE = 0.95, 2_000_000  # load above which room shrinks; silence after which one is back empty
-MARGIN, SPREAD = 0.8, 2  # share of the cold budget spent; deviations left free where forwards fall by chance
+MARGIN, SPREAD = 0.8, 5  # share of the cold budget spent; deviations kept to what topples a member
+DEARER = 0.75  # share of a cold budget and of its variance that a dearer class may take before cheaper ones
 TICK, COME_BACK = 50_000, 0.1  # of the longest wait, give or take half: a repeat is in time; 0.75 far worse
 BROKEN = (Verdict.RESET, Verdict.CONNECT_FAILED)
 STUCK = (Verdict.RETURNED, Verdict.TIMED_OUT, Verdict.ERRORED, Verdict.FULL)
@@ -113,8 +114,8 @@
 class OpenGet:
     """One GET that is owed a final answer."""
 
-    def __init__(self, get, ds, due, work, own):
-        self.id, self.dsi, self.ds, self.due, self.work, self.own = get.id, get.ds, ds, due, work, own
+    def __init__(self, get, ds, due, own):
+        self.id, self.dsi, self.ds, self.due, self.own = get.id, get.ds, ds, due, own
         self.name, self.group, self.size_kb = (get.obj, get.part), get.group, get.size_kb
         self.rank, self.sent, self.out, self.at, self.passed = 0, 0, None, None, set()
         self.closed = self.filling = self.direct = self.stale = self.held = False
@@ -330,25 +331,43 @@
         if ident not in self.starts:
             return True
         _, sharing, lanes, upper = self.members[ident]
-        (since, phase, ledger), warmup = self.starts[ident], self.warmups[upper]
+        (since, ledger), warmup = self.starts[ident], self.warmups[upper]
         age = self.loop.now - since
         if age > warmup.span:
             del self.starts[ident]
             return True
         able = lanes * (warmup.share + (1 - warmup.share) * max(0, age - warmup.window) / warmup.span)
         whole = MARGIN * warmup.factor * able * warmup.window
-        many = whole / work
-        if many < sharing:  # each less than one forward: one, in some windows, in turns laid by chance
-            slot = int(age / warmup.window + phase * 1e6)  # fronts' slots do not begin at once
-            due = (phase + slot * 0.618) % 1 * sharing < max(many / 3, many - SPREAD * many**0.5)
-            return due and (not ledger or self.loop.now - ledger[-1][0] >= warmup.window)
-        while ledger and ledger[0][0] < self.loop.now - warmup.window:
+        while ledger and ledger[0][0] <= self.loop.now - warmup.window:
             ledger.popleft()
-        return whole / sharing - sum(spent for _, spent in ledger) >= work
+        place = mixed(self.loop.seed ^ mixed(ident)) / MIX * sharing  # for good: a new one is a second turn
+        return self.part(whole, sharing, place) - sum(spent for _, spent in ledger) >= work
+
+    def part(self, whole, sharing, place):
+        """What the front at this place among `sharing` may send in a window: as many of the dearest class as
+        all can; of the rest of `whole` those in the first places one more, those after them one of a class
+        at half of that or less, and so on. Who is there falls by chance: how many (docs/design.md)."""
+        straight = self.allowance.direct  # what is uncacheable then goes to the origin, never cold
+        works = zip(self.door.work, self.door.services, strict=True)
+        works = sorted({max(1, work) for work, ds in works if not (straight and ds.uncacheable)}) or [1]
+        each = whole / sharing // works[-1] * works[-1]
+        left, grain, mean, limit = whole - each * sharing, 2 * works[-1], self.door.mean, whole / MARGIN
+        variance = ((limit - whole + 2 * sqrt(limit * mean) + 2 * mean) / SPREAD) ** 2
+        while works and left < sharing * works[-1]:
+            work = works.pop()
+            if 2 * work <= grain:
+                part = DEARER if works and 2 * works[0] <= work else 1
+                free = 1 - 4 * part * variance / work**2 / sharing  # over 0: not all may be drawn
+                drawn = min(part * left / work, sharing / 2 * (1 - sqrt(free)) if free > 0 else sharing)
+                if place < drawn:
+                    return each + work
+                variance = max(0, variance - drawn * (1 - drawn / sharing) * work**2)
+                left, sharing, place, grain = left - drawn * work, sharing - drawn, place - drawn, work
+        return each + left / sharing
 
     def started(self, ident, when):
-        before, _, ledger = self.starts.get(ident, (when, 0, deque()))
-        self.starts[ident] = max(when, before), self.loop.chance(), ledger
+        before, ledger = self.starts.get(ident, (when, deque()))
+        self.starts[ident] = max(when, before), ledger
 
     def barred(self, get, cache, source):
         """The rule that a forward would break and at which member, or None."""
@@ -364,7 +383,7 @@
         for actor in dict.fromkeys((cache, source)):
             if actor.id not in self.members or self.members[actor.id][0].standing != Standing.READY:
                 return "drain", actor  # the grace is not used: the list is late enough as it is
-            if not self.spared(actor.id, get.work):
+            if not self.spared(actor.id, self.door.work[get.dsi]):
                 return "cold", actor
         return None
 
@@ -373,7 +392,7 @@
             return self.loop.put(self.door, "barred", get, *barred)
         for ident in dict.fromkeys((cache.id, source.id)):
             if ident in self.starts:
-                self.starts[ident][2].append((self.loop.now, get.work))
+                self.starts[ident][1].append((self.loop.now, self.door.work[get.dsi]))
         join = self.allowance.joins and source is not cache and not get.direct
         member = self.members[cache.id][0]
         get.out = (get.id, get.sent)
@@ -423,6 +442,7 @@
         self.open, self.flights, self.fills, self.fetches = {}, {}, set(), set()
         self.caches, self.parents, self.origin, self.shelf, self.gate = [], [], None, None, None
         self.work = [ds.objective for ds in services]  # mean sending time, learned
+        self.mean = min(self.work, default=0)  # the same over all that go to caches
 
     def members(self, caches, parents, origin):
         self.caches, self.parents, self.origin = caches, parents, origin
@@ -431,7 +451,8 @@
         ds, work = self.services[note.ds], self.work[note.ds]
         own = int(note.size_kb / self.flow_kb_s * 1_000_000) if note.size_kb and self.flow_kb_s else work
         self.work[note.ds] += (own - work) // 32
-        get = self.open[note.id] = OpenGet(note, ds, self.loop.now + note.patience, work, own)
+        self.mean += 0 if ds.uncacheable else (work - self.mean) / 32
+        get = self.open[note.id] = OpenGet(note, ds, self.loop.now + note.patience, own)
         self.loop.put(self.shelf, "count", get)
 
     def ranked(self, get, rank):
