--- a/tests/cold_ramp.py
+++ b/tests/cold_ramp.py
@@ -89,6 +89,7 @@
 
     def __init__(self, ramp, number, seed):
         self.ramp, self.number, self.front = ramp, number, front_of(ramp, seed)
+        self.front.door.mean = ramp.mean  # learnt before the member starts
         self.ids, self.sent = 0, []
 
     def told(self, now, started):
