A system that does not tell a connection's state counts its client as present

Need: the state is asked before each attempt; a refused question (another system, a filter on system calls) would end the attempt with a fault. Change: only the states that follow a client's end count, a refusal counts as present.

--- a/limepath/front/departures.py
+++ b/limepath/front/departures.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 
-TCP_ESTABLISHED = 1  # of tcp_states.h: any other state of an accepted connection is an end of the client's
+ENDED_BY_CLIENT = frozenset((6, 7, 8, 9, 11))  # tcp_states.h: TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 LAST_PACKET_AT = 56  # byte at which struct tcp_info of linux/tcp.h keeps tcpi_last_ack_recv, milliseconds
 RESOLUTION = 10_000  # microseconds by which the system's own times are coarse (its tick, rounded up)
 BREAK = 100_000  # microseconds after which an attempt for a client that has gone is one too many
@@ -15,12 +15,23 @@
 
 def has_ended(connected):
     """Whether the other side of this socket has closed, half closed or reset the connection."""
-    return connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED
+    try:
+        state = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:  # the system does not tell: the end shows when it is read
+        return False
+    return bool(state) and state[0] in ENDED_BY_CLIENT
 
 
 def since_last_packet(connected):
-    """Microseconds since the system took the last packet there; with an end unread, that was the end."""
-    told = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_PACKET_AT + 4)
+    """Microseconds since the system took the last packet there, 0 where it does not tell. With an end
+    unread, that was the end.
+    """
+    try:
+        told = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_PACKET_AT + 4)
+    except OSError:
+        return 0
+    if len(told) < LAST_PACKET_AT + 4:
+        return 0
     return struct.unpack_from("I", told, LAST_PACKET_AT)[0] * 1000
 
 
