One carrier for a logic beside a front: LogicHost gathers, executes, times

The duties and the list behave as before. Request counts were handled one event at a time inside whatever called them; they now wait for the end of the pass like the others, an exception of their logic is logged (event=fault where=tallies) instead of reaching the caller, and their timer ends with the cooperation (at_stop) instead of at the next event.

--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -9,6 +9,7 @@
 from limepath.duties.instance import Instance
 from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
 from limepath.duties.interface import Keep, Serve, Served, Shared, Targets
+from limepath.logic_host import LogicHost
 from limepath.peers import control
 from limepath.peers.host import Line, Unopened
 from limepath.peers.identity import identity_of, kept_ceiling
@@ -56,8 +57,9 @@
         self.instance = Instance(
             me, told.seeds, told.spans, told.plans, told.leasing, front.seed, identity.ceiling, identity.sure
         )
+        self.logic_host = LogicHost(reactor, clock, self.instance, self.execute, self.failed)
         self.kinds = self.kinds_of(front)
-        self.members, self.notes, self.called, self.timer, self.over = {}, [], False, None, False
+        self.members, self.over = {}, False
         self.serving, self.asked, self.control, self.looked, self.said = {}, set(), None, clock(), clock()
         self.plain_probe = turn.carriers[c.Probe]
         self.guests, self.views = (
@@ -65,6 +67,7 @@
             {"peers": self.shown},
         )  # who hears other messages; what the control socket tells
         self.hearers = []  # who hears what the module is told
+        self.at_stop = []  # called once nothing is shared any more
         self.counts = {"probes_asked": 0, "probes_shared": 0, "probes_sent": 0, "rounds": 0, "too_late": 0}
         turn.listener = self.overheard
         turn.carriers[c.Probe] = self.probe
@@ -101,60 +104,44 @@
             token=f"{self.identity.token:016x}",
             duties=len(self.told.plans),
         )
-        self.carry(self.instance.start(clock()))
+        self.logic_host.carry_out(self.instance.start(clock()))
         self.gather(*self.all_targets())
 
     def gather(self, *notes):
         """Keep notes until all that this pass of the reactor has ready is read."""
-        self.notes += notes
-        if not self.called and not self.over:
-            self.called = True
-            self.reactor.callLater(0, self.run)
+        self.logic_host.submit(*notes)
 
-    def run(self):
-        if self.over:
-            return
-        notes, self.notes, self.called = self.notes, [], False
-        try:
-            self.carry(self.instance.handle(clock(), notes))
-        except Exception as flaw:  # GETs go on whatever happens here
-            self.log.fault("sharing", flaw)
-            self.stop()
+    def failed(self, error):
+        """GETs go on whatever happens here."""
+        self.log.fault("sharing", error)
+        self.stop()
 
-    def carry(self, orders):
+    def execute(self, order):
         me = self.instance.members.me
-        for order in orders:
-            if isinstance(order, Send):
-                self.line.send(me, order)
-            elif isinstance(order, Serve):
-                self.serve(order)
-            elif isinstance(order, Shared):
-                self.learnt(order.result)
-            elif isinstance(order, Keep):
-                self.store.put(kept_ceiling(order.ceiling))
-            elif isinstance(order, Say):
-                self.log.say(order.event, **order.fields)
-            elif isinstance(order, Passed):
-                for guest in self.guests:
-                    guest.heard(order.sender, order.message)
-            elif isinstance(order, GiveWay):
-                self.log.say(
-                    "gives-way",
-                    order.why + "; this front shares nothing any more",
-                    name=order.other.name,
-                    other=f"{order.other.host}:{order.other.port}",
-                    life=order.other.life,
-                )
-                return self.stop()
-            elif isinstance(order, Departed):
-                return self.stop()
-        self.arm()
-
-    def arm(self):
-        due = self.instance.next()
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        self.timer = due is not None and self.reactor.callLater(max(0, due - clock()) / 1e6, self.gather)
+        if isinstance(order, Send):
+            self.line.send(me, order)
+        elif isinstance(order, Serve):
+            self.serve(order)
+        elif isinstance(order, Shared):
+            self.learnt(order.result)
+        elif isinstance(order, Keep):
+            self.store.put(kept_ceiling(order.ceiling))
+        elif isinstance(order, Say):
+            self.log.say(order.event, **order.fields)
+        elif isinstance(order, Passed):
+            for guest in self.guests:
+                guest.heard(order.sender, order.message)
+        elif isinstance(order, GiveWay):
+            self.log.say(
+                "gives-way",
+                order.why + "; this front shares nothing any more",
+                name=order.other.name,
+                other=f"{order.other.host}:{order.other.port}",
+                life=order.other.life,
+            )
+            self.stop()
+        elif isinstance(order, Departed):
+            self.stop()
 
     def reach(self, token, message):
         """Send a message of another logic to one that lives."""
@@ -261,8 +248,9 @@
         self.turn.listener, self.turn.carriers[c.Probe] = None, self.plain_probe
         self.line.close()
         self.line.report()
-        if self.timer and self.timer.active():
-            self.timer.cancel()
+        self.logic_host.close()
+        for stopped in self.at_stop:
+            stopped()
         if self.control:
             self.control.stopListening()
         self.store.close()
--- a/limepath/listing/host.py
+++ b/limepath/listing/host.py
@@ -27,6 +27,7 @@
     Take,
 )
 from limepath.listing.relay import Listing
+from limepath.logic_host import LogicHost
 from limepath.tallies.host import Tallies
 
 ROW = "list"  # of the store
@@ -56,7 +57,7 @@
         self.logic = Listing(
             members.me.token, terms, seed, lambda: members.ring, cooperation.store.all().get(ROW)
         )
-        self.notes, self.timer, self.due, self.called = [], None, None, False
+        self.logic_host = LogicHost(reactor, clock, self.logic, self.execute, self.failed)
         self.serial, self.oldest = 0, -1
         self.confirmed = None  # called once the front's list is the service's and its turn has come
         self.paced = None
@@ -70,64 +71,45 @@
         if moved:
             self.gather(Moved())
         else:
-            self.carry(self.logic.start(clock()))
+            self.logic_host.carry_out(self.logic.start(clock()))
             self.tallies.start()
 
     def gather(self, *notes):
-        self.notes += notes
-        if not self.called:
-            self.called = True
-            self.reactor.callLater(0, self.run)
-
-    def run(self):
-        notes, self.notes, self.called = self.notes, [], False
-        self.due = None
-        try:
-            self.carry(self.logic.handle(clock(), notes))
-        except Exception as flaw:  # GETs go on with the list as it is; the next beat tries again
-            self.log.fault("listing", flaw)
-            self.arm()
+        self.logic_host.submit(*notes)
+
+    def failed(self, error):
+        """GETs go on with the list as it is; the next beat tries again."""
+        self.log.fault("listing", error)
 
     def heard(self, sender, message):
         """A message of another instance that is not of the duties."""
         if isinstance(message, MESSAGES):
             self.gather(FromPeer(sender.token, message))
 
-    def carry(self, orders):
-        for order in orders:
-            if isinstance(order, Reach):
-                self.cooperation.reach(order.token, order.message)
-            elif isinstance(order, Take):
-                self.give(order)
-            elif isinstance(order, Call):
-                self.call_after(order.after)
-            elif isinstance(order, HangUp):
-                self.hang_up()
-            elif isinstance(order, Save):
-                if not self.cooperation.over:
-                    self.cooperation.store.put({ROW: order.data})
-            elif isinstance(order, Confirmed):
-                self.log.say(
-                    "list-confirmed",
-                    number=order.place.number,
-                    generation=order.place.generation,
-                    age_ms=order.age // 1000,
-                )
-            elif isinstance(order, Ready):
-                if self.confirmed:
-                    self.confirmed()
-            elif isinstance(order, Say):
-                self.log.say(order.event, **order.fields)
-        self.arm()
-
-    def arm(self):
-        due = self.logic.next()
-        if due is None or due == self.due and self.timer and self.timer.active():
-            return
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        self.due = due
-        self.timer = self.reactor.callLater(max(0, due - clock()) / 1e6, self.gather)
+    def execute(self, order):
+        if isinstance(order, Reach):
+            self.cooperation.reach(order.token, order.message)
+        elif isinstance(order, Take):
+            self.give(order)
+        elif isinstance(order, Call):
+            self.call_after(order.after)
+        elif isinstance(order, HangUp):
+            self.hang_up()
+        elif isinstance(order, Save):
+            if not self.cooperation.over:
+                self.cooperation.store.put({ROW: order.data})
+        elif isinstance(order, Confirmed):
+            self.log.say(
+                "list-confirmed",
+                number=order.place.number,
+                generation=order.place.generation,
+                age_ms=order.age // 1000,
+            )
+        elif isinstance(order, Ready):
+            if self.confirmed:
+                self.confirmed()
+        elif isinstance(order, Say):
+            self.log.say(order.event, **order.fields)
 
     def give(self, order):
         self.oldest = order.oldest
--- a/limepath/tallies/host.py
+++ b/limepath/tallies/host.py
@@ -2,45 +2,48 @@
 
 from limepath import contract as c
 from limepath.duties.host import clock
+from limepath.logic_host import LogicHost
 from limepath.tallies.interface import MESSAGES, Ask, Counted, FromPeer, Learn, Reach
 from limepath.tallies.newcomer import Newcomer
 
 
 class Tallies:
     def __init__(self, reactor, turn, cooperation, seed):
-        self.reactor, self.turn, self.cooperation, self.timer = reactor, turn, cooperation, None
+        self.turn, self.cooperation = turn, cooperation
         members = cooperation.instance.members
         self.logic = Newcomer(seed, lambda: members.ring)
-        turn.carriers[c.Counts] = lambda order: self.run(Counted(order.cookie, order.counts))
+        self.logic_host = LogicHost(reactor, clock, self.logic, self.execute, self.failed)
+        turn.carriers[c.Counts] = self.counted
         cooperation.guests.append(self)
+        cooperation.at_stop.append(self.logic_host.close)
         cooperation.views["tallies"] = lambda: dict(self.logic.counts)
 
     def start(self):
         self.logic.start(clock())
-        self.run()
+        self.logic_host.submit()
 
     def heard(self, sender, message):
+        """A message of another instance that is not of the duties."""
         if isinstance(message, MESSAGES):
-            self.run(FromPeer(sender.token, message))
+            self.logic_host.submit(FromPeer(sender.token, message))
+
+    def counted(self, order):
+        """The module answers an AskCounts."""
+        self.logic_host.submit(Counted(order.cookie, order.counts))
 
     def saw(self, notes):
         """What the module is told: that GETs come."""
         if any(isinstance(note, c.Get) for note in notes):
             self.logic.saw_get(clock())
 
-    def run(self, *notes):
-        for order in self.logic.handle(clock(), notes):
-            if isinstance(order, Reach):
-                self.cooperation.reach(order.token, order.message)
-            elif isinstance(order, Ask):
-                self.turn.gather(c.AskCounts(order.most, order.token))
-            elif isinstance(order, Learn):
-                self.turn.gather(c.Learnt(order.counts))
-        if self.timer and self.timer.active():
-            self.timer.cancel()
-        due = self.logic.next()
-        self.timer = (
-            due is not None
-            and not self.cooperation.over
-            and self.reactor.callLater(max(0, due - clock()) / 1e6, self.run)
-        )
+    def execute(self, order):
+        if isinstance(order, Reach):
+            self.cooperation.reach(order.token, order.message)
+        elif isinstance(order, Ask):
+            self.turn.gather(c.AskCounts(order.most, order.token))
+        elif isinstance(order, Learn):
+            self.turn.gather(c.Learnt(order.counts))
+
+    def failed(self, error):
+        """The front goes on without what others counted."""
+        self.cooperation.log.fault("tallies", error)
