--- /dev/null
+++ b/limepath/peers/anti_entropy.py
@@ -0,0 +1,75 @@
+"""Anti-entropy: views whose digests go on differing are made equal, a page of what differs at a time.
+
+A view is told by its digest on each check; one that differs for longer than news needs pulls pages of the
+ranges of tokens that differ (see `digests`). A new instance pulls all that way.
+"""
+
+from bisect import bisect_left, insort
+
+from limepath.peers.digests import BUCKETS, bucket_of
+from limepath.peers.interface import Page, Pull
+
+PAGE, PAGES = 12, 8  # news on a page; pages in a row that bring no member
+DIFFERING = 1  # looks at another digest in a row before a page is pulled
+FROM_THE_START, NEVER = -1, -1
+
+
+class AntiEntropy:
+    """`joining` until a whole view has been pulled; `cursor` is the last token of the last page."""
+
+    def __init__(self, members):
+        self.members, self.view = members, members.view
+        self.cursor, self.pulled_in, self.joining, self.differing, self.pages = (
+            FROM_THE_START,
+            NEVER,
+            True,
+            0,
+            0,
+        )
+
+    def compare(self, sender, digest):
+        """Pull a page from whose view goes on differing, once a period at most; and while this view is
+        new.
+        """
+        differs = digest and digest != self.view.digests.whole
+        self.differing = self.differing + 1 if differs else 0
+        if (self.joining or self.differing > DIFFERING) and self.pulled_in != self.members.periods:
+            self.pulled_in, self.pages = self.members.periods, 0
+            self.pull(sender)
+
+    def pull(self, sender):
+        """Ask for the page behind the cursor."""
+        self.members.send(sender, Pull(self.cursor, tuple(self.view.digests.buckets)))
+
+    def pulled_from(self, sender, message):
+        """A page of what lies in the buckets that differ; of all, to one that tells no buckets."""
+        me, table = self.view.me, self.view.table
+        whole = self.view.ring.copy()
+        insort(whole, me.token)
+        if len(message.buckets) == BUCKETS:
+            pairs = zip(self.view.digests.buckets, message.buckets, strict=True)
+            differs = [one != other for one, other in pairs]
+            whole = [token for token in whole if differs[bucket_of(token)]]
+        at = bisect_left(whole, message.after + 1)
+        page = tuple(me if token == me.token else table[token] for token in whole[at : at + PAGE])
+        self.members.send(sender, Page(page, at + PAGE >= len(whole)))
+
+    def paged(self, sender, message):
+        """Go on to the next page while pages bring news. What they bring is not passed on: others pull it
+        too.
+        """
+        gossip, digests, ring = self.members.gossip, self.view.digests, self.view.ring
+        before, known, count = digests.whole, set(gossip.left), len(ring)
+        self.members.take(message.news)
+        for one in message.news:
+            if one.token not in known:
+                gossip.drop(one.token)
+        self.cursor = FROM_THE_START if message.last or not message.news else message.news[-1].token
+        grew = len(ring) > count
+        self.pages += not grew
+        if message.last:
+            self.joining = False
+            if grew:  # a view that grows is compared again before the period is over
+                self.pulled_in = NEVER
+        elif self.joining or grew or digests.whole != before and self.pages < PAGES:
+            self.pull(sender)
--- /dev/null
+++ b/limepath/peers/checks.py
@@ -0,0 +1,117 @@
+"""Failure detection by rounds of checks, direct and through others (SWIM, sections 3 and 4.3).
+
+Each period an instance checks its ring successor and one more, alternately the successor's successor and one
+in a shuffled round. No answer within `direct`: others are asked to check. None by the end of the period: it
+is suspected. Own missed answers stretch own time limits (Lifeguard's local health: Dadgar, Phillips, Currey
+2018).
+"""
+
+from bisect import bisect_left
+
+from limepath.peers.bounds import MOST_MISSED
+from limepath.peers.interface import Ack, PingFor, State
+
+
+class Checks:
+    """`members` sends and knows the view; `suspect(news, by)` is told of one that missed its check."""
+
+    def __init__(self, members, suspect):
+        self.members, self.view, self.agenda = members, members.view, members.agenda
+        self.spans, self.suspect = members.spans, suspect
+        self.pending, self.relayed = {}, {}
+        self.round, self.sequence, self.missed = [], 0, 0
+
+    def run(self, periods):
+        """The checks of one period; `periods` is its number."""
+        for token in self.due(periods):
+            self.check(self.view.table[token])
+
+    def due(self, periods):
+        """The ring successor, and in turn the one after it or the next of a shuffled round."""
+        ring = self.view.ring
+        if not ring:
+            return ()
+        at = bisect_left(ring, self.view.me.token)
+        first = ring[at % len(ring)]
+        second = ring[(at + 1) % len(ring)]
+        if periods % 2:
+            while self.round and not self.view.is_live(self.round[-1]):
+                self.round.pop()
+            if not self.round:
+                self.round = self.agenda.some(ring, len(ring))
+            second = self.round.pop()
+        return dict.fromkeys((first, second))
+
+    def check(self, news):
+        """Ping one; ask others, then suspect it, as its answer stays out."""
+        stretch = 1 + self.missed
+        sequence = self.ping(news)
+        self.agenda.at(self.agenda.now + self.spans.direct * stretch, self.unanswered, sequence)
+        self.agenda.at(self.agenda.now + self.spans.period * stretch, self.failed, sequence)
+
+    def check_last(self, news, over, *said):
+        """Ping a suspect that is about to be declared dead; `over(*said)` is called a period later."""
+        sequence = self.ping(news)  # the news on it bears the suspicion: it can refute
+        self.agenda.at(self.agenda.now + self.spans.direct, self.unanswered, sequence)
+        self.agenda.at(self.agenda.now + self.spans.period, self.checked_last, sequence, over, said)
+
+    def checked_last(self, sequence, over, said):
+        self.pending.pop(sequence, None)
+        over(*said)
+
+    def ping(self, news):
+        self.sequence += 1
+        self.pending[self.sequence] = news
+        self.members.ping(news, self.sequence)
+        return self.sequence
+
+    def unanswered(self, sequence):
+        """No answer yet: ask others to check, for the way between us may be all that is broken."""
+        if (news := self.pending.get(sequence)) is None or not self.view.is_live(news.token):
+            return
+        others = [token for token in self.view.ring if token != news.token]
+        for token in self.agenda.some(others, min(self.spans.indirect, len(others))):
+            self.members.send(self.view.table[token], PingFor(sequence, news, self.members.told(token)))
+
+    def failed(self, sequence):
+        if (news := self.pending.pop(sequence, None)) is None:
+            return
+        known = self.view.table.get(news.token)
+        if known is not None and known.state == State.ALIVE:
+            self.miss()
+        if known and known.state <= State.SUSPECT and known.incarnation == news.incarnation:
+            self.suspect(known, self.view.me.token)
+
+    def miss(self):
+        """One more sign that it is this instance that is slow."""
+        self.missed = min(MOST_MISSED, self.missed + 1)
+
+    def pinged(self, sender, message):
+        """Answer a check."""
+        members = self.members
+        members.take(message.news)
+        members.send(sender, Ack(message.seq, members.told(sender.token), members.shown()))
+        members.compare(sender, message.digest)
+
+    def acked(self, sender, message):
+        """An answer to a check of this instance, or to one made for another, which is told."""
+        members, table = self.members, self.view.table
+        members.take(message.news)
+        if news := self.pending.pop(message.seq, None):
+            self.missed = max(0, self.missed - (news.token == sender.token))
+        elif relayed := self.relayed.pop(message.seq, None):
+            asker, sequence = relayed
+            members.send(asker, Ack(sequence, (table[sender.token],) if sender.token in table else ()))
+        members.compare(sender, message.digest)
+
+    def asked_to_check(self, sender, message):
+        """Ping in another's stead, and answer it if the answer comes."""
+        self.members.take(message.news)
+        about = self.view.table.get(message.about.token, message.about)
+        if about.token == self.view.me.token:
+            return
+        self.sequence += 1
+        self.relayed[self.sequence] = sender, message.seq
+        until = self.agenda.now + self.spans.period * (1 + MOST_MISSED)
+        self.agenda.at(until, self.relayed.pop, self.sequence, None)
+        self.members.ping(about, self.sequence)
--- /dev/null
+++ b/limepath/peers/leaving.py
@@ -0,0 +1,45 @@
+"""Leaving: an instance that stops, or gives way to another, tells some so that nobody has to suspect it."""
+
+from math import ceil, log2
+
+from limepath.peers.interface import Departed, GiveWay, Ping, State
+
+FAREWELLS, FAREWELL_ROUNDS = 4, 3  # told at least in one round; rounds, a `direct` span apart
+
+
+class Leaving:
+    """Of one instance; `begun` once it departs."""
+
+    def __init__(self, members):
+        self.members, self.view, self.agenda = members, members.view, members.agenda
+        self.begun = False
+
+    def depart(self):
+        """Tell in rounds that this instance has left, then Departed."""
+        self.begun = True
+        self.view.me = self.view.me._replace(state=State.LEFT)
+        self.farewell(FAREWELL_ROUNDS)
+
+    def farewell(self, rounds):
+        if self.members.over:
+            return
+        others = len(self.view.ring)
+        if not rounds or not others:
+            self.members.over = True
+            return self.agenda.order(Departed())
+        self.tell(self.view.me, FAREWELLS + ceil(log2(others + 1)))
+        self.agenda.at(self.agenda.now + self.members.spans.direct, self.farewell, rounds - 1)
+
+    def give_way(self, other, why):
+        """Another goes on in this one's stead; a token of its own is not needed any more."""
+        if self.members.over:
+            return
+        self.members.over = True
+        if other.token != self.view.me.token:
+            self.tell(self.view.me._replace(state=State.LEFT), FAREWELLS)
+        self.agenda.order(GiveWay(other, why))
+
+    def tell(self, gone, most):
+        ring = self.view.ring
+        for token in self.agenda.some(ring, min(len(ring), most)):
+            self.members.send(self.view.table[token], Ping(0, (gone,), 0))
--- /dev/null
+++ b/limepath/peers/suspicion.py
@@ -0,0 +1,90 @@
+"""Suspicion before a death is declared (SWIM, section 4.2), shorter the more confirm it (Lifeguard).
+
+When the suspicion's time is over and nobody has heard the suspect refute, it is checked once more, with the
+suspicion told to it, and then declared dead: by those that missed its answers themselves; all others leave
+them the time for that. So many that were parted and refute at once need not outrun old suspicions as news.
+"""
+
+from math import log
+
+from limepath.peers.bounds import LONGEST_SUSPICION, shortest, spread
+from limepath.peers.interface import Say, State
+
+CONFIRMED = 3  # others that suspect the same, at which the shortest suspicion holds
+
+
+class Suspicion:
+    """Who suspects one at one incarnation, and since when we do; whether its last check is under way."""
+
+    __slots__ = ("incarnation", "since", "by", "last")
+
+    def __init__(self, incarnation, since, by):
+        self.incarnation, self.since, self.by, self.last = incarnation, since, {by}, False
+
+
+class Suspicions:
+    """Of one instance. `members` writes news; `check_last(news, over, *said)` makes the last check."""
+
+    def __init__(self, members):
+        self.members, self.view, self.agenda = members, members.view, members.agenda
+        self.spans, self.open, self.check_last = members.spans, {}, None
+
+    def suspect(self, news, by):
+        """One more that suspects it; the more do, the shorter is its time to refute."""
+        mine = self.view.me.token
+        doubt = self.open.get(news.token)
+        if doubt is None or doubt.incarnation < news.incarnation:
+            doubt = self.open[news.token] = Suspicion(news.incarnation, self.agenda.now, by)
+            self.members.counts["suspected"] += by == mine
+            self.members.put(news._replace(state=State.SUSPECT, by=by))
+        elif by not in doubt.by and (len(doubt.by) <= CONFIRMED or by == mine):
+            doubt.by.add(by)
+            self.members.pass_on(news._replace(state=State.SUSPECT, by=by))
+        else:
+            return
+        at = max(self.agenda.now, self.deadline(doubt))
+        self.agenda.at(at, self.expired, news.token, news.incarnation, len(doubt.by))
+
+    def deadline(self, doubt):
+        """When it may be declared dead, unless it refutes or more confirm."""
+        others = len(self.view.ring)
+        least = shortest(self.spans, others + 1)
+        able = min(CONFIRMED, max(0, others - 1))
+        part = log(len(doubt.by)) / log(able + 1) if able else 1.0
+        longest = LONGEST_SUSPICION * least
+        until = doubt.since + int(max(least, longest - (LONGEST_SUSPICION - 1) * least * part))
+        if self.view.me.token not in doubt.by:
+            # who missed its answers looks once more and tells; time for that and the news
+            until += 2 * self.spans.period + spread(self.spans, others + 1)
+        return until
+
+    def expired(self, token, incarnation, confirmed):
+        """The time that held when so many had confirmed is over."""
+        doubt = self.current(token, incarnation)
+        if doubt is None or len(doubt.by) != confirmed or doubt.last:
+            return
+        doubt.last = True
+        self.check_last(self.view.table[token], self.declare, token, incarnation)
+
+    def declare(self, token, incarnation):
+        """Not even the last check was answered."""
+        doubt = self.current(token, incarnation)
+        if doubt is None:
+            return
+        news = self.view.table[token]
+        self.members.counts["declared"] += 1
+        self.agenda.order(
+            Say("peer-dead", {"peer": news.name, "incarnation": incarnation, "suspected_by": len(doubt.by)})
+        )
+        self.members.put(news._replace(state=State.DEAD, by=self.view.me.token))
+
+    def current(self, token, incarnation):
+        """The suspicion that is still open of it at that incarnation, or None."""
+        doubt = self.open.get(token)
+        if doubt is None or doubt.incarnation != incarnation or self.members.over:
+            return None
+        return doubt
+
+    def clear(self, token):
+        """It is known to be alive, dead or gone."""
+        self.open.pop(token, None)
--- /dev/null
+++ b/limepath/peers/view.py
@@ -0,0 +1,77 @@
+"""Whom one instance knows: a table of all, the ring of the living, and the dead until they are forgotten."""
+
+from bisect import bisect_left, insort
+
+from limepath.peers.digests import Digests
+from limepath.peers.interface import Joined, Parted, State
+
+MOST_BURIED = 4096  # dead and left that are remembered at most
+
+
+class View:
+    """`me` is the instance's own News, not in `table`. `ring` has the tokens of the other living, sorted.
+
+    `names` has the token that last spoke under a name; `buried` the dead and those that left, the longest
+    buried first, and `buried_since` the times. Changes of the living go out as Joined and Parted.
+    """
+
+    def __init__(self, me, agenda):
+        self.me, self.agenda = me, agenda
+        self.table, self.ring, self.names = {}, [], {}
+        self.buried, self.buried_since = {}, {}
+        self.digests = Digests()
+        self.digests.toggle(me)
+
+    def is_live(self, token):
+        """Whether it counts as alive, suspected or not; this instance does."""
+        return token == self.me.token or token in self.table and self.table[token].state <= State.SUSPECT
+
+    def addresses(self):
+        """(host, port) of all others that live."""
+        return {(self.table[token].host, self.table[token].port) for token in self.ring}
+
+    def put(self, news):
+        """Write news of another into the table and tell how the living changed by it."""
+        token, old = news.token, self.table.get(news.token)
+        was, now_live = old is not None and old.state <= State.SUSPECT, news.state <= State.SUSPECT
+        self.table[token] = news
+        if was:
+            self.digests.toggle(old)
+        if now_live:
+            self.digests.toggle(news)
+        if now_live and not was:
+            self.joined(news)
+        elif was and not now_live:
+            del self.ring[bisect_left(self.ring, token)]
+            self.agenda.order(Parted(news))
+        elif was and old.life != news.life:  # it started anew before we missed it
+            self.agenda.order(Parted(old))
+            self.agenda.order(Joined(news))
+        if not now_live:
+            self.buried[token] = news
+            self.buried_since.setdefault(token, self.agenda.now)
+
+    def joined(self, news):
+        insort(self.ring, news.token)
+        self.buried.pop(news.token, None)
+        self.buried_since.pop(news.token, None)
+        self.agenda.order(Joined(news))
+
+    def renew(self, incarnation):
+        """This instance goes on at a newer incarnation."""
+        self.digests.toggle(self.me)
+        self.me = self.me._replace(incarnation=incarnation)
+        self.digests.toggle(self.me)
+
+    def forget(self, after):
+        """Drop those buried for longer than `after` microseconds, and the oldest beyond MOST_BURIED."""
+        if not self.buried:
+            return
+        now = self.agenda.now
+        over = [token for token in self.buried if now - self.buried_since[token] > after]
+        over += list(self.buried)[: max(0, len(self.buried) - MOST_BURIED)]
+        for token in over:
+            self.buried.pop(token, None)
+            if (news := self.table.pop(token, None)) and self.names.get(news.name) == token:
+                del self.names[news.name]
+            self.buried_since.pop(token, None)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
 from limepath.duties.interface import Leasing, Mode, Plan
 from limepath.duties.world import World
 from limepath.log import Log
+from limepath.peers.digests import BUCKETS, bucket_of
 from limepath.peers.guard import LARGEST, Dropped, Guard, keys_of
 from limepath.peers.host import SLICE, TAKEN, Line
 from limepath.peers.interface import (
@@ -31,7 +32,7 @@
     State,
     Welcome,
 )
-from limepath.peers.members import DOUBLED, REPLACED, Members, detection, spread
+from limepath.peers.members import DOUBLED, REPLACED, Members, detection, shortest, spread
 
 SECOND = 1_000_000
 OLD, NEW = "ab" * 32, "cd" * 32
@@ -375,3 +376,11 @@
         os.utime(path, ns=(len(text) + mode,) * 2)
         line.reread()
         assert line.guard.keys == keys_of(keys)
+
+
+def test_the_shortest_suspicion_grows_with_the_digits_of_the_fleet():
+    assert (shortest(Spans(), 5), shortest(Spans(), 1000)) == (4_000_000, 12_000_000)
+
+
+def test_the_buckets_of_tokens_go_from_the_first_to_the_last():
+    assert (bucket_of(0), bucket_of((1 << 63) - 1)) == (0, BUCKETS - 1) == (0, 31)
