Membership: no loop over the whole fleet per period, pull or missed answer

The view now counts the living at the seeds' addresses as they change. Also: a page for a pull is found in the ring by bisection instead of by copying and filtering it; those asked to check are drawn without a copy of the ring; the dead are forgotten from the oldest on; a page looks up its own news in the gossip instead of copying all of it.

Four new tests, each seen to fail with its part broken on purpose.

--- a/limepath/peers/anti_entropy.py
+++ b/limepath/peers/anti_entropy.py
@@ -4,9 +4,9 @@
 ranges of tokens that differ (see `digests`). A new instance pulls all that way.
 """
 
-from bisect import bisect_left, insort
+from bisect import bisect_left
 
-from limepath.peers.digests import BUCKETS, bucket_of
+from limepath.peers.digests import BUCKETS, bucket_of, first_of
 from limepath.peers.interface import Page, Pull
 
 PAGE, PAGES = 12, 8  # news on a page; pages in a row that bring no member
@@ -44,26 +44,43 @@
     def pulled_from(self, sender, message):
         """A page of what lies in the buckets that differ; of all, to one that tells no buckets."""
         me, table = self.view.me, self.view.table
-        whole = self.view.ring.copy()
-        insort(whole, me.token)
-        if len(message.buckets) == BUCKETS:
-            pairs = zip(self.view.digests.buckets, message.buckets, strict=True)
-            differs = [one != other for one, other in pairs]
-            whole = [token for token in whole if differs[bucket_of(token)]]
-        at = bisect_left(whole, message.after + 1)
-        page = tuple(me if token == me.token else table[token] for token in whole[at : at + PAGE])
-        self.members.send(sender, Page(page, at + PAGE >= len(whole)))
+        tokens = self.tokens_of_page(message.after + 1, message.buckets)
+        page = tuple(me if token == me.token else table[token] for token in tokens[:PAGE])
+        self.members.send(sender, Page(page, len(tokens) <= PAGE))
+
+    def tokens_of_page(self, first, buckets):
+        """The tokens from `first` on that lie in buckets that differ: a page of them, one more if there
+        is.
+        """
+        own, found = self.view.digests.buckets, []
+        for bucket in range(max(0, bucket_of(first)), BUCKETS):
+            if len(buckets) == BUCKETS and buckets[bucket] == own[bucket]:
+                continue
+            low = max(first, first_of(bucket))
+            found += self.tokens_between(low, first_of(bucket + 1), PAGE + 1 - len(found))
+            if len(found) > PAGE:
+                break
+        return found
+
+    def tokens_between(self, low, end, most):
+        """So many at most of the tokens from `low` to before `end`, this instance's own among them."""
+        ring, own = self.view.ring, self.view.me.token
+        at = bisect_left(ring, low)
+        tokens = ring[at : min(bisect_left(ring, end), at + most)]
+        if low <= own < end:
+            tokens.insert(bisect_left(tokens, own), own)
+        return tokens[:most]
 
     def paged(self, sender, message):
         """Go on to the next page while pages bring news. What they bring is not passed on: others pull it
         too.
         """
         gossip, digests, ring = self.members.gossip, self.view.digests, self.view.ring
-        before, known, count = digests.whole, set(gossip.left), len(ring)
+        before, count = digests.whole, len(ring)
+        fresh = [one.token for one in message.news if one.token not in gossip]
         self.members.take(message.news)
-        for one in message.news:
-            if one.token not in known:
-                gossip.drop(one.token)
+        for token in fresh:
+            gossip.drop(token)
         self.cursor = FROM_THE_START if message.last or not message.news else message.news[-1].token
         grew = len(ring) > count
         self.pages += not grew
--- a/limepath/peers/checks.py
+++ b/limepath/peers/checks.py
@@ -7,11 +7,27 @@
 """
 
 from bisect import bisect_left
+from collections.abc import Sequence
 
 from limepath.peers.bounds import MOST_MISSED
 from limepath.peers.interface import Ack, PingFor, State
 
 
+class Without(Sequence):
+    """A list without one item, given by its place; nothing is copied."""
+
+    def __init__(self, items, place):
+        self.items, self.place = items, place
+
+    def __len__(self):
+        return len(self.items) - 1
+
+    def __getitem__(self, index):
+        if index >= len(self):
+            raise IndexError(index)
+        return self.items[index + (index >= self.place)]
+
+
 class Checks:
     """`members` sends and knows the view; `suspect(news, by)` is told of one that missed its check."""
 
@@ -69,7 +85,7 @@
         """No answer yet: ask others to check, for the way between us may be all that is broken."""
         if (news := self.pending.get(sequence)) is None or not self.view.is_live(news.token):
             return
-        others = [token for token in self.view.ring if token != news.token]
+        others = Without(self.view.ring, bisect_left(self.view.ring, news.token))
         for token in self.agenda.some(others, min(self.spans.indirect, len(others))):
             self.members.send(self.view.table[token], PingFor(sequence, news, self.members.told(token)))
 
--- a/limepath/peers/digests.py
+++ b/limepath/peers/digests.py
@@ -17,6 +17,11 @@
     return token * BUCKETS >> TOKEN_BITS
 
 
+def first_of(bucket):
+    """The least token of a bucket; of BUCKETS, what no token reaches."""
+    return (bucket << TOKEN_BITS) // BUCKETS
+
+
 class Digests:
     """Of a set of News: equal sets have equal digests, whatever the order of the changes."""
 
--- a/limepath/peers/joining.py
+++ b/limepath/peers/joining.py
@@ -45,8 +45,7 @@
     def seek(self):
         """Hello to a seed or to one declared dead: two halves that lost each other find together again."""
         lost = [(news.host, news.port) for news in self.view.buried.values() if news.state == State.DEAD]
-        here = self.view.addresses()
-        lost += [address for address in self.seeds if address not in here]
+        lost += [address for address in self.seeds if not self.view.at_seeds[address]]
         for address in self.agenda.some(lost, min(SOUGHT, len(lost))):
             self.greet(*address)
 
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -48,7 +48,7 @@
     def __init__(self, me, seeds, spans, seed, speaks=NEWEST):
         self.spans, self.speaks = spans, speaks
         self.agenda = Agenda(seed)
-        self.view, self.gossip = View(me, self.agenda), Gossip()
+        self.view, self.gossip = View(me, self.agenda, seeds), Gossip()
         self.table, self.ring = self.view.table, self.view.ring
         self.periods, self.over = 0, False
         self.counts = {"misaddressed": 0, "former": 0, "refuted": 0, "suspected": 0, "declared": 0}
--- a/limepath/peers/view.py
+++ b/limepath/peers/view.py
@@ -12,13 +12,15 @@
     """`me` is the instance's own News, not in `table`. `ring` has the tokens of the other living, sorted.
 
     `names` has the token that last spoke under a name; `buried` the dead and those that left, the longest
-    buried first, and `buried_since` the times. Changes of the living go out as Joined and Parted.
+    buried first, and `buried_since` the times in the same order. `at_seeds` has for each seed's address how
+    many living are there. Changes of the living go out as Joined and Parted.
     """
 
-    def __init__(self, me, agenda):
+    def __init__(self, me, agenda, seeds=()):
         self.me, self.agenda = me, agenda
         self.table, self.ring, self.names = {}, [], {}
         self.buried, self.buried_since = {}, {}
+        self.at_seeds = dict.fromkeys(seeds, 0)
         self.digests = Digests()
         self.digests.toggle(me)
 
@@ -26,10 +28,6 @@
         """Whether it counts as alive, suspected or not; this instance does."""
         return token == self.me.token or token in self.table and self.table[token].state <= State.SUSPECT
 
-    def addresses(self):
-        """(host, port) of all others that live."""
-        return {(self.table[token].host, self.table[token].port) for token in self.ring}
-
     def put(self, news):
         """Write news of another into the table and tell how the living changed by it."""
         token, old = news.token, self.table.get(news.token)
@@ -37,8 +35,10 @@
         self.table[token] = news
         if was:
             self.digests.toggle(old)
+            self.count_at_seed(old, -1)
         if now_live:
             self.digests.toggle(news)
+            self.count_at_seed(news, 1)
         if now_live and not was:
             self.joined(news)
         elif was and not now_live:
@@ -57,6 +57,11 @@
         self.buried_since.pop(news.token, None)
         self.agenda.order(Joined(news))
 
+    def count_at_seed(self, news, change):
+        address = news.host, news.port
+        if address in self.at_seeds:
+            self.at_seeds[address] += change
+
     def renew(self, incarnation):
         """This instance goes on at a newer incarnation."""
         self.digests.toggle(self.me)
@@ -65,13 +70,12 @@
 
     def forget(self, after):
         """Drop those buried for longer than `after` microseconds, and the oldest beyond MOST_BURIED."""
-        if not self.buried:
-            return
-        now = self.agenda.now
-        over = [token for token in self.buried if now - self.buried_since[token] > after]
-        over += list(self.buried)[: max(0, len(self.buried) - MOST_BURIED)]
+        oldest, excess, over = self.agenda.now - after, len(self.buried) - MOST_BURIED, []
+        for token, since in self.buried_since.items():
+            if since >= oldest and len(over) >= excess:
+                break
+            over.append(token)
         for token in over:
-            self.buried.pop(token, None)
+            del self.buried[token], self.buried_since[token]
             if (news := self.table.pop(token, None)) and self.names.get(news.name) == token:
                 del self.names[news.name]
-            self.buried_since.pop(token, None)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,10 +8,13 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
+from limepath.agenda import Agenda
 from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
 from limepath.duties.interface import Leasing, Mode, Plan
 from limepath.duties.world import World
 from limepath.log import Log
+from limepath.peers.anti_entropy import PAGE
+from limepath.peers.checks import Without
 from limepath.peers.digests import BUCKETS, bucket_of
 from limepath.peers.guard import LARGEST, Dropped, Guard, keys_of
 from limepath.peers.host import SLICE, TAKEN, Line
@@ -33,6 +36,7 @@
     Welcome,
 )
 from limepath.peers.members import DOUBLED, REPLACED, Members, detection, shortest, spread
+from limepath.peers.view import MOST_BURIED, View
 
 SECOND = 1_000_000
 OLD, NEW = "ab" * 32, "cd" * 32
@@ -384,3 +388,73 @@
 
 def test_the_buckets_of_tokens_go_from_the_first_to_the_last():
     assert (bucket_of(0), bucket_of((1 << 63) - 1)) == (0, BUCKETS - 1) == (0, 31)
+
+
+def pages_by_search(members, after, buckets):
+    """What a pull should bring: all tokens looked through, those of buckets that differ, behind `after`."""
+    whole = sorted([*members.ring, members.me.token])
+    if len(buckets) == BUCKETS:
+        own = members.view.digests.buckets
+        whole = [token for token in whole if own[bucket_of(token)] != buckets[bucket_of(token)]]
+    behind = [token for token in whole if token > after]
+    return behind[:PAGE], len(behind) <= PAGE
+
+
+@given(
+    st.sets(st.integers(6, 2**63 - 1), min_size=1, max_size=80),
+    st.integers(-1, 2**63),
+    st.sets(st.integers(0, BUCKETS - 1)),
+    st.booleans(),
+)
+def test_a_page_holds_the_next_of_the_buckets_that_differ(tokens, after, same, told):
+    me, *others = tokens
+    members = instance(me, others)
+    buckets = tuple(digest ^ (at not in same) for at, digest in enumerate(members.view.digests.buckets))
+    pull = Pull(after, buckets if told else ())
+    asker = news(5, name="asks")
+    (page,) = [sent.message for sent in hear(members, asker, pull) if isinstance(sent.message, Page)]
+    # who asks is a member by now
+    assert ([one.token for one in page.news], page.last) == pages_by_search(members, after, pull.buckets)
+
+
+def test_those_asked_to_check_are_all_but_the_one_that_is_checked():
+    for place in range(4):
+        others = Without([1, 2, 3, 4], place)
+        assert list(others) == [token for token in (1, 2, 3, 4) if token != place + 1] and len(others) == 3
+
+
+def test_the_dead_are_forgotten_after_their_time_and_the_oldest_beyond_a_number():
+    view = View(news(1), Agenda(1))
+    for token in (2, 3, 4):
+        view.put(news(token))
+    for now, token in enumerate((3, 2)):
+        view.agenda.now = now
+        view.put(news(token, state=State.DEAD))
+    view.agenda.now = 10
+    view.forget(10)
+    assert list(view.buried) == [3, 2]
+    view.forget(9)
+    assert list(view.buried) == list(view.buried_since) == [2] and set(view.table) == {2, 4}
+    for token in range(10, 10 + MOST_BURIED):
+        view.put(news(token, state=State.DEAD))
+    view.forget(100)
+    assert len(view.buried) == len(view.buried_since) == MOST_BURIED and 2 not in view.table
+    assert view.ring == [4]
+
+
+def test_a_seed_is_sought_while_no_living_member_has_its_address():
+    seed, sought = ("127.0.0.1", 1002), []
+    members = Members(news(1), [seed], SPANS, 1)
+    members.joins.greet = lambda *address: sought.append(address)
+    members.joins.seek()
+    assert sought == [seed]
+    members.apply(news(2))
+    members.apply(news(2, life=2, port=1009))
+    members.joins.seek()
+    assert sought == [seed] * 2  # it has moved
+    members.apply(news(2, life=3))
+    members.joins.seek()
+    assert sought == [seed] * 2
+    members.apply(news(2, life=3, state=State.LEFT))
+    members.joins.seek()
+    assert sought == [seed] * 3
