Rings of former views are kept by their places in all, not by a bare count

limepath/duties/ring.py kept 64 rings whatever their size. At 5,200 members a ring has 166,400 places: after 100 changes of the view 202 MB were held by tracemalloc, of 128 MB that a front may have for all control.

What is owned by whom does not change. The doctests of the module are tests in tests/test_ring.py; the two on large rings were seen to fail without the bound.

--- a/limepath/duties/ring.py
+++ b/limepath/duties/ring.py
@@ -12,10 +12,11 @@
 from limepath.agenda import MIX, mixed
 
 POINTS = 32
-KEPT = 64  # rings of other views that are kept
+KEPT, KEPT_PLACES = 64, 400_000  # rings of other views that are kept at most, and their places in all
+CACHED = 8192  # members whose places are kept: more than a fleet of 5,200, else none is found again
 
 
-@lru_cache(4096)
+@lru_cache(CACHED)
 def places(token):
     return tuple(sorted(mixed(token ^ mixed(i + 1)) for i in range(POINTS)))
 
@@ -25,16 +26,7 @@
 
 
 class Ring:
-    """
-    >>> ring = EMPTY.plus(1).plus(2).plus(3)
-    >>> ring.minus(2) is EMPTY.plus(3).plus(1)
-    True
-    >>> lost = [t for t in range(999) if ring.owner(key_of(t)) == 2]
-    >>> {ring.minus(2).owner(key_of(t)) for t in lost} == {1, 3}
-    True
-    >>> [t for t in range(999) if t not in lost and ring.owner(key_of(t)) != ring.minus(2).owner(key_of(t))]
-    []
-    """
+    """Places in their order and who owns each; rings of the same members are one object while it is kept."""
 
     kept = OrderedDict()
     __slots__ = ("places", "owners", "digest", "members")
@@ -55,24 +47,28 @@
                 owners.insert(at, token)
             else:
                 del spots[at], owners[at]
-        ring = Ring.kept[key] = Ring(spots, owners, digest & MIX, self.members + act)
-        if len(Ring.kept) > KEPT:
-            Ring.kept.popitem(last=False)
+        return Ring.keep(key, Ring(spots, owners, digest & MIX, self.members + act))
+
+    @staticmethod
+    def keep(key, ring):
+        """Keep the newest rings, as many as the bounds allow and one at least: at 5,200 members a ring has
+        166,400 places.
+        """
+        kept = Ring.kept
+        kept[key] = ring
+        places = sum(len(one.places) for one in kept.values())
+        while len(kept) > 1 and (len(kept) > KEPT or places > KEPT_PLACES):
+            _, oldest = kept.popitem(last=False)
+            places -= len(oldest.places)
         return ring
 
     @staticmethod
     def of(tokens):
-        """The ring of all these, built at once.
-
-        >>> Ring.of([3, 1]) is Ring.of([1, 3]) and Ring.of([3, 1]).owners == EMPTY.plus(1).plus(3).owners
-        True
-        """
+        """The ring of all these, built at once."""
         key = sum(map(mixed, tokens)) & MIX, len(tokens)
         if key not in Ring.kept:
             both = sorted((place, token) for token in tokens for place in places(token))
-            Ring.kept[key] = Ring([place for place, _ in both], [token for _, token in both], *key)
-            if len(Ring.kept) > KEPT:
-                Ring.kept.popitem(last=False)
+            return Ring.keep(key, Ring([place for place, _ in both], [token for _, token in both], *key))
         return Ring.kept[key]
 
     def plus(self, token):
--- /dev/null
+++ b/tests/test_ring.py
@@ -0,0 +1,51 @@
+"""The consistent hash ring of the duties."""
+
+import pytest
+
+from limepath.duties.ring import EMPTY, KEPT, KEPT_PLACES, POINTS, Ring, key_of
+
+
+@pytest.fixture(autouse=True)
+def none_kept():
+    """Each test begins without rings of another."""
+    Ring.kept.clear()
+    yield
+    Ring.kept.clear()
+
+
+def test_rings_of_the_same_members_are_one():
+    ring = EMPTY.plus(1).plus(2).plus(3)
+    assert ring.minus(2) is EMPTY.plus(3).plus(1)
+    assert Ring.of([3, 1]) is Ring.of([1, 3]) and Ring.of([3, 1]).owners == EMPTY.plus(1).plus(3).owners
+
+
+def test_only_the_targets_of_one_that_goes_change_hands():
+    ring = EMPTY.plus(1).plus(2).plus(3)
+    left = ring.minus(2)
+    lost = [target for target in range(999) if ring.owner(key_of(target)) == 2]
+    assert {left.owner(key_of(target)) for target in lost} == {1, 3}
+    stayed = [target for target in range(999) if target not in lost]
+    assert [target for target in stayed if ring.owner(key_of(target)) != left.owner(key_of(target))] == []
+
+
+def test_small_rings_are_kept_up_to_a_number():
+    for token in range(2 * KEPT):
+        Ring.of([token])
+    assert len(Ring.kept) == KEPT
+
+
+def test_large_rings_are_kept_up_to_a_number_of_places():
+    fits = 4
+    members = KEPT_PLACES // POINTS // fits
+    ring = Ring.of(range(members - fits))
+    for token in range(members, members + 2 * fits):
+        ring = ring.minus(token - members).plus(token)
+        assert sum(len(one.places) for one in Ring.kept.values()) <= KEPT_PLACES
+    assert len(Ring.kept) == fits and next(reversed(Ring.kept.values())) is ring
+
+
+def test_a_ring_beyond_all_bounds_is_kept_while_it_is_the_newest():
+    members = KEPT_PLACES // POINTS + 1
+    ring = Ring.of(range(members))
+    assert list(Ring.kept.values()) == [ring]
+    assert Ring.of([1, 2]) is Ring.of([2, 1]) and ring not in Ring.kept.values()
