--- a/limepath/agenda.py
+++ b/limepath/agenda.py
@@ -11,11 +11,7 @@
 
 
 def mixed(x):
-    """Spread 64 bits (the finaliser of MurmurHash3, public domain).
-
-    >>> mixed(1) == mixed(1) != mixed(2)
-    True
-    """
+    """Spread 64 bits (the finaliser of MurmurHash3, public domain)."""
     x = (x ^ x >> 33) * 0xFF51AFD7ED558CCD & MIX
     x = (x ^ x >> 33) * 0xC4CEB9FE1A85EC53 & MIX
     return x ^ x >> 33
--- a/limepath/limits/connections.py
+++ b/limepath/limits/connections.py
@@ -13,9 +13,6 @@
 def rush(rate, span):
     """The most that are to be expected in any so many microseconds: turns are drawn, so three deviations
     above the mean.
-
-    >>> rush(100.0, 100_000), rush(100.0, 1_000_000)
-    (20, 130)
     """
     mean = rate * span / 1e6
     return ceil(mean + 3 * sqrt(mean))
@@ -29,18 +26,7 @@
 
 
 class Connections:
-    """`rate` is new connections a second at one member, of all fronts; `sharing()` tells how many these are.
-
-    >>> pace = Connections(100.0, lambda: 200, lambda: 0.25)  # one in 2 s for each
-    >>> pace.listed(0, ["s-1"])
-    >>> pace.may("s-1", 499_999), pace.may("s-1", 500_000), pace.rooms(0), pace.next()
-    (False, True, [('s-1', False)], 500000)
-    >>> pace.rooms(500_000), pace.rooms(500_001)
-    ([('s-1', True)], [])
-    >>> pace.took("s-1", 500_000)
-    >>> pace.may("s-1", 2_499_999), pace.rooms(600_000), pace.changed("s-1", 1), pace.rooms(700_000)
-    (False, [('s-1', False)], None, [('s-1', True)])
-    """
+    """`rate` is new connections a second at one member, from all fronts; `sharing()` tells their number."""
 
     def __init__(self, rate, sharing, chance):
         self.rate, self.sharing, self.chance, self.members = rate, sharing, chance, {}
--- a/limepath/opening/ini.py
+++ b/limepath/opening/ini.py
@@ -38,14 +38,7 @@
 
 
 def span(text):
-    """A duration, in whole microseconds.
-
-    >>> span("250ms"), span("1.5 s"), span("2m")
-    (250000, 1500000, 120000000)
-    >>> span("250")
-    Traceback (most recent call last):
-    ValueError: a duration with its unit (us, ms, s, m, h) is wanted, as in 250ms
-    """
+    """A duration, in whole microseconds."""
     found = re.fullmatch(r"(\d+(?:\.\d+)?)\s*([a-z]+)", text)
     if not found or found[2] not in UNITS:
         raise ValueError("a duration with its unit (us, ms, s, m, h) is wanted, as in 250ms")
@@ -53,11 +46,7 @@
 
 
 def share(text):
-    """A share of one, as 0.3 or 30%.
-
-    >>> share("30%"), share("0.5")
-    (0.3, 0.5)
-    """
+    """A share of one, as 0.3 or 30%."""
     try:
         return float(text[:-1]) / 100 if text.endswith("%") else float(text)
     except ValueError:
@@ -72,10 +61,7 @@
 
 
 def yes(text):
-    """
-    >>> yes("on"), yes("no")
-    (True, False)
-    """
+    """A switch: on, yes, true or 1; off, no, false or 0."""
     known = configparser.ConfigParser.BOOLEAN_STATES
     if text.lower() not in known:
         raise ValueError("on or off is wanted")
@@ -96,11 +82,7 @@
 
 
 def address(text):
-    """A numeric host with a port; IPv6 in brackets.
-
-    >>> address("127.0.0.1:7946"), address("[::1]:7946")
-    (('127.0.0.1', 7946), ('::1', 7946))
-    """
+    """A numeric host with a port; IPv6 in brackets."""
     import ipaddress
 
     host, _, port = text.rpartition(":")
--- a/limepath/peers/guard.py
+++ b/limepath/peers/guard.py
@@ -37,14 +37,7 @@
 
 
 def keys_of(text):
-    """The keys of a file: one a line in hexadecimal; the first one seals, all of them open.
-
-    >>> [len(key.secret) for key in keys_of("# new\\n" + "ab" * 32 + "\\n" + "cd" * 32)]
-    [32, 32]
-    >>> keys_of("abc")
-    Traceback (most recent call last):
-    limepath.peers.guard.BadKeys: line 1: no hexadecimal key
-    """
+    """The keys of a file: one a line in hexadecimal; the first one seals, all of them open."""
     keys = []
     for number, line in enumerate(text.splitlines(), 1):
         line = line.partition("#")[0].strip()
@@ -74,11 +67,7 @@
         self.top, self.bits = -1, 0
 
     def is_new(self, counter):
-        """
-        >>> window = Window()
-        >>> [window.is_new(n) for n in (0, 3, 1, 3, 1, 2, 400, 100, 399)]
-        [True, True, True, False, False, True, True, False, True]
-        """
+        """Whether a number comes for the first time, as far as the window reaches."""
         if counter > self.top:
             self.bits = (self.bits << min(WINDOW, counter - self.top) | 1) & (1 << WINDOW) - 1
             self.top = counter
--- a/limepath/peers/identity.py
+++ b/limepath/peers/identity.py
@@ -15,16 +15,7 @@
 
 
 def identity_of(rows, draw):
-    """(the Identity of this start, the rows to keep before it is used). `draw()` gives 63 random bits.
-
-    >>> first, rows = identity_of({}, lambda: 5)
-    >>> first, identity_of(rows, lambda: 6)[0]
-    (Identity(token=5, life=1, ceiling=0, sure=False), Identity(token=5, life=2, ceiling=0, sure=False))
-    >>> identity_of(rows | kept_ceiling(7000), lambda: 6)[0]
-    Identity(token=5, life=2, ceiling=7000, sure=True)
-    >>> identity_of({"token": b"x"}, lambda: 6)[0]
-    Identity(token=6, life=1, ceiling=0, sure=False)
-    """
+    """(the Identity of this start, the rows to keep before it is used). `draw()` gives 63 random bits."""
     try:
         token, life = int(rows["token"]), int(rows["life"]) + 1
         ceiling = int(rows["ceiling"]) if "ceiling" in rows else None
--- a/limepath/testbed/faults.py
+++ b/limepath/testbed/faults.py
@@ -36,19 +36,7 @@
 
 
 class Faults:
-    """`chance` is a random.Random of the drill's seed.
-
-    >>> from random import Random
-    >>> faults = Faults(Random(1))
-    >>> faults.begin(Fault("cut", Kind.CUT, frozenset("a"), frozenset("b")))
-    >>> faults.delays("a", "b"), faults.delays("b", "a")
-    ((), (0,))
-    >>> faults.begin(Fault("slow", Kind.HOLD, frozenset("b"), frozenset("a")))
-    >>> faults.delays("b", "a", "first"), faults.delays("b", "a", "second")
-    ((), ())
-    >>> faults.end("slow"), faults.end("cut"), dict(faults.felt)
-    ([('b', 'a', 'first'), ('b', 'a', 'second')], [], {'cut': 1, 'slow': 2})
-    """
+    """`chance` is a random.Random of the drill's seed."""
 
     def __init__(self, chance):
         self.chance, self.live, self.felt, self.held = chance, {}, Counter(), {}
--- a/limepath/tls/material.py
+++ b/limepath/tls/material.py
@@ -242,12 +242,6 @@
 def announced(until, wall, last=None):
     """The mark of an end that should be announced now, or None: days before, then hours; each mark once
     (`last`).
-
-    >>> day = 86_400_000_000
-    >>> announced(10 * day, 3 * day), announced(10 * day, 3 * day, last="7 days"), announced(60 * day, 0)
-    ('7 days', None, None)
-    >>> announced(10 * day, 10 * day - day // 4), announced(10 * day, 11 * day)
-    ('6 hours', 'over')
     """
     left = until - wall
     if left <= 0:
--- a/limepath/verdicts.py
+++ b/limepath/verdicts.py
@@ -19,20 +19,12 @@
 
 
 def seconds(span):
-    """Whole microseconds in seconds, for a table.
-
-    >>> seconds(5_000_498), seconds(None)
-    (5.0, None)
-    """
+    """Whole microseconds in seconds, for a table."""
     return None if span is None else round(span / 1e6, 3)
 
 
 def table(rows):
-    """
-    >>> print(table([Row("longest gap, s", 5.2, 33.0), Row("serves", 12)]))
-    longest gap, s  5.2  33.0  holds
-    serves           12     -  -
-    """
+    """Rows as text: what, measured, bound and verdict, in columns."""
     drawn = [
         (
             row.what,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from limepath import contract as c
-from limepath.limits.connections import Connections
+from limepath.limits.connections import Connections, rush
 from limepath.listing.simulate import most_in
 from limepath.opening import peers as peers_opening
 from limepath.opening.ini import BadSetting
@@ -186,3 +186,18 @@
     file.write_text(PEERS + "[listing]\nfronts = 9\n[caches]\nconnections = 100\nready = 50\n")
     read = peers_opening.read(file)
     assert read.connections == 100 and read.listing.ready == 50.0
+
+
+def test_a_rush_is_three_deviations_above_the_mean():
+    assert (rush(100.0, 100_000), rush(100.0, 1_000_000)) == (20, 130)
+
+
+def test_a_front_connects_to_a_member_when_its_turn_has_come():
+    pace = Connections(100.0, lambda: 200, lambda: 0.25)  # one in 2 s for each
+    pace.listed(0, ["s-1"])
+    assert not pace.may("s-1", 499_999) and pace.may("s-1", 500_000)
+    assert pace.rooms(0) == [("s-1", False)] and pace.next() == 500_000
+    assert pace.rooms(500_000) == [("s-1", True)] and pace.rooms(500_001) == []
+    pace.took("s-1", 500_000)
+    assert pace.may("s-1", 2_499_999) is False and pace.rooms(600_000) == [("s-1", False)]
+    assert pace.changed("s-1", 1) is None and pace.rooms(700_000) == [("s-1", True)]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,8 +16,9 @@
 from limepath.peers.anti_entropy import PAGE
 from limepath.peers.checks import Without
 from limepath.peers.digests import BUCKETS, bucket_of
-from limepath.peers.guard import LARGEST, Dropped, Guard, keys_of
+from limepath.peers.guard import LARGEST, BadKeys, Dropped, Guard, Window, keys_of
 from limepath.peers.host import SLICE, TAKEN, Line
+from limepath.peers.identity import Identity, identity_of, kept_ceiling
 from limepath.peers.interface import (
     MESSAGES,
     REFUTALS,
@@ -458,3 +459,26 @@
     members.apply(news(2, life=3, state=State.LEFT))
     members.joins.seek()
     assert sought == [seed] * 3
+
+
+def test_keys_are_read_one_a_line():
+    keys = keys_of("# new\n" + "ab" * 32 + "\n" + "cd" * 32)
+    assert [len(key.secret) for key in keys] == [32, 32]
+    with pytest.raises(BadKeys) as error:
+        keys_of("abc")
+    assert str(error.value) == "line 1: no hexadecimal key"
+
+
+def test_a_number_is_new_once_and_while_the_window_reaches_it():
+    window = Window()
+    told = [window.is_new(number) for number in (0, 3, 1, 3, 1, 2, 400, 100, 399)]
+    assert told == [True, True, True, False, False, True, True, False, True]
+
+
+def test_an_identity_lives_once_more_at_each_start_and_is_new_where_the_store_is_damaged():
+    first, rows = identity_of({}, lambda: 5)
+    assert first == Identity(token=5, life=1, ceiling=0, sure=False)
+    assert identity_of(rows, lambda: 6)[0] == Identity(token=5, life=2, ceiling=0, sure=False)
+    kept = rows | kept_ceiling(7000)
+    assert identity_of(kept, lambda: 6)[0] == Identity(token=5, life=2, ceiling=7000, sure=True)
+    assert identity_of({"token": b"x"}, lambda: 6)[0] == Identity(token=6, life=1, ceiling=0, sure=False)
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -137,3 +137,13 @@
     assert faults.delays("a", "b") == ()
     (delay,) = faults.delays("a", "b", ordered=True)
     assert 0 <= delay < 1000 and faults.felt == {"loss": 2, "twice": 0}
+
+
+def test_a_cut_drops_one_way_and_what_is_held_comes_at_its_end():
+    faults = Faults(Random(1))
+    faults.begin(Fault("cut", Kind.CUT, frozenset("a"), frozenset("b")))
+    assert (faults.delays("a", "b"), faults.delays("b", "a")) == ((), (0,))
+    faults.begin(Fault("slow", Kind.HOLD, frozenset("b"), frozenset("a")))
+    assert (faults.delays("b", "a", "first"), faults.delays("b", "a", "second")) == ((), ())
+    assert faults.end("slow") == [("b", "a", "first"), ("b", "a", "second")] and faults.end("cut") == []
+    assert dict(faults.felt) == {"cut": 1, "slow": 2}
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -31,6 +31,7 @@
 from limepath.tls.making import DAY, Made, authority, issue, revoked
 from limepath.tls.material import (
     BadMaterial,
+    announced,
     certificates,
     checked_lists,
     hangs_together,
@@ -614,3 +615,10 @@
         site.cache.next().answer("DONE", COPY, b"y")
         assert viewer.answer()[::2] == (200, b"y")
         assert site.cache.reused == [False, False]  # no session outlives the key that it was made with
+
+
+def test_an_end_is_announced_days_then_hours_before_each_mark_once():
+    day = 86_400_000_000
+    assert announced(10 * day, 3 * day) == "7 days"
+    assert announced(10 * day, 3 * day, last="7 days") is None and announced(60 * day, 0) is None
+    assert announced(10 * day, 10 * day - day // 4) == "6 hours" and announced(10 * day, 11 * day) == "over"
