Membership parts hold no references to each other in a circle

Checks and Suspicions call each other by way of Members, as the other parts do, so that a view is freed without the garbage collector once its Members and agenda are cleared.

--- a/limepath/peers/checks.py
+++ b/limepath/peers/checks.py
@@ -29,11 +29,11 @@
 
 
 class Checks:
-    """`members` sends and knows the view; `suspect(news, by)` is told of one that missed its check."""
+    """`members` sends, knows the view, and has the suspicions to which one that missed its check goes."""
 
-    def __init__(self, members, suspect):
+    def __init__(self, members):
         self.members, self.view, self.agenda = members, members.view, members.agenda
-        self.spans, self.suspect = members.spans, suspect
+        self.spans = members.spans
         self.pending, self.relayed = {}, {}
         self.round, self.sequence, self.missed = [], 0, 0
 
@@ -96,7 +96,7 @@
         if known is not None and known.state == State.ALIVE:
             self.miss()
         if known and known.state <= State.SUSPECT and known.incarnation == news.incarnation:
-            self.suspect(known, self.view.me.token)
+            self.members.suspicions.suspect(known, self.view.me.token)
 
     def miss(self):
         """One more sign that it is this instance that is slow."""
--- a/limepath/peers/members.py
+++ b/limepath/peers/members.py
@@ -52,9 +52,7 @@
         self.table, self.ring = self.view.table, self.view.ring
         self.periods, self.over = 0, False
         self.counts = {"misaddressed": 0, "former": 0, "refuted": 0, "suspected": 0, "declared": 0}
-        self.suspicions = Suspicions(self)
-        self.checks = Checks(self, self.suspicions.suspect)
-        self.suspicions.check_last = self.checks.check_last
+        self.suspicions, self.checks = Suspicions(self), Checks(self)
         self.anti_entropy = AntiEntropy(self)
         self.joins, self.leaves = Joining(self, seeds), Leaving(self)
         self.compare, self.greet = self.anti_entropy.compare, self.joins.greet
--- a/limepath/peers/suspicion.py
+++ b/limepath/peers/suspicion.py
@@ -23,11 +23,11 @@
 
 
 class Suspicions:
-    """Of one instance. `members` writes news; `check_last(news, over, *said)` makes the last check."""
+    """Of one instance. `members` writes news, and has the checks that make the last one."""
 
     def __init__(self, members):
         self.members, self.view, self.agenda = members, members.view, members.agenda
-        self.spans, self.open, self.check_last = members.spans, {}, None
+        self.spans, self.open = members.spans, {}
 
     def suspect(self, news, by):
         """One more that suspects it; the more do, the shorter is its time to refute."""
@@ -64,7 +64,7 @@
         if doubt is None or len(doubt.by) != confirmed or doubt.last:
             return
         doubt.last = True
-        self.check_last(self.view.table[token], self.declare, token, incarnation)
+        self.members.checks.check_last(self.view.table[token], self.declare, token, incarnation)
 
     def declare(self, token, incarnation):
         """Not even the last check was answered."""
