Names: patience is a timeout (peers, tallies, duties) or retry delays (TLS)

The spans for which something waits are called timeouts; how long a server is left alone after a failed handshake is RetryDelays. Settings and log events do not change.

--- a/limepath/duties/saving.py
+++ b/limepath/duties/saving.py
@@ -17,12 +17,12 @@
 SECOND = 1_000_000
 ALONE, EACH, SHARED = "on suspicion alone", "each for itself", "shared"
 WAYS = (ALONE, EACH, SHARED)
-PATIENCE, PROBE = 2 * SECOND, 250_000
+VIEWER_TIMEOUT, PROBE = 2 * SECOND, 250_000
 WORK = 40_000  # of a GET at a cache
 SERVICE = c.DeliveryService(
     objective=600_000,
     stretch=1.6,
-    viewer_timeout=PATIENCE,
+    viewer_timeout=VIEWER_TIMEOUT,
     revenue=1.0,
     late_share=0.2,
     repeats=c.Repeats.IDEMPOTENT,
@@ -94,7 +94,14 @@
                 self.out[index, order.id] = order
                 self.met += self.is_silent(order.cache)
                 if self.is_silent(order.cache):
-                    self.at(self.now + PATIENCE, self.ended, index, order, c.Verdict.TIMED_OUT, PATIENCE)
+                    self.at(
+                        self.now + VIEWER_TIMEOUT,
+                        self.ended,
+                        index,
+                        order,
+                        c.Verdict.TIMED_OUT,
+                        VIEWER_TIMEOUT,
+                    )
                 else:
                     self.at(self.now + WORK, self.ended, index, order, c.Verdict.RETURNED, WORK)
             elif isinstance(order, c.Withdraw):
@@ -119,7 +126,9 @@
         self.gets += 1
         self.tell(
             index,
-            c.Get(self.gets, 0, 0, 1 + self.chance.randrange(10_000), PATIENCE, 0.0, 0, 0, False, False),
+            c.Get(
+                self.gets, 0, 0, 1 + self.chance.randrange(10_000), VIEWER_TIMEOUT, 0.0, 0, 0, False, False
+            ),
         )
         self.at(self.now + int(self.chance.expovariate(self.rate) * SECOND) + 1, self.get, index)
 
--- a/limepath/opening/tls.py
+++ b/limepath/opening/tls.py
@@ -7,7 +7,7 @@
 
 from limepath.opening import ini
 from limepath.opening.ini import BadSetting, Key, Section
-from limepath.tls.interface import Pace, Patience
+from limepath.tls.interface import Pace, RetryDelays
 
 SECOND = 1_000_000
 VERSIONS = ("1.2", "1.3")
@@ -90,7 +90,7 @@
     sessions: tuple  # most, each, longest
     pace: Pace
     limit: int
-    patience: Patience
+    retry_delays: RetryDelays
     trusts: tuple
 
 
@@ -164,6 +164,6 @@
             hands["resumed-share"],
         ),
         hands["limit"],
-        Patience(alone["passing"], alone["passing-most"], alone["lasting"], alone["lasting-most"]),
+        RetryDelays(alone["passing"], alone["passing-most"], alone["lasting"], alone["lasting-most"]),
         tuple(trusts),
     )
--- a/limepath/peers/control.py
+++ b/limepath/peers/control.py
@@ -11,7 +11,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.protocols.policies import TimeoutMixin
 
-LONGEST, PATIENCE, CALLERS = 4096, 5, 16
+LONGEST, TIMEOUT, CALLERS = 4096, 5, 16
 
 
 class Unanswered(Exception):
@@ -23,7 +23,7 @@
 
     def connectionMade(self):
         self.factory.callers += 1
-        self.setTimeout(PATIENCE)
+        self.setTimeout(TIMEOUT)
         if self.factory.callers > CALLERS:
             self.say({"error": "too many callers"})
             self.transport.loseConnection()
@@ -70,11 +70,11 @@
     return reactor.listenUNIX(path, factory, mode=0o600)
 
 
-def ask(path, what, patience=PATIENCE):
+def ask(path, what, timeout=TIMEOUT):
     """Ask a running instance; give what it tells."""
     try:
         with socket.socket(socket.AF_UNIX) as line:
-            line.settimeout(patience)
+            line.settimeout(timeout)
             line.connect(path)
             line.sendall(json.dumps({"show": what}).encode() + b"\n")
             told = line.makefile("rb").readline()
--- a/limepath/tallies/newcomer.py
+++ b/limepath/tallies/newcomer.py
@@ -14,7 +14,8 @@
     Tally,
 )
 
-FIRST, PATIENCE, TRIES = 500_000, 1_000_000, 4  # until it asks; for an answer; fronts that are asked in all
+FIRST, ANSWER_TIMEOUT = 500_000, 1_000_000  # microseconds until it asks; for an answer
+TRIES = 4  # fronts that are asked in all
 HALF = 600_000_000  # age at which a count is worth half
 OLDEST = 6 * HALF
 ASKED = 64  # answers a second that a front gives at most, each one datagram or some
@@ -54,7 +55,7 @@
     # Asking
 
     def ask(self):
-        """One live front, another after PATIENCE; a few in all. A view without others yet costs no try."""
+        """One live front, another after ANSWER_TIMEOUT, a few in all. A view without others costs no try."""
         if self.done or self.tries >= TRIES:
             return
         live = self.live()
@@ -63,7 +64,7 @@
             self.asked, self.parts = self.agenda.some(live, 1)[0], {}
             self.counts["asked"] += 1
             self.agenda.order(Reach(self.asked, AskTally()))
-        self.agenda.at(self.agenda.now + PATIENCE, self.ask)
+        self.agenda.at(self.agenda.now + ANSWER_TIMEOUT, self.ask)
 
     def take(self, token, message):
         """A part of the summary asked for; what is out of bounds is refused whole, what is missing is done
--- a/limepath/tls/admission.py
+++ b/limepath/tls/admission.py
@@ -21,8 +21,8 @@
     Begin,
     Broken,
     Pace,
-    Patience,
     Refuse,
+    RetryDelays,
     Shaken,
     Swapped,
     Told,
@@ -73,8 +73,8 @@
 
 
 class Admission:
-    def __init__(self, seed, pace=Pace(), patience=Patience()):
-        self.agenda, self.pace, self.patience = Agenda(seed), pace, patience
+    def __init__(self, seed, pace=Pace(), retry_delays=RetryDelays()):
+        self.agenda, self.pace, self.retry_delays = Agenda(seed), pace, retry_delays
         self.bucket, self.servers, self.wants, self.under_way = None, {}, {}, {}
         self.looks_at = None
         self.counts = {"full": 0, "resumed": 0, "failed": 0, "refused": 0}
@@ -161,9 +161,9 @@
             return  # one of several that were under way: told already
         passing = note.failure in PASSING
         first, most = (
-            (self.patience.passing, self.patience.passing_most)
+            (self.retry_delays.passing, self.retry_delays.passing_most)
             if passing
-            else (self.patience.lasting, self.patience.lasting_most)
+            else (self.retry_delays.lasting, self.retry_delays.lasting_most)
         )
         span = min(most, first << min(20, server.failures))
         span = int(span * (0.75 + self.agenda.chance() / 2))
--- a/limepath/tls/host.py
+++ b/limepath/tls/host.py
@@ -218,7 +218,7 @@
     def __init__(self, reactor, log, opening, kinds, seed):
         self.reactor, self.log, self.opening, self.kinds = reactor, log, opening, kinds
         self.admission, self.sessions = (
-            Admission(seed, opening.pace, opening.patience),
+            Admission(seed, opening.pace, opening.retry_delays),
             Sessions(*opening.sessions),
         )
         self.trust, self.client, self.numbers, self.wanted = 0, 0, count(1), {}
--- a/limepath/tls/interface.py
+++ b/limepath/tls/interface.py
@@ -68,7 +68,7 @@
     resumed_share: float = 0.25  # of a full handshake's cost, that a resumed one takes
 
 
-class Patience(NamedTuple):
+class RetryDelays(NamedTuple):
     """How long a server is left alone after failures that may pass, and after those that somebody must
     mend.
     """
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,7 +12,7 @@
 from limepath.opening import peers as peers_opening
 from limepath.opening.ini import BadSetting
 from limepath.tallies.interface import CARRIED, MOST, Ask, AskTally, Counted, FromPeer, Learn, Reach, Tally
-from limepath.tallies.newcomer import ASKED, HALF, PATIENCE, TRIES, Newcomer
+from limepath.tallies.newcomer import ANSWER_TIMEOUT, ASKED, HALF, TRIES, Newcomer
 from tests.fake_host import PARENT, SECOND, FakeHost
 from tests.test_listing import PEERS
 
@@ -124,7 +124,7 @@
     one = newcomer()
     first = run(one, SECOND)[0].token
     assert not one.handle(SECOND, [FromPeer(first, Tally(0, ()))])  # as new as this one
-    assert run(one, SECOND + 2 * PATIENCE) and not one.done
+    assert run(one, SECOND + 2 * ANSWER_TIMEOUT) and not one.done
 
 
 def test_counts_are_worth_less_with_age_and_come_only_from_the_one_that_was_asked():
@@ -152,7 +152,7 @@
     one = newcomer()
     asked = run(one, SECOND)[0].token
     assert not one.handle(SECOND, [FromPeer(asked, nonsense)]) and one.counts["refused"] == 1
-    assert run(one, SECOND + 2 * PATIENCE)
+    assert run(one, SECOND + 2 * ANSWER_TIMEOUT)
 
 
 def test_a_whole_table_is_told_in_bounded_parts_and_a_fleet_that_asks_at_once_is_held_off():
