Names: what goes wrong is an error or a failure, not a flaw (peers, duties, TLS, settings, store)

Variables only; texts, log fields and counts do not change. Of a handshake it is the verification_failure.

--- a/limepath/duties/host.py
+++ b/limepath/duties/host.py
@@ -46,8 +46,8 @@
 
                 types += LISTING_MESSAGES + TALLY_MESSAGES
             self.line = Line(reactor, told.listen, told.keys, types, log, self.gather)
-        except (Held, Unusable, OSError) as flaw:
-            raise Unopened(str(flaw)) from None
+        except (Held, Unusable, OSError) as error:
+            raise Unopened(str(error)) from None
         identity, rows = identity_of(self.store.all(), drawn)
         self.store.put(rows)
         self.found, self.identity = self.store.found, identity
@@ -89,8 +89,8 @@
             self.line.open()
             if self.told.control:
                 self.control = control.listen(self.reactor, self.told.control, self.views)
-        except Exception as flaw:  # the front goes on alone; whoever reads the log mends the file
-            self.log.say("sharing-off", str(flaw), file=self.told.file)
+        except Exception as error:  # the front goes on alone; whoever reads the log mends the file
+            self.log.say("sharing-off", str(error), file=self.told.file)
             return self.stop()
         if self.found == DAMAGED:
             self.log.say("store-damaged", "joins as a new instance", put_aside=self.store.aside)
--- a/limepath/opening/ini.py
+++ b/limepath/opening/ini.py
@@ -133,14 +133,14 @@
     parser.optionxform = str
     try:
         parser.read_string(text, file)
-    except configparser.DuplicateSectionError as flaw:
-        raise BadSetting(f"{file}: [{flaw.section}]: stands twice") from None
-    except configparser.DuplicateOptionError as flaw:
-        raise BadSetting(f"{file}: [{flaw.section}] {flaw.option}: stands twice") from None
-    except configparser.MissingSectionHeaderError as flaw:
-        raise BadSetting(f"{file}: line {flaw.lineno}: stands before the first [section]") from None
-    except configparser.ParsingError as flaw:
-        line, what = flaw.errors[0]
+    except configparser.DuplicateSectionError as error:
+        raise BadSetting(f"{file}: [{error.section}]: stands twice") from None
+    except configparser.DuplicateOptionError as error:
+        raise BadSetting(f"{file}: [{error.section}] {error.option}: stands twice") from None
+    except configparser.MissingSectionHeaderError as error:
+        raise BadSetting(f"{file}: line {error.lineno}: stands before the first [section]") from None
+    except configparser.ParsingError as error:
+        line, what = error.errors[0]
         raise BadSetting(f"{file}: line {line}: cannot be read: {what}") from None
     return parser
 
@@ -148,8 +148,8 @@
 def value_of(key, text, where):
     try:
         value = key.read(text.strip())
-    except ValueError as flaw:
-        raise BadSetting(f"{where}: {text.strip()[:60]!r}: {flaw}") from None
+    except ValueError as error:
+        raise BadSetting(f"{where}: {text.strip()[:60]!r}: {error}") from None
     for bound, broken, says in (
         (key.least, lambda b: value < b, "at least"),
         (key.most, lambda b: value > b, "at most"),
@@ -160,7 +160,7 @@
 
 
 def check(text, file, form):
-    """Give {section: {key: value}}, named sections under (kind, name); raise BadSetting at the first flaw."""
+    """Give {section: {key: value}}, named sections under (kind, name); BadSetting at the first error."""
     parser, told = parsed(text, file), {}
     for title in parser.sections():
         kind, _, name = title.partition(" ")
@@ -207,8 +207,8 @@
     try:
         with open(file, encoding="utf-8") as opened:
             text = opened.read()
-    except OSError as flaw:
-        raise BadSetting(f"{file}: {flaw.strerror}") from None
+    except OSError as error:
+        raise BadSetting(f"{file}: {error.strerror}") from None
     except ValueError:
         raise BadSetting(f"{file}: no UTF-8 text") from None
     return check(text, str(file), form)
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -199,10 +199,10 @@
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
-    except OSError as flaw:
-        raise BadConfiguration(f"{CONFIGURATION}: {path}: {flaw.strerror}") from None
-    except ValueError as flaw:
-        raise BadConfiguration(f"{CONFIGURATION}: {path}: no JSON: {flaw}") from None
+    except OSError as error:
+        raise BadConfiguration(f"{CONFIGURATION}: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise BadConfiguration(f"{CONFIGURATION}: {path}: no JSON: {error}") from None
     if not isinstance(told, dict):
         raise BadConfiguration(f"{CONFIGURATION}: {path}: no JSON object")
     return opening_of(told, environ)
@@ -236,10 +236,10 @@
             )
             for i, entry in enumerate(settings["classes"])
         }
-    except KeyError as flaw:
-        raise BadConfiguration(f"settings: {flaw} is an unknown value") from None
-    except (TypeError, ValueError, AttributeError, IndexError) as flaw:
-        raise BadConfiguration(f"settings: {flaw}") from None
+    except KeyError as error:
+        raise BadConfiguration(f"settings: {error} is an unknown value") from None
+    except (TypeError, ValueError, AttributeError, IndexError) as error:
+        raise BadConfiguration(f"settings: {error}") from None
     machine = part(told, "limits", dict, {})
     sockets = int(part(machine, "sockets", COUNT, 1024, "limits."))
     memory_mb = int(part(machine, "memory_mb", COUNT, 192, "limits."))
--- a/limepath/peers/control.py
+++ b/limepath/peers/control.py
@@ -78,8 +78,8 @@
             line.connect(path)
             line.sendall(json.dumps({"show": what}).encode() + b"\n")
             told = line.makefile("rb").readline()
-    except OSError as flaw:
-        raise Unanswered(f"{path}: {flaw.strerror or flaw}") from None
+    except OSError as error:
+        raise Unanswered(f"{path}: {error.strerror or error}") from None
     try:
         told = json.loads(told)
     except ValueError:
--- a/limepath/peers/guard.py
+++ b/limepath/peers/guard.py
@@ -104,8 +104,8 @@
         """Give (sender, to, message); raise Dropped."""
         try:
             opened = self.opened(datagram)
-        except Dropped as flaw:
-            self.counts[str(flaw)] += 1
+        except Dropped as error:
+            self.counts[str(error)] += 1
             raise
         self.counts["taken"] += 1
         return opened
--- a/limepath/peers/host.py
+++ b/limepath/peers/host.py
@@ -27,10 +27,10 @@
             raise Unopened(f"{path}: open to others; its mode should be 600")
         with open(path, encoding="ascii") as file:
             return keys_of(file.read()), (mark.st_mtime_ns, mark.st_size)
-    except OSError as flaw:
-        raise Unopened(f"{path}: {flaw.strerror}") from None
-    except (BadKeys, UnicodeDecodeError) as flaw:
-        raise Unopened(f"{path}: {flaw}") from None
+    except OSError as error:
+        raise Unopened(f"{path}: {error.strerror}") from None
+    except (BadKeys, UnicodeDecodeError) as error:
+        raise Unopened(f"{path}: {error}") from None
 
 
 class Line(DatagramProtocol):
@@ -77,9 +77,9 @@
         try:
             self.port.write(self.guard.seal(me, order.to, order.message), (order.host, order.port))
             self.sent += 1
-        except (OSError, MessageLengthError, ValueError) as flaw:
+        except (OSError, MessageLengthError, ValueError) as error:
             self.guard.counts["unsent"] += 1
-            self.log.say("peers-unsent", str(flaw), to=f"{order.host}:{order.port}")
+            self.log.say("peers-unsent", str(error), to=f"{order.host}:{order.port}")
 
     def reread(self):
         """Take the key file's new keys; a file that can't be used leaves the old ones."""
@@ -88,8 +88,8 @@
             if (mark.st_mtime_ns, mark.st_size) == self.mark:
                 return
             keys, self.mark = read_keys(self.path)
-        except (OSError, Unopened) as flaw:
-            self.log.say("peers-keys", f"{flaw}; the old keys stay")
+        except (OSError, Unopened) as error:
+            self.log.say("peers-keys", f"{error}; the old keys stay")
             return
         if keys != self.guard.keys:
             self.guard.keys = keys
--- a/limepath/store.py
+++ b/limepath/store.py
@@ -37,11 +37,11 @@
             self.found = GOOD if existed else NEW
             if existed:
                 self.verify()
-        except (sqlite3.DatabaseError, ValueError) as flaw:
-            if "locked" in str(flaw):
+        except (sqlite3.DatabaseError, ValueError) as error:
+            if "locked" in str(error):
                 raise Held(f"{path}: held by another process") from None
-            if "unable to open" in str(flaw) or not existed:
-                raise Unusable(f"{path}: {flaw}") from None
+            if "unable to open" in str(error) or not existed:
+                raise Unusable(f"{path}: {error}") from None
             self.put_aside()
 
     def opened(self):
@@ -86,8 +86,8 @@
             os.remove(self.path + "-journal")
         try:
             self.base, self.found = self.opened(), DAMAGED
-        except sqlite3.DatabaseError as flaw:
-            raise Unusable(f"{self.path}: {flaw}") from None
+        except sqlite3.DatabaseError as error:
+            raise Unusable(f"{self.path}: {error}") from None
 
     def put(self, rows):
         """Write all these rows or none; they are on the disk when this returns."""
--- a/limepath/tls/files.py
+++ b/limepath/tls/files.py
@@ -32,8 +32,8 @@
             if secret and os.fstat(file.fileno()).st_mode & 0o077:
                 raise BadMaterial(f"{what}: {path}: open to others; its mode should be 600")
             return file.read(4_000_000)
-    except OSError as flaw:
-        raise BadMaterial(f"{what}: {path}: {flaw.strerror}") from None
+    except OSError as error:
+        raise BadMaterial(f"{what}: {path}: {error.strerror}") from None
 
 
 def key_set(opening, wall):
@@ -48,8 +48,8 @@
         )
         try:
             chain = hangs_together(certificate, key, wall=wall)
-        except BadMaterial as flaw:
-            raise BadMaterial(f"[client] {flaw}") from None
+        except BadMaterial as error:
+            raise BadMaterial(f"[client] {error}") from None
     return KeySet(chain, certificate, key, tuple(trusted_of(trust, wall) for trust in opening.trusts))
 
 
@@ -60,8 +60,8 @@
     try:
         roots = trusted(pem, wall)
         lists, stale = checked_lists(lists_pem, roots, wall) if lists_pem is not None else ((), False)
-    except BadMaterial as flaw:
-        raise BadMaterial(f"{section} {flaw}") from None
+    except BadMaterial as error:
+        raise BadMaterial(f"{section} {error}") from None
     if stale and trust.refuse_stale:
         raise BadMaterial(f"{section} lists: past the next update; renew them, or set stale-lists = warn")
     return Trusted(trust.title, roots, lists, stale)
--- a/limepath/tls/host.py
+++ b/limepath/tls/host.py
@@ -88,7 +88,7 @@
             inner,
         )
         self.context, self.lists, self.verify = secured.contexts[trust.title]
-        self.done, self.failed, self.flaw, self.offered, self.timer, self.kept = (
+        self.done, self.failed, self.verification_failure, self.offered, self.timer, self.kept = (
             Deferred(),
             False,
             None,
@@ -104,10 +104,10 @@
             self.address_only = False
 
     def judged(self, certificate, number):
-        """OpenSSL's verification looks at a certificate, with a flaw or not: remember the first flaw."""
+        """OpenSSL's verification looks at a certificate, failing or not: remember the first failure."""
         self.looked = True
-        if number and self.flaw is None:
-            self.flaw = FAILURES.get(number, Failure.UNKNOWN_ISSUER)
+        if number and self.verification_failure is None:
+            self.verification_failure = FAILURES.get(number, Failure.UNKNOWN_ISSUER)
 
     def connectionMade(self):
         self.timer = self.secured.reactor.callLater(
@@ -116,8 +116,8 @@
 
     def handshakeCompleted(self):
         connection = self.transport.getHandle()
-        if self.verify and (flaw := self.unfit(connection)):
-            return self.fail(flaw)
+        if self.verify and (failure := self.unfit(connection)):
+            return self.fail(failure)
         self.timer.cancel()
         self.up, self.resumed = (
             True,
@@ -185,7 +185,7 @@
             self.secured.open.discard(self)
             self.inner.connectionLost(reason)
         else:
-            self.fail(self.flaw or self.kind(reason), lost=True)
+            self.fail(self.verification_failure or self.kind(reason), lost=True)
 
     @staticmethod
     def kind(reason):
@@ -269,8 +269,8 @@
         """Read the set again: taken as a whole, or refused as a whole with the reason in the log."""
         try:
             keys = key_set(self.opening, unix_clock())
-        except BadMaterial as flaw:
-            self.log.say("tls-keys", f"{flaw}; the old set stays")
+        except BadMaterial as error:
+            self.log.say("tls-keys", f"{error}; the old set stays")
             return False
         trust = [
             (one.roots, tuple(x.fingerprint(x.signature_hash_algorithm) for x in one.lists))
--- a/limepath/tls/material.py
+++ b/limepath/tls/material.py
@@ -223,8 +223,8 @@
 def shown(certificate, wall):
     try:
         key = strength(certificate.public_key())
-    except BadMaterial as flaw:
-        key = str(flaw)
+    except BadMaterial as error:
+        key = str(error)
     return Found(
         subject(certificate),
         certificate.issuer.rfc4514_string(),
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -72,8 +72,8 @@
 def opened(guard, datagram):
     try:
         return guard.open(datagram)[2]
-    except Dropped as flaw:
-        return str(flaw)
+    except Dropped as error:
+        return str(error)
 
 
 def test_what_is_not_authentic_new_whole_and_known_is_dropped_and_counted():
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -316,7 +316,7 @@
     return {"root": root, "middle": authority("middle", WALL, above=root), "other": authority("root", WALL)}
 
 
-def flaw(certificate, key, roots=(), wall=WALL):
+def error_of(certificate, key, roots=(), wall=WALL):
     with pytest.raises(BadMaterial) as raised:
         hangs_together(certificate, key, roots, wall)
     return str(raised.value)
@@ -330,16 +330,16 @@
     below = issue(made["middle"], ["c2"], WALL)
     assert len(hangs_together(below.certificate, below.key, roots, WALL).above) == 1
     first = below.certificate[: below.certificate.index(b"-----END") + 26]
-    assert "chain: incomplete" in flaw(first, below.key, roots)
-    assert "does not fit" in flaw(leaf.certificate, below.key, roots)
-    assert "expired" in flaw(leaf.certificate, leaf.key, roots, WALL + 91 * DAY)
-    assert "not yet valid" in flaw(leaf.certificate, leaf.key, roots, WALL - DAY)
-    assert "another root" in flaw(leaf.certificate, leaf.key, trusted(made["other"].certificate))
-    assert "does not hang on" in flaw(leaf.certificate + made["middle"].certificate, leaf.key)
-    assert "no private key" in flaw(leaf.certificate, leaf.key[:-60])
-    assert "no certificate" in flaw(leaf.certificate[:200], leaf.key)
+    assert "chain: incomplete" in error_of(first, below.key, roots)
+    assert "does not fit" in error_of(leaf.certificate, below.key, roots)
+    assert "expired" in error_of(leaf.certificate, leaf.key, roots, WALL + 91 * DAY)
+    assert "not yet valid" in error_of(leaf.certificate, leaf.key, roots, WALL - DAY)
+    assert "another root" in error_of(leaf.certificate, leaf.key, trusted(made["other"].certificate))
+    assert "does not hang on" in error_of(leaf.certificate + made["middle"].certificate, leaf.key)
+    assert "no private key" in error_of(leaf.certificate, leaf.key[:-60])
+    assert "no certificate" in error_of(leaf.certificate[:200], leaf.key)
     weak = issue(made["root"], ["c3"], WALL, kind="rsa", bits=1024)
-    assert "weak key: RSA of 1024" in flaw(weak.certificate, weak.key, roots)
+    assert "weak key: RSA of 1024" in error_of(weak.certificate, weak.key, roots)
     with pytest.raises(BadMaterial, match="is no CA"):
         trusted(leaf.certificate)
     with pytest.raises(BadMaterial, match="no CA with its own key"):
