--- a/limepath/testbed/stand_ins.py
+++ b/limepath/testbed/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for drills and stories of several processes: caches that count probes, caches that answer GETs,
+"""Stand-ins for drills and tests of several processes: caches that count probes, caches that answer GETs,
 change logs.
 
 Caches answer the probe words of the platform's protocol (FIT) and turn an older epoch away (UNFIT). A cache
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,4 +1,4 @@
-"""Stories of shared duties: the hard cases in virtual time, the leases one by one, and real fronts on
+"""Tests of shared duties: the hard cases in virtual time, the leases one by one, and real fronts on
 loopback.
 """
 
@@ -173,7 +173,7 @@
 
 
 class FakeAll:
-    """Some holders and voters; messages go where the story lets them."""
+    """Some holders and voters; messages go where the test lets them."""
 
     def __init__(self, names=("a", "b", "c"), sure=True, leasing=LEASING):
         self.now, self.out, self.all, self.wants = 0, [], {}, {name: set() for name in names}
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""Stories of what many fronts hold back together: new connections, and counts told to a newcomer."""
+"""Tests of what many fronts hold back together: new connections, and counts told to a newcomer."""
 
 from random import Random
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Stories of the membership logic and of the guard in front of it."""
+"""Tests of the membership logic and of the guard in front of it."""
 
 import os
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,4 +1,4 @@
-"""Stories of the TLS decisions: sessions, the budget of handshakes, and what fits together."""
+"""Tests of the TLS decisions: sessions, the budget of handshakes, and what fits together."""
 
 import json
 import signal
