--- a/limepath/opening/ini.py
+++ b/limepath/opening/ini.py
@@ -38,14 +38,7 @@
 
 
 def span(text):
-    """A duration, in whole microseconds.
-
-    >>> span("250ms"), span("1.5 s"), span("2m")
-    (250000, 1500000, 120000000)
-    >>> span("250")
-    Traceback (most recent call last):
-    ValueError: a duration with its unit (us, ms, s, m, h) is wanted, as in 250ms
-    """
+    """A duration, in whole microseconds."""
     found = re.fullmatch(r"(\d+(?:\.\d+)?)\s*([a-z]+)", text)
     if not found or found[2] not in UNITS:
         raise ValueError("a duration with its unit (us, ms, s, m, h) is wanted, as in 250ms")
@@ -53,11 +46,7 @@
 
 
 def share(text):
-    """A share of one, as 0.3 or 30%.
-
-    >>> share("30%"), share("0.5")
-    (0.3, 0.5)
-    """
+    """A share of one, as 0.3 or 30%."""
     try:
         return float(text[:-1]) / 100 if text.endswith("%") else float(text)
     except ValueError:
@@ -72,10 +61,7 @@
 
 
 def yes(text):
-    """
-    >>> yes("on"), yes("no")
-    (True, False)
-    """
+    """A switch: on, yes, true or 1; off, no, false or 0."""
     known = configparser.ConfigParser.BOOLEAN_STATES
     if text.lower() not in known:
         raise ValueError("on or off is wanted")
@@ -96,11 +82,7 @@
 
 
 def address(text):
-    """A numeric host with a port; IPv6 in brackets.
-
-    >>> address("127.0.0.1:7946"), address("[::1]:7946")
-    (('127.0.0.1', 7946), ('::1', 7946))
-    """
+    """A numeric host with a port; IPv6 in brackets."""
     import ipaddress
 
     host, _, port = text.rpartition(":")
@@ -151,14 +133,14 @@
     parser.optionxform = str
     try:
         parser.read_string(text, file)
-    except configparser.DuplicateSectionError as flaw:
-        raise BadSetting(f"{file}: [{flaw.section}]: stands twice") from None
-    except configparser.DuplicateOptionError as flaw:
-        raise BadSetting(f"{file}: [{flaw.section}] {flaw.option}: stands twice") from None
-    except configparser.MissingSectionHeaderError as flaw:
-        raise BadSetting(f"{file}: line {flaw.lineno}: stands before the first [section]") from None
-    except configparser.ParsingError as flaw:
-        line, what = flaw.errors[0]
+    except configparser.DuplicateSectionError as error:
+        raise BadSetting(f"{file}: [{error.section}]: stands twice") from None
+    except configparser.DuplicateOptionError as error:
+        raise BadSetting(f"{file}: [{error.section}] {error.option}: stands twice") from None
+    except configparser.MissingSectionHeaderError as error:
+        raise BadSetting(f"{file}: line {error.lineno}: stands before the first [section]") from None
+    except configparser.ParsingError as error:
+        line, what = error.errors[0]
         raise BadSetting(f"{file}: line {line}: cannot be read: {what}") from None
     return parser
 
@@ -166,8 +148,8 @@
 def value_of(key, text, where):
     try:
         value = key.read(text.strip())
-    except ValueError as flaw:
-        raise BadSetting(f"{where}: {text.strip()[:60]!r}: {flaw}") from None
+    except ValueError as error:
+        raise BadSetting(f"{where}: {text.strip()[:60]!r}: {error}") from None
     for bound, broken, says in (
         (key.least, lambda b: value < b, "at least"),
         (key.most, lambda b: value > b, "at most"),
@@ -178,7 +160,7 @@
 
 
 def check(text, file, form):
-    """Give {section: {key: value}}, named sections under (kind, name); raise BadSetting at the first flaw."""
+    """Give {section: {key: value}}, named sections under (kind, name); BadSetting at the first error."""
     parser, told = parsed(text, file), {}
     for title in parser.sections():
         kind, _, name = title.partition(" ")
@@ -225,8 +207,8 @@
     try:
         with open(file, encoding="utf-8") as opened:
             text = opened.read()
-    except OSError as flaw:
-        raise BadSetting(f"{file}: {flaw.strerror}") from None
+    except OSError as error:
+        raise BadSetting(f"{file}: {error.strerror}") from None
     except ValueError:
         raise BadSetting(f"{file}: no UTF-8 text") from None
     return check(text, str(file), form)
