Hollow fronts: the control logic of many fronts in one process, over real sockets

The scale run needs a thousand fronts on one machine, each with the program's own membership, duties, list, counts and limits. This puts them together by the same hosts and readers of settings as limepath run, with a stand-in for the data path only, and counts processor time and datagrams by subsystem.

--- a/limepath/scale/control.py
+++ b/limepath/scale/control.py
@@ -53,6 +53,7 @@
 
     fronts: list[FrontConfig]
     directory: str
+    seed: int = 0  # of the datagrams that are lost
     log: str = ""  # path of a file for the fronts' log lines; "" counts them only
 
 
--- /dev/null
+++ b/limepath/scale/data_path.py
@@ -0,0 +1,84 @@
+"""A front's data path as its control logic sees it, without requests and without sockets.
+
+The stand-ins hold what the hosts of the control logic use of `front.turn.Turn` and `front.caches.Caches`. The
+decision module is left out. A probe costs no socket: it is answered after PROBE_US as a cache in order would
+do, so the duties' results flow. A front asked for its counts tells COUNTS of them, as one in service would.
+"""
+
+from zlib import crc32
+
+from limepath import contract as c
+from limepath.front.turn import clock
+from limepath.opening_values import LOAD_NAMES
+
+PROBE_US = 1_000  # until a probe is answered
+LOAD = {LOAD_NAMES["rif"]: 1.0, LOAD_NAMES["busy"]: 0.1}  # as the caches of the testbed tell
+COUNTS = 256  # entries in the table of what is asked for most: as many as a newcomer is told
+ONE_GET = c.Get(0, 0, 0, 1, 0, 1.0, 0, 0, False, False)
+
+
+class HollowTurn:
+    """In place of Turn: notes go to the listener and nowhere else; `answer` is the front's callLater."""
+
+    def __init__(self, call_later, seed):
+        self.call_later, self.seed = call_later, seed
+        self.listener, self.carriers = None, {}
+
+    def joined(self, caches):
+        self.carriers[c.Probe] = caches.probe
+
+    def gather(self, *notes):
+        if self.listener:
+            self.listener(notes)
+        for note in notes:
+            if isinstance(note, c.AskCounts):
+                self.call_later(0, self.tell_counts, note)
+
+    def tell_counts(self, asked):
+        counts = tuple(
+            (crc32(b"%d:%d" % (self.seed, rank)), 0, float(COUNTS - rank))
+            for rank in range(min(COUNTS, asked.most))
+        )
+        self.carriers[c.Counts](c.Counts(asked.cookie, counts))
+
+
+class HollowPeer:
+    """One member of the list; no connection ever leads to it."""
+
+    __slots__ = ("kind", "gone")
+    connections, coming = (), 0
+
+    def __init__(self):
+        self.kind = self.gone = None
+
+
+class HollowCaches:
+    """In place of Caches."""
+
+    def __init__(self, call_later, turn, limits):
+        self.call_later, self.turn, self.limits = call_later, turn, limits
+        self.peers, self.secured, self.paced = {}, None, None
+
+    def listed(self, ident, name, address, since, standing, kind=None):
+        if ident not in self.peers:
+            if standing == c.Standing.GONE:
+                return
+            self.peers[ident] = HollowPeer()
+        peer = self.peers[ident]
+        peer.kind, peer.gone = kind, clock() if standing == c.Standing.GONE else None
+
+    def purged(self, purge):
+        """No request waits that a purge could concern."""
+
+    def probe(self, order, epoch=0):
+        self.call_later(PROBE_US / 1e6, self.answered, order.cache, clock())
+
+    def answered(self, cache, since):
+        self.turn.gather(c.ProbeReport(cache, c.Verdict.RETURNED, clock() - since, LOAD))
+
+    def sweep(self):
+        """Forget members that have been gone for long."""
+        oldest = clock() - self.limits.gone
+        gone = [ident for ident, peer in self.peers.items() if peer.gone is not None and peer.gone < oldest]
+        for ident in gone:
+            del self.peers[ident]
--- /dev/null
+++ b/limepath/scale/hollow.py
@@ -0,0 +1,222 @@
+"""One hollow front: the program's own control logic and hosts, over real sockets, without a data path.
+
+It is put together as `front.start.build` does for `limepath run --peers`: settings by the same readers,
+`duties.host.Cooperation`, `listing.host.guided` with its tallies and limits. Left out are clients, the
+decision module and connections to caches (`data_path`). Every datagram passes the faults of `links` before
+anything reads it, and is counted by its message's subsystem.
+"""
+
+from enum import Enum
+from hashlib import blake2b
+
+from limepath.duties.host import Cooperation, clock
+from limepath.limits.host import Paced
+from limepath.listing.host import GuidedChangeLog, guided
+from limepath.listing.interface import Events
+from limepath.opening import peers as peers_opening
+from limepath.opening import platform
+from limepath.opening.ini import BadSetting
+from limepath.peers.host import Line, Unopened
+from limepath.scale.accounting import Account
+from limepath.scale.arrivals import Arrivals
+from limepath.scale.control import FrontReport, Subsystem
+from limepath.scale.data_path import ONE_GET, HollowCaches, HollowTurn
+from limepath.scale.front_reactor import FrontClient, FrontReactor
+from limepath.tallies.host import Tallies
+
+SUBSYSTEM_OF_HOST = {
+    Line: Subsystem.MEMBERSHIP,
+    Cooperation: Subsystem.DUTIES,
+    GuidedChangeLog: Subsystem.LIST,
+    FrontClient: Subsystem.LIST,
+    Tallies: Subsystem.COUNTS,
+    Paced: Subsystem.LIMITS,
+}
+
+
+class NotDone(Exception):
+    """A command that a front cannot carry out; the text names the front and the cause."""
+
+
+class State(Enum):
+    DOWN = 0
+    RUNNING = 1
+    PAUSED = 2
+
+
+class Life:
+    """One start of a front, until it is killed. Raises NotDone where it cannot start."""
+
+    def __init__(self, reactor, account, arrivals, links, config, log):
+        self.account, self.arrivals, self.links, self.region = account, arrivals, links, config.region
+        try:
+            shared, opening = settings_of(config)
+            self.reactor = FrontReactor(reactor, account, SUBSYSTEM_OF_HOST)
+            self.limits = opening.limits
+            self.turn = HollowTurn(self.reactor.callLater, opening.seed)
+            self.caches = HollowCaches(self.reactor.callLater, self.turn, opening.limits)
+            self.turn.joined(self.caches)
+            self.cooperation = Cooperation(self.reactor, self.turn, self.caches, log, shared, opening)
+        except (BadSetting, platform.BadConfiguration, Unopened) as flaw:
+            raise NotDone(f"{config.name}: {flaw}") from None
+        self.changes = guided(
+            self.reactor,
+            self.turn,
+            self.caches,
+            opening.limits,
+            log,
+            opening,
+            self.cooperation,
+            shared.listing,
+        )
+        self.changes.confirmed = lambda: self.turn.gather(ONE_GET)  # in service, and asked by clients
+        self.charge()
+        self.count()
+        self.cooperation.start()
+        if self.cooperation.over:
+            self.end()
+            raise NotDone(f"{config.name}: cannot share on {shared.listen[0]}:{shared.listen[1]}")
+        self.changes.follow(*opening.changelog)
+        self.sweep()
+
+    def charge(self):
+        """Charge calls from one host into another; timers and sockets are charged by the reactor."""
+        account, cooperation, changes = self.account, self.cooperation, self.changes
+        members, tallies = cooperation.instance.members, changes.tallies
+        members.handle = account.charged(members.handle, Subsystem.MEMBERSHIP)
+        self.turn.listener = account.charged(self.turn.listener, Subsystem.DUTIES)
+        tallies.run = account.charged(tallies.run, Subsystem.COUNTS)
+        if changes.paced:
+            changes.paced.look = account.charged(changes.paced.look, Subsystem.LIMITS)
+
+    def count(self):
+        """Count datagrams and events where they pass the front's socket and its list."""
+        line, changes = self.cooperation.line, self.changes
+        self.receive, self.open_datagram, self.seal = line.datagramReceived, line.guard.open, line.guard.seal
+        self.send_order, self.take_event, self.hear = line.send, changes.give, changes.heard
+        line.datagramReceived, line.guard.open = self.datagram_came, self.opened
+        line.guard.seal, line.send = self.sealed, self.sent
+        changes.give, changes.heard = self.event_taken, self.heard
+
+    # Datagrams
+
+    def datagram_came(self, datagram, address):
+        self.account.meter.switch(self.account.arriving)
+        if self.links.passes(address, self.region):
+            self.receive(datagram, address)
+
+    def opened(self, datagram):
+        opened = self.open_datagram(datagram)
+        self.account.opened(opened[2], len(datagram))
+        return opened
+
+    def sealed(self, me, to, message):
+        datagram = self.seal(me, to, message)
+        self.sealed_size = len(datagram)
+        return datagram
+
+    def sent(self, me, order):
+        meter, line = self.account.meter, self.cooperation.line
+        previous = meter.switch(self.account.desk_of[type(order.message)].cell)
+        before = line.sent
+        try:
+            self.send_order(me, order)
+        finally:
+            meter.switch(previous)
+        if line.sent > before:
+            self.account.sent(order.message, self.sealed_size)
+
+    # Events of the list
+
+    def heard(self, sender, message):
+        if isinstance(message, Events):
+            self.arrivals.came(message.generation, message.first, len(message.texts))
+        self.hear(sender, message)
+
+    def event_taken(self, order):
+        self.arrivals.taken(self.changes.logic.list.place.generation, order.told["seq"], clock())
+        self.take_event(order)
+
+    # The rest of a front
+
+    def sweep(self):
+        self.cooperation.sweep()
+        self.caches.sweep()
+        self.reactor.callLater(self.limits.sweep / 1e6, self.sweep)
+
+    def end(self):
+        """End as a crash does. The store's file is as the last write left it."""
+        self.reactor.kill()
+        self.cooperation.store.close()
+        instance, changes = self.cooperation.instance, self.changes
+        parts = (self.caches, self.turn, changes.logic, changes.tallies, changes, instance.learnt)
+        parts += (instance.members, instance, self.cooperation.line, self.cooperation, self)
+        for part in parts:  # they hold each other: freed now, without a walk over all fronts of the process
+            part.__dict__.clear()
+
+    def describe(self, report):
+        """Fill in how this front stands."""
+        members, told = self.cooperation.instance.members, self.changes.shown()
+        live = sorted([members.me.token, *members.ring])
+        report.live, report.view = len(live), digest_of(live)
+        report.late, report.age_us = told["late"], told["confirmed_us_ago"]
+        report.role, report.followers = told["role"], told["followers"]
+        report.number, report.generation = told["number"], told["generation"]
+
+
+def digest_of(tokens):
+    """16 hexadecimal digits that name a set of tokens, given in order."""
+    return blake2b(b"".join(token.to_bytes(8, "big") for token in tokens), digest_size=8).hexdigest()
+
+
+def settings_of(config):
+    """(PeersOpening, Opening) of a FrontConfig; BadSetting or BadConfiguration."""
+    shared = peers_opening.read(config.peers)
+    if not shared.listing:
+        raise BadSetting(f"{config.peers}: [listing]: missing; a hollow front takes the list from others")
+    return shared, platform.read({platform.CONFIGURATION: config.settings})
+
+
+class HollowFront:
+    """One front and what is counted of it, over all its lives. `log` is a CountingLog."""
+
+    def __init__(self, reactor, meter, links, config, log):
+        self.reactor, self.links, self.config, self.log = reactor, links, config, log
+        self.account, self.arrivals = Account(meter), Arrivals()
+        self.state, self.life, self.token, self.lives = State.DOWN, None, None, None
+
+    def must_be(self, *states):
+        if self.state not in states:
+            raise NotDone(f"{self.config.name}: is {self.state.name.lower()}")
+
+    def start(self):
+        self.must_be(State.DOWN)
+        self.life = Life(self.reactor, self.account, self.arrivals, self.links, self.config, self.log)
+        identity = self.life.cooperation.identity
+        self.token, self.lives, self.state = f"{identity.token:016x}", identity.life, State.RUNNING
+
+    def kill(self):
+        self.must_be(State.RUNNING, State.PAUSED)
+        self.life.end()
+        self.arrivals.forget()
+        self.life, self.state = None, State.DOWN
+
+    def pause(self):
+        self.must_be(State.RUNNING)
+        self.life.reactor.pause()
+        self.state = State.PAUSED
+
+    def resume(self):
+        self.must_be(State.PAUSED)
+        self.state = State.RUNNING
+        self.life.reactor.resume()
+
+    def report(self):
+        """The FrontReport since the last one; only a running front tells how it stands."""
+        cpu, sent, received = self.account.take()
+        events, doubled = self.arrivals.take()
+        report = FrontReport(cpu, sent, received, events, doubled, self.token, self.lives)
+        report.said = self.log.take()
+        if self.state == State.RUNNING and not self.life.cooperation.over:
+            self.life.describe(report)
+        return report
