--- a/limepath/scale/hollow_process.py
+++ b/limepath/scale/hollow_process.py
@@ -6,14 +6,16 @@
 """
 
 import gc
+import os
 import sys
 import time
 from collections import Counter
+from queue import SimpleQueue
+from threading import Thread
 
 import psutil
-from twisted.internet import reactor, stdio
+from twisted.internet import reactor
 from twisted.logger import globalLogBeginner
-from twisted.protocols.basic import LineReceiver
 
 from limepath.listing.state import List
 from limepath.opening.addresses import address_of
@@ -26,7 +28,8 @@
 from limepath.scale.quiet_log import CountingLog, LogFile
 from limepath.testbed.process import raise_descriptors
 
-LONGEST_LINE = 1 << 20
+READ = 65_536  # bytes of input at a time
+LAST_WORDS = 5  # seconds that the last replies may take
 NEVER = 1 << 30  # collections of the middle generation before a full one
 COLLECTING = (700, 10, NEVER)
 
@@ -138,33 +141,54 @@
         return control.Reply(True, fronts=fronts, process=process)
 
 
-class Commands(LineReceiver):
-    """The controller's side of the standard streams."""
+class Replies:
+    """Writes replies in a thread of its own: a long one is not spread over passes of a busy reactor."""
 
-    delimiter, MAX_LENGTH = b"\n", LONGEST_LINE
+    def __init__(self, descriptor):
+        self.descriptor, self.lines = descriptor, SimpleQueue()
+        self.thread = Thread(target=self.write, daemon=True)
+        self.thread.start()
 
-    def __init__(self, fleet):
-        self.fleet = fleet
+    def put(self, reply):
+        self.lines.put(control.encode(reply))
 
-    def lineReceived(self, line):
+    def write(self):
         try:
-            command = control.decode_command(line)
-        except control.BadLine as flaw:
-            return self.answer(control.Reply(False, str(flaw)))
-        self.answer(self.fleet.carry_out(command))
-        if isinstance(command, control.End):
-            self.transport.loseConnection()
+            while line := self.lines.get():
+                while line:
+                    line = line[os.write(self.descriptor, line) :]
+        except OSError:  # the controller has gone
+            reactor.callFromThread(stop)
 
-    def lineLengthExceeded(self, line):
-        self.answer(control.Reply(False, f"a line of over {LONGEST_LINE} bytes"))
-        self.transport.loseConnection()
+    def close(self):
+        self.lines.put(None)
+        self.thread.join(LAST_WORDS)
 
-    def answer(self, reply):
-        self.transport.write(control.encode(reply))
 
-    def connectionLost(self, reason):
-        if reactor.running:
-            reactor.stop()
+def stop():
+    if reactor.running:
+        reactor.stop()
+
+
+def carry_out(fleet, replies, line):
+    """One line of input."""
+    try:
+        command = control.decode_command(line)
+    except control.BadLine as flaw:
+        return replies.put(control.Reply(False, str(flaw)))
+    replies.put(fleet.carry_out(command))
+    if isinstance(command, control.End):
+        stop()
+
+
+def read_commands(descriptor, fleet, replies):
+    """Runs in a thread of its own until the input ends."""
+    rest = b""
+    while data := os.read(descriptor, READ):
+        *lines, rest = (rest + data).split(b"\n")
+        for line in lines:
+            reactor.callFromThread(carry_out, fleet, replies, line)
+    reactor.callFromThread(stop)
 
 
 def main(words):
@@ -185,8 +209,10 @@
     # process never has. So what the imports made is set aside, and full collections are left out.
     gc.set_threshold(*COLLECTING)
     gc.freeze()
-    stdio.StandardIO(Commands(fleet))
+    replies = Replies(sys.stdout.fileno())
+    Thread(target=read_commands, args=(sys.stdin.fileno(), fleet, replies), daemon=True).start()
     reactor.run(installSignalHandlers=False)
+    replies.close()
     return 0
 
 
