--- a/tests/test_hollow_fronts.py
+++ b/tests/test_hollow_fronts.py
@@ -1,9 +1,26 @@
 """Hollow fronts: the commands and reports of their process, the faults of links, and a process at work."""
 
+import json
+import socket
+
 import pytest
+from twisted.internet.task import Clock
 
-from limepath.scale import control
+from limepath.duties.host import clock
+from limepath.listing.interface import Follow
+from limepath.listing.simulate import member
+from limepath.listing.state import List
+from limepath.peers.interface import Hello
+from limepath.scale import control, hollow_process
+from limepath.scale.accounting import Account, Meter
+from limepath.scale.arrivals import Arrivals
 from limepath.scale.control import Arrival, FrontReport, Reply, Subsystem, Traffic
+from limepath.scale.front_reactor import FrontReactor
+from limepath.scale.links import Links
+from limepath.testbed.process import HOST
+from tests.hollow_fleet import HollowFleet, end, spawned
+
+# Commands and reports
 
 
 def test_commands_round_trip():
@@ -58,3 +75,343 @@
     assert reply.fronts["a"].events[0].number == 7
     assert control.encode(Reply(True)) == b'{"ok":true}\n'
     assert control.decode_reply(control.encode(Reply(False, "no front x"))).error == "no front x"
+
+
+# Parts
+
+
+def test_a_cut_works_both_ways_and_is_counted_where_it_takes_effect():
+    links = Links({("h", 1): "a", ("h", 2): "b", ("h", 3): "c"})
+    assert links.passes(("h", 1), "b")
+    links.set(0.0, [("a", "b")])
+    assert not links.passes(("h", 1), "b") and not links.passes(("h", 2), "a")
+    assert links.passes(("h", 1), "a") and links.passes(("h", 3), "b") and links.passes(("h", 9), "a")
+    assert links.take() == control.Dropped(0, 2) and links.take() == control.Dropped()
+    links.set(0.0, [])
+    assert links.passes(("h", 1), "b")
+
+
+def test_loss_is_drawn_by_its_seed():
+    def passed(seed):
+        links = Links({}, seed)
+        links.set(0.05, [])
+        out = [links.passes(("h", 1), "a") for _ in range(2000)]
+        assert links.take().loss == out.count(False)
+        return out
+
+    assert passed(1) == passed(1) != passed(2)
+    assert 60 <= passed(1).count(False) <= 140
+    links = Links({})
+    links.set(1.0, [])
+    assert not links.passes(("h", 1), "a")
+
+
+def test_processor_time_is_charged_to_whoever_works():
+    now = [0]
+    account = Account(Meter(lambda: now[0]))
+
+    def work(span):
+        now[0] += span
+
+    def outer():
+        work(2_000)
+        account.charged(work, Subsystem.MEMBERSHIP)(3_000)
+        work(4_500)
+
+    work(100)
+    account.charged(outer, Subsystem.DUTIES)()
+    work(1_000)
+    account.meter.switch(account.arriving)
+    work(5_000)
+    account.opened(Follow("sur", 0, 1), 80)
+    work(1_000)
+    account.meter.switch(account.arriving)
+    work(7_000)
+    account.opened(Hello(), 60)
+    account.meter.switch(account.meter.nobody)
+    account.sent(Hello(), 61)
+    cpu, sent, received = account.take()
+    assert cpu == {
+        Subsystem.MEMBERSHIP: 10,
+        Subsystem.DUTIES: 6,
+        Subsystem.LIST: 6,
+        Subsystem.COUNTS: 0,
+        Subsystem.LIMITS: 0,
+    }
+    assert account.meter.nobody.ns == 1_100
+    assert received[Subsystem.LIST] == Traffic(1, 80) and received[Subsystem.MEMBERSHIP] == Traffic(1, 60)
+    assert sent[Subsystem.MEMBERSHIP] == Traffic(1, 61)
+    cpu, sent, received = account.take()
+    assert set(cpu.values()) == {0} and received[Subsystem.LIST] == Traffic()
+
+
+def test_what_is_charged_ends_with_a_fault():
+    now = [0]
+    account = Account(Meter(lambda: now[0]))
+
+    def fail():
+        now[0] += 1_000
+        raise ValueError
+
+    with pytest.raises(ValueError):
+        account.charged(fail, Subsystem.LIST)()
+    now[0] += 5_000
+    account.meter.switch(account.meter.nobody)
+    assert account.take()[0][Subsystem.LIST] == 1 and account.meter.nobody.ns == 5_000
+
+
+def test_arrivals_tell_each_event_once_and_count_copies():
+    arrivals = Arrivals()
+    arrivals.came(0, 5, 3)
+    for number in (5, 6, 7):
+        arrivals.taken(0, number, 100 + number)
+    arrivals.came(0, 6, 3)  # 6 and 7 again, 8 is new
+    arrivals.taken(0, 7, 300)
+    arrivals.taken(1, 7, 400)
+    arrivals.taken(0, 9, 500)  # by the stream
+    arrivals.came(0, 9, 1)
+    assert arrivals.take() == (
+        [Arrival(0, 5, 105), Arrival(0, 6, 106), Arrival(0, 7, 107), Arrival(1, 7, 400), Arrival(0, 9, 500)],
+        3,
+    )
+    assert arrivals.take() == ([], 0)
+    arrivals.forget()
+    arrivals.taken(0, 5, 600)
+    assert arrivals.take() == ([Arrival(0, 5, 600)], 0)
+
+
+def test_a_paused_fronts_overdue_timers_run_late_and_in_order():
+    process, told = Clock(), []
+    front = FrontReactor(process, Account(Meter()), {})
+    front.callLater(3, told.append, "third")
+    undone = front.callLater(2, told.append, "second")
+    front.callLater(1, lambda: (told.append("first"), undone.cancel()))
+    front.callLater(9, told.append, "last")
+    front.pause()
+    set_while_paused = front.callLater(0, told.append, "never")
+    process.advance(5)
+    assert told == [] and undone.active()
+    set_while_paused.cancel()
+    front.resume()
+    process.advance(0)
+    assert told == ["first", "third"] and not undone.active()
+    process.advance(4)
+    assert told == ["first", "third", "last"]
+
+
+def test_a_killed_fronts_timers_never_run():
+    process, told = Clock(), []
+    front = FrontReactor(process, Account(Meter()), {})
+    front.callLater(1, told.append, "never")
+    front.kill()
+    front.callLater(1, told.append, "nor this")
+    process.advance(9)
+    assert told == [] and not process.getDelayedCalls()
+
+
+def test_shared_members_change_nothing_but_memory(monkeypatch):
+    def filled():
+        one = List()
+        for told in ([member("s-1"), member("s-2")], [member("s-1") | {"size": 9}]):
+            one.take(json.loads(json.dumps({"seq": 1, "fleet": {"members": told}})))
+        return one
+
+    plain = filled()
+    monkeypatch.setattr(List, "put", List.put)  # put back after this test
+    hollow_process.share_members()
+    one, two = filled(), filled()
+    assert one.members == two.members == plain.members and one.digest == two.digest == plain.digest
+    assert one.members["s-2"] is two.members["s-2"] is not plain.members["s-2"]
+    assert one.members["s-1"]["size"] == 9
+
+
+# A process at work
+
+
+def test_fronts_join_and_take_what_the_service_tells(tmp_path):
+    with HollowFleet(str(tmp_path), 5) as fleet:
+        fronts = fleet.start()
+        assert len({front.view for front in fronts.values()}) == 1
+        assert len({front.token for front in fronts.values()}) == 5
+        assert {front.role for front in fronts.values()} <= {"relays", "follows"}
+        began = clock()
+        added = fleet.add({"fleet": {"revision": 2, "members": [member("s-9")]}})
+        purged = fleet.purge()
+        fleet.until_taken(fleet.names, purged)
+        fleet.until_all(fleet.names, number=purged, generation=0)
+        for name in fleet.names:
+            assert began < fleet.taken[name][0, added] <= fleet.taken[name][0, purged] < clock()
+        counted = {name: (0, 0, 0) for name in fleet.names}
+
+        def enough(fronts):
+            for name, front in fronts.items():
+                now = (front.cpu_us["membership"], front.received["list"].datagrams, front.cpu_us["duties"])
+                counted[name] = tuple(map(sum, zip(counted[name], now, strict=True)))
+            return all(min(counts) > 0 for counts in counted.values())
+
+        fleet.until(enough)
+        assert fleet.report().process.rss_bytes > 10_000_000
+        assert 0 < fleet.charged_us <= fleet.cpu_us
+
+
+def test_a_killed_front_is_found_and_comes_back_as_a_new_life(tmp_path):
+    with HollowFleet(str(tmp_path), 4) as fleet:
+        before = fleet.start()["h3"]
+        fleet.do(control.Kill(["h3"]))
+        others = fleet.names[:3]
+        fleet.until_all(others, live=3)
+        down = fleet.report().fronts["h3"]
+        assert (down.live, down.late, down.number) == (None, None, None)
+        purged = fleet.purge()
+        fleet.until_taken(others, purged)
+        assert (0, purged) not in fleet.taken["h3"]
+        fleet.do(control.Start(["h3"]))
+        fleet.taken["h3"].clear()
+        fleet.until_all(fleet.names, live=4, late=False, number=purged)
+        after = fleet.report().fronts["h3"]
+        assert after.token == before.token and (before.life, after.life) == (1, 2)
+        assert fleet.taken["h3"][0, purged]
+
+
+def test_a_paused_front_is_late_and_catches_up(tmp_path):
+    with HollowFleet(str(tmp_path), 4) as fleet:
+        fleet.start()
+        fleet.do(control.Pause(["h2"]))
+        others = ["h0", "h1", "h3"]
+        purged = fleet.purge()
+        fleet.until_taken(others, purged)
+        fleet.until_all(others, live=3)  # it answers nobody
+        paused = fleet.report().fronts["h2"]
+        assert paused.live is None and paused.life == 1 and not any(paused.cpu_us.values())
+        assert (0, purged) not in fleet.taken["h2"]
+        resumed = clock()
+        fleet.do(control.Resume(["h2"]))
+        fleet.until_taken(["h2"], purged)
+        assert fleet.taken["h2"][0, purged] > resumed
+        fronts = fleet.until_all(fleet.names, live=4, late=False, number=purged)
+        assert fronts["h2"].life == 1
+
+
+def test_a_cut_between_regions_takes_effect_and_ends(tmp_path):
+    with HollowFleet(str(tmp_path), 5) as fleet:
+        fleet.start()
+        fleet.do(control.Links(cuts=[("north", "south")]))
+        north, south = fleet.names[::2], fleet.names[1::2]
+        fleet.until(
+            lambda fronts: (
+                all(fronts[name].live == 3 for name in north)
+                and all(fronts[name].live == 2 for name in south)
+            )
+        )
+        assert fleet.cut > 0 and fleet.lost == 0
+        fleet.do(control.Links())
+        fronts = fleet.until_all(fleet.names, live=5)
+        assert len({front.view for front in fronts.values()}) == 1
+        cut = fleet.cut
+        fleet.report()
+        assert fleet.cut == cut
+
+
+def test_events_reach_all_under_loss(tmp_path):
+    with HollowFleet(str(tmp_path), 4) as fleet:
+        fleet.start()
+        fleet.do(control.Links(loss=0.2))
+        numbers = [fleet.purge(bucket) for bucket in range(20)]
+        fleet.until_all(fleet.names, number=numbers[-1])
+        fleet.until(lambda _: fleet.lost > 0)
+        fleet.do(control.Links())
+        for number in numbers:
+            fleet.until_taken(fleet.names, number)
+
+
+def test_what_cannot_be_done_is_told_and_the_rest_goes_on(tmp_path):
+    with HollowFleet(str(tmp_path), 2) as fleet:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+            holder.bind((HOST, fleet.ports[1]))
+            reply = fleet.say(control.encode(control.Start(["h0", "h1"])))
+            assert not reply.ok and reply.error.startswith("h1: ") and str(fleet.ports[1]) in reply.error
+        fleet.do(control.Start(["h1"]))  # h0 runs
+        for line, error in (
+            (b"nonsense\n", "JSON is malformed"),
+            (b'{"do": "start", "names": ["h0"]}\n', "h0: is running"),
+            (b'{"do": "resume", "names": ["h0"]}\n', "h0: is running"),
+            (b'{"do": "kill", "names": ["h0", "h9"]}\n', "no front 'h9'"),
+        ):
+            reply = fleet.say(line)
+            assert not reply.ok and reply.error.startswith(error)
+        fleet.until_all(fleet.names, live=2, late=False)
+        assert fleet.do(control.End()) == Reply(True)
+        fleet.process.wait(60)
+
+
+# Bad configuration
+
+
+def spoil_fronts(told):
+    told["fronts"] = []
+
+
+def spoil_twice(told):
+    told["fronts"].append(told["fronts"][0])
+
+
+def spoil_field(told):
+    told["front"] = told.pop("fronts")
+
+
+def spoil_peers(told):
+    told["fronts"][0]["peers"] += ".none"
+
+
+def spoil_directory(told):
+    told["directory"] += ".none"
+
+
+@pytest.mark.parametrize(
+    "spoil, words",
+    [
+        (spoil_fronts, "fronts: there is none"),
+        (spoil_twice, "'h0' is there 2 times"),
+        (spoil_field, "front"),
+        (spoil_peers, "peers.ini.none"),
+        (spoil_directory, "directory.json.none"),
+    ],
+)
+def test_a_bad_configuration_is_one_line_and_status_2(tmp_path, spoil, words):
+    with HollowFleet(str(tmp_path), 1) as fleet:
+        with open(fleet.config, encoding="utf-8") as file:
+            told = json.load(file)
+        spoil(told)
+        process = spawned("limepath.scale.hollow_process", fleet.write("spoilt.json", json.dumps(told)))
+        assert process.stdout.read() == b""
+        said = end(process)
+    assert process.returncode == 2
+    assert said.startswith("limepath: configuration: ") and words in said and said.count("\n") == 1
+
+
+def test_bad_files_are_one_line_and_status_2(tmp_path):
+    cases = {
+        "missing": (None, "No such file"),
+        "no JSON": (b"{", "JSON"),
+        "no object": (b"[]", "object"),
+    }
+    for name, (data, words) in cases.items():
+        path = tmp_path / name
+        if data is not None:
+            path.write_bytes(data)
+        process = spawned("limepath.scale.hollow_process", str(path))
+        said = end(process)
+        assert process.returncode == 2 and words in said and said.count("\n") == 1, said
+
+
+def test_a_front_without_listing_is_refused(tmp_path):
+    with HollowFleet(str(tmp_path), 1) as fleet:
+        with open(fleet.path("h0", "peers.ini"), encoding="utf-8") as file:
+            peers = fleet.write("h0/short.ini", file.read().partition("[listing]")[0])
+        with open(fleet.config, encoding="utf-8") as file:
+            told = json.load(file)
+        told["fronts"][0]["peers"] = peers
+        process = spawned("limepath.scale.hollow_process", fleet.write("short.json", json.dumps(told)))
+        said = end(process)
+    assert process.returncode == 2
+    assert said.startswith("limepath: configuration: h0: ") and "[listing]: missing" in said
