Hollow fronts: subsystems by package, a reload, copies in coded batches

Messages and timers are charged by the package of their class, so that new messages of a logic and a host shared by several logics are charged right. A command reloads settings as SIGHUP does.

--- a/limepath/scale/accounting.py
+++ b/limepath/scale/accounting.py
@@ -7,24 +7,22 @@
 
 import time
 
-from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
-from limepath.listing.interface import MESSAGES as LIST_MESSAGES
-from limepath.peers.interface import MESSAGES as PEER_MESSAGES
 from limepath.scale.control import Subsystem, Traffic
-from limepath.tallies.interface import MESSAGES as COUNT_MESSAGES
-
-SUBSYSTEM_OF = {
-    message: subsystem
-    for subsystem, messages in (
-        (Subsystem.MEMBERSHIP, PEER_MESSAGES),
-        (Subsystem.DUTIES, DUTY_MESSAGES),
-        (Subsystem.LIST, LIST_MESSAGES),
-        (Subsystem.COUNTS, COUNT_MESSAGES),
-    )
-    for message in messages
+
+SUBSYSTEM_OF_PACKAGE = {
+    "limepath.peers": Subsystem.MEMBERSHIP,
+    "limepath.duties": Subsystem.DUTIES,
+    "limepath.listing": Subsystem.LIST,
+    "limepath.tallies": Subsystem.COUNTS,
+    "limepath.limits": Subsystem.LIMITS,
 }
 
 
+def subsystem_of(kind):
+    """The Subsystem that a class of a message, a logic or a host belongs to by its package, or None."""
+    return SUBSYSTEM_OF_PACKAGE.get(kind.__module__.rpartition(".")[0])
+
+
 class Cell:
     """Nanoseconds of processor time."""
 
@@ -82,13 +80,25 @@
         self.cell, self.sent, self.received = Cell(), Traffic(), Traffic()
 
 
+class Desks(dict):
+    """The Desk of each type of message, found when the first of it passes."""
+
+    def __init__(self, desks):
+        super().__init__()
+        self.desks = desks
+
+    def __missing__(self, kind):
+        self[kind] = desk = self.desks[subsystem_of(kind)]
+        return desk
+
+
 class Account:
     """One front's counts. `arriving` holds the time of a datagram whose kind is not known yet."""
 
     def __init__(self, meter):
         self.meter, self.arriving = meter, Cell()
         self.desks = {subsystem: Desk() for subsystem in Subsystem}
-        self.desk_of = {message: self.desks[subsystem] for message, subsystem in SUBSYSTEM_OF.items()}
+        self.desk_of = Desks(self.desks)
 
     def cell(self, subsystem):
         return self.desks[subsystem].cell
--- a/limepath/scale/control.py
+++ b/limepath/scale/control.py
@@ -88,6 +88,12 @@
     names: list[str]
 
 
+class Reload(Command, tag="reload"):
+    """Have these read their settings again, as SIGHUP does."""
+
+    names: list[str]
+
+
 class Links(Command, tag="links"):
     """Replace the faults of the links: `loss` is the share of datagrams lost; each pair of regions in `cuts`
     hears nothing of each other.
@@ -105,7 +111,7 @@
     """End the process; so does the end of its input."""
 
 
-Commands = Start | Kill | Pause | Resume | Links | Report | End
+Commands = Start | Kill | Pause | Resume | Reload | Links | Report | End
 
 
 # Replies
--- a/limepath/scale/front_reactor.py
+++ b/limepath/scale/front_reactor.py
@@ -6,9 +6,12 @@
 charged to the subsystem that they work for.
 """
 
+from functools import cache
+
 from twisted.internet import tcp, udp, unix
 from twisted.internet.error import AlreadyCalled, AlreadyCancelled
 
+from limepath.scale.accounting import subsystem_of
 from limepath.scale.control import Subsystem
 
 
@@ -81,11 +84,17 @@
         return client
 
 
+@cache
+def timed(kind):
+    """The Subsystem that a timer of this class works for, or None."""
+    return Subsystem.LIST if issubclass(kind, FrontClient) else subsystem_of(kind)
+
+
 class FrontReactor:
-    """`reactor` is the process's; `subsystem_of` maps the type of a timer's host to its Subsystem."""
+    """`reactor` is the process's, `account` the front's Account."""
 
-    def __init__(self, reactor, account, subsystem_of):
-        self.reactor, self.account, self.subsystem_of = reactor, account, subsystem_of
+    def __init__(self, reactor, account):
+        self.reactor, self.account = reactor, account
         self.seconds, self.paused, self.ended = reactor.seconds, False, False
         self.timers, self.readers, self.writers, self.sockets = set(), set(), set(), []
 
@@ -139,8 +148,9 @@
         return descriptor
 
     def run(self, function, arguments):
-        """Run a timer's call; what belongs to no subsystem is charged to nobody."""
-        subsystem = self.subsystem_of.get(type(getattr(function, "__self__", None)))
+        """Run a timer's call, charged to the subsystem of the logic that its host runs."""
+        host = getattr(function, "__self__", None)
+        subsystem = timed(type(getattr(host, "logic", host)))
         if subsystem is None:
             return function(*arguments)
         meter = self.account.meter
--- a/limepath/scale/hollow.py
+++ b/limepath/scale/hollow.py
@@ -9,29 +9,19 @@
 from enum import Enum
 from hashlib import blake2b
 
+from limepath import contract as c
 from limepath.duties.host import Cooperation, clock
-from limepath.limits.host import Paced
-from limepath.listing.host import GuidedChangeLog, guided
+from limepath.listing.host import guided
 from limepath.listing.interface import Events
 from limepath.opening import peers as peers_opening
 from limepath.opening import platform
 from limepath.opening.ini import BadSetting
-from limepath.peers.host import Line, Unopened
+from limepath.peers.host import Unopened
 from limepath.scale.accounting import Account
 from limepath.scale.arrivals import Arrivals
 from limepath.scale.control import FrontReport, Subsystem
 from limepath.scale.data_path import ONE_GET, HollowCaches, HollowTurn
-from limepath.scale.front_reactor import FrontClient, FrontReactor
-from limepath.tallies.host import Tallies
-
-SUBSYSTEM_OF_HOST = {
-    Line: Subsystem.MEMBERSHIP,
-    Cooperation: Subsystem.DUTIES,
-    GuidedChangeLog: Subsystem.LIST,
-    FrontClient: Subsystem.LIST,
-    Tallies: Subsystem.COUNTS,
-    Paced: Subsystem.LIMITS,
-}
+from limepath.scale.front_reactor import FrontReactor
 
 
 class NotDone(Exception):
@@ -49,9 +39,11 @@
 
     def __init__(self, reactor, account, arrivals, links, config, log):
         self.account, self.arrivals, self.links, self.region = account, arrivals, links, config.region
+        self.config, self.log, self.doubled = config, log, 0
         try:
-            shared, opening = settings_of(config)
-            self.reactor = FrontReactor(reactor, account, SUBSYSTEM_OF_HOST)
+            shared, self.opening = settings_of(config)
+            opening = self.opening
+            self.reactor = FrontReactor(reactor, account)
             self.limits = opening.limits
             self.turn = HollowTurn(self.reactor.callLater, opening.seed)
             self.caches = HollowCaches(self.reactor.callLater, self.turn, opening.limits)
@@ -82,10 +74,12 @@
     def charge(self):
         """Charge calls from one host into another; timers and sockets are charged by the reactor."""
         account, cooperation, changes = self.account, self.cooperation, self.changes
-        members, tallies = cooperation.instance.members, changes.tallies
+        members, tallies, carriers = cooperation.instance.members, changes.tallies, self.turn.carriers
         members.handle = account.charged(members.handle, Subsystem.MEMBERSHIP)
         self.turn.listener = account.charged(self.turn.listener, Subsystem.DUTIES)
-        tallies.run = account.charged(tallies.run, Subsystem.COUNTS)
+        tallies.heard = account.charged(tallies.heard, Subsystem.COUNTS)
+        carriers[c.Counts] = account.charged(carriers[c.Counts], Subsystem.COUNTS)
+        self.sweep_sharing = account.charged(cooperation.sweep, Subsystem.MEMBERSHIP)
         if changes.paced:
             changes.paced.look = account.charged(changes.paced.look, Subsystem.LIMITS)
 
@@ -134,18 +128,38 @@
         self.hear(sender, message)
 
     def event_taken(self, order):
-        self.arrivals.taken(self.changes.logic.list.place.generation, order.told["seq"], clock())
+        logic = self.changes.logic
+        place = getattr(logic, "held", logic).list.place
+        self.arrivals.taken(place.generation, order.told["seq"], clock())
         self.take_event(order)
 
+    def count_doubled(self):
+        """Copies in coded batches are counted by the logic, which decodes them."""
+        told = self.changes.logic.counts.get("doubled", 0)
+        self.arrivals.doubled += told - self.doubled
+        self.doubled = told
+
     # The rest of a front
 
     def sweep(self):
-        self.cooperation.sweep()
+        self.sweep_sharing()
         self.caches.sweep()
         self.reactor.callLater(self.limits.sweep / 1e6, self.sweep)
 
+    def reload(self):
+        """What SIGHUP does: the list service's address and the keys are taken anew."""
+        try:
+            (host, port), differing = platform.read_again(environment(self.config), self.opening)
+        except platform.BadConfiguration as flaw:
+            raise NotDone(f"{self.config.name}: {flaw}; the running values stay") from None
+        for key in differing:
+            self.log.say("reload", "differs; it changes at a restart only", key=key)
+        self.changes.follow(host, port)
+        self.cooperation.reload()
+
     def end(self):
         """End as a crash does. The store's file is as the last write left it."""
+        self.count_doubled()
         self.reactor.kill()
         self.cooperation.store.close()
         instance, changes = self.cooperation.instance, self.changes
@@ -174,7 +188,11 @@
     shared = peers_opening.read(config.peers)
     if not shared.listing:
         raise BadSetting(f"{config.peers}: [listing]: missing; a hollow front takes the list from others")
-    return shared, platform.read({platform.CONFIGURATION: config.settings})
+    return shared, platform.read(environment(config))
+
+
+def environment(config):
+    return {platform.CONFIGURATION: config.settings}
 
 
 class HollowFront:
@@ -211,8 +229,14 @@
         self.state = State.RUNNING
         self.life.reactor.resume()
 
+    def reload(self):
+        self.must_be(State.RUNNING)
+        self.life.reload()
+
     def report(self):
         """The FrontReport since the last one; only a running front tells how it stands."""
+        if self.life:
+            self.life.count_doubled()
         cpu, sent, received = self.account.take()
         events, doubled = self.arrivals.take()
         report = FrontReport(cpu, sent, received, events, doubled, self.token, self.lives)
--- a/limepath/scale/hollow_process.py
+++ b/limepath/scale/hollow_process.py
@@ -106,6 +106,7 @@
             control.Kill: lambda command: self.each(command.names, HollowFront.kill),
             control.Pause: lambda command: self.each(command.names, HollowFront.pause),
             control.Resume: lambda command: self.each(command.names, HollowFront.resume),
+            control.Reload: lambda command: self.each(command.names, HollowFront.reload),
             control.Links: lambda command: self.links.set(command.loss, command.cuts),
             control.Report: lambda command: self.report(),
             control.End: lambda command: None,
--- a/tests/test_hollow_fronts.py
+++ b/tests/test_hollow_fronts.py
@@ -29,6 +29,7 @@
         control.Kill(["a"]),
         control.Pause([]),
         control.Resume(["b"]),
+        control.Reload(["b"]),
         control.Links(0.05, [("north", "south")]),
         control.Report(),
         control.End(),
@@ -182,7 +183,7 @@
 
 def test_a_paused_fronts_overdue_timers_run_late_and_in_order():
     process, told = Clock(), []
-    front = FrontReactor(process, Account(Meter()), {})
+    front = FrontReactor(process, Account(Meter()))
     front.callLater(3, told.append, "third")
     undone = front.callLater(2, told.append, "second")
     front.callLater(1, lambda: (told.append("first"), undone.cancel()))
@@ -201,7 +202,7 @@
 
 def test_a_killed_fronts_timers_never_run():
     process, told = Clock(), []
-    front = FrontReactor(process, Account(Meter()), {})
+    front = FrontReactor(process, Account(Meter()))
     front.callLater(1, told.append, "never")
     front.kill()
     front.callLater(1, told.append, "nor this")
@@ -312,6 +313,25 @@
         assert fleet.cut == cut
 
 
+def test_a_reload_moves_to_another_address_of_the_list_service(tmp_path):
+    with HollowFleet(str(tmp_path), 2) as fleet:
+        fleet.start()
+        with open(fleet.path("h1", "front.json"), encoding="utf-8") as file:
+            told = json.load(file)
+        moved = told | {"changelog": f"{HOST}:{fleet.changelogs[0]}", "seed": "99"}
+        fleet.write("h1/front.json", json.dumps(moved))
+        fleet.do(control.Reload(["h1"]))
+        said = fleet.report().fronts["h1"].said
+        assert said["reload"] == 1  # the seed differs, and changes at a restart only
+        purged = fleet.purge()
+        fleet.until_taken(fleet.names, purged)
+        fleet.write("h1/front.json", "{")
+        reply = fleet.say(control.encode(control.Reload(["h1"])))
+        assert not reply.ok and reply.error.startswith("h1: ") and "running values stay" in reply.error
+        purged = fleet.purge()
+        fleet.until_taken(fleet.names, purged)
+
+
 def test_events_reach_all_under_loss(tmp_path):
     with HollowFleet(str(tmp_path), 4) as fleet:
         fleet.start()
