--- a/limepath/scale/hollow.py
+++ b/limepath/scale/hollow.py
@@ -142,8 +142,11 @@
     # The rest of a front
 
     def sweep(self):
-        self.sweep_sharing()
-        self.caches.sweep()
+        for part in (self.sweep_sharing, self.caches.sweep):
+            try:
+                part()
+            except Exception as flaw:  # as in front.start: the others' turn comes, and this one's again
+                self.log.fault("sweep", flaw)
         self.reactor.callLater(self.limits.sweep / 1e6, self.sweep)
 
     def reload(self):
--- a/tests/test_hollow_fronts.py
+++ b/tests/test_hollow_fronts.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.task import Clock
@@ -10,13 +11,16 @@
 from limepath.listing.interface import Follow
 from limepath.listing.simulate import member
 from limepath.listing.state import List
+from limepath.opening.limits import planned
 from limepath.peers.interface import Hello
 from limepath.scale import control, hollow_process
 from limepath.scale.accounting import Account, Meter
 from limepath.scale.arrivals import Arrivals
 from limepath.scale.control import Arrival, FrontReport, Reply, Subsystem, Traffic
 from limepath.scale.front_reactor import FrontReactor
+from limepath.scale.hollow import Life
 from limepath.scale.links import Links
+from limepath.scale.quiet_log import CountingLog, LogFile
 from limepath.testbed.process import HOST
 from tests.hollow_fleet import HollowFleet, end, spawned
 
@@ -210,6 +214,18 @@
     assert told == [] and not process.getDelayedCalls()
 
 
+def test_a_fault_in_a_sweep_is_told_and_the_next_sweep_comes(capsys):
+    process, swept = Clock(), []
+    life = Life.__new__(Life)
+    life.reactor, life.limits = FrontReactor(process, Account(Meter())), planned(1024, 192, 8, open_gets=9)
+    life.log = CountingLog("h0", LogFile(""))
+    life.sweep_sharing, life.caches = (lambda: 1 // 0), SimpleNamespace(sweep=lambda: swept.append(1))
+    life.sweep()
+    process.advance(life.limits.sweep / 1e6)
+    assert len(swept) == 2 and life.log.take() == {"fault": 2}
+    assert capsys.readouterr().err.count("ZeroDivisionError") == 2
+
+
 def test_shared_members_change_nothing_but_memory(monkeypatch):
     def filled():
         one = List()
