--- a/tests/hollow_fleet.py
+++ b/tests/hollow_fleet.py
@@ -39,24 +39,27 @@
 
 
 class HollowFleet:
-    """`count` fronts, alternately in two regions. A context manager: it starts them, and ends all."""
+    """`count` hollow fronts, alternately in two regions, and files for one real front. A context manager: it
+    starts their process, and ends all.
+    """
 
     def __init__(self, folder, count):
         self.folder, self.count = folder, count
         self.names = [f"h{who}" for who in range(count)]
-        self.ports = free_ports(socket.SOCK_DGRAM, count)
+        self.ports = free_ports(socket.SOCK_DGRAM, count + 1)
+        self.real = None
         self.taken = {name: {} for name in self.names}  # microseconds by (generation, number)
         self.doubled = dict.fromkeys(self.names, 0)
         self.cut = self.lost = 0
         self.cpu_us = self.charged_us = 0  # of the process, and of that by all fronts' subsystems
 
     def __enter__(self):
-        self.service = spawned("tests.list_service", str(self.count))
+        self.service = spawned("tests.list_service", str(self.count + 1))
         self.changelogs = json.loads(self.service.stdout.readline())
         fronts = [self.write_front(who, name) for who, name in enumerate(self.names)]
         directory = {
             f"{HOST}:{port}": {key: front[key] for key in ("name", "region", "zone", "site")}
-            for port, front in zip(self.ports, fronts, strict=True)
+            for port, front in zip(self.ports, fronts, strict=False)
         }
         self.write("directory.json", json.dumps(directory))
         config = {"fronts": fronts, "directory": self.path("directory.json")}
@@ -67,6 +70,9 @@
         return self
 
     def __exit__(self, failed, *_):
+        if self.real:
+            self.real.kill()
+            end(self.real)
         said = end(self.process)
         end(self.service)
         assert failed or self.process.returncode == 0 and not said, said
@@ -112,7 +118,7 @@
         )
         told = {
             "name": name,
-            "listen": f"{HOST}:1",
+            "listen": f"{HOST}:{free_ports(socket.SOCK_STREAM, 1)[0]}",
             "seed": f"{who + 1:x}",
             "changelog": f"{HOST}:{self.changelogs[who]}",
             "settings": SETTINGS,
@@ -128,6 +134,11 @@
             "site": region + "-1",
         }
 
+    def start_real(self, name):
+        """Start `limepath run` as one more front."""
+        front = self.write_front(self.count, name)
+        self.real = spawned("limepath", "run", "--config", front["settings"], "--peers", front["peers"])
+
     # Commands
 
     def add(self, told):
--- a/tests/test_hollow_fronts.py
+++ b/tests/test_hollow_fronts.py
@@ -12,6 +12,7 @@
 from limepath.listing.simulate import member
 from limepath.listing.state import List
 from limepath.opening.limits import planned
+from limepath.peers.control import ask
 from limepath.peers.interface import Hello
 from limepath.scale import control, hollow_process
 from limepath.scale.accounting import Account, Meter
@@ -271,6 +272,26 @@
         assert 0 < fleet.charged_us <= fleet.cpu_us
 
 
+def test_a_real_front_and_hollow_ones_are_one_fleet(tmp_path):
+    with HollowFleet(str(tmp_path), 3) as fleet:
+        fleet.start()
+        fleet.start_real("r0")
+        fleet.until_all(fleet.names, live=4)
+        purged = fleet.purge()
+        fleet.until_all(fleet.names, number=purged)
+        control_socket = fleet.path("r0", "peers.sock")
+
+        def joined(fronts):
+            real, listing = ask(control_socket, "peers"), ask(control_socket, "listing")
+            tokens = {member["token"] for member in real["members"] if member["state"] == "alive"}
+            return {front.token for front in fronts.values()} < tokens and listing["number"] == purged
+
+        fleet.until(joined)
+        hollow, real = (ask(fleet.path(name, "peers.sock"), "listing") for name in ("h0", "r0"))
+        assert hollow["digest"] == real["digest"] and hollow["members"] == real["members"] == 3
+        assert set(hollow) == set(real) and set(hollow["counts"]) == set(real["counts"])
+
+
 def test_a_killed_front_is_found_and_comes_back_as_a_new_life(tmp_path):
     with HollowFleet(str(tmp_path), 4) as fleet:
         before = fleet.start()["h3"]
