--- /dev/null
+++ b/limepath/scale/delivery.py
@@ -0,0 +1,98 @@
+"""When the events of a scale run reached its fronts: histograms by phase and kind, late and lost arrivals."""
+
+import numpy
+from hdrh.histogram import HdrHistogram
+
+from limepath.scale.bounds import REQUIRED
+from limepath.scale.service import LIST, PURGE
+from limepath.verdicts import Row, at_most, seconds
+
+SHARES = {"50%": 0.5, "99%": 0.99, "all": 1.0}  # of the fronts that an event has reached
+LONGEST = 600_000_000  # microseconds that a histogram holds
+
+
+class Delivery:
+    """When events reached fronts, by phase and kind, from the observations of a run."""
+
+    def __init__(self, run, promise):
+        self.run, self.promise, self.seen = run, promise, run.seen
+        issued = run.around.issued[1:]  # the first is the whole list, told before anybody is up
+        horizon = max(promise.event.values(), default=REQUIRED)
+        moments = [at for _, at in run.around.issued]
+        times, counts = self.seen.times(moments, horizon)
+        self.times, self.counts = times[1:], counts[1:]
+        self.kinds = numpy.array([kind for kind, _ in issued] or [""])[: len(issued)]
+        self.phases = numpy.array([self.seen.phase_of(at) or "" for _, at in issued] or [""])[: len(issued)]
+        self.histograms = {}
+        for phase in dict.fromkeys(phase.name for phase in self.seen.phases):
+            for kind in (PURGE, LIST):
+                chosen = (self.kinds == kind) & (self.phases == phase)
+                if chosen.any():
+                    self.histograms[phase, kind] = self.histograms_of(chosen)
+
+    def histograms_of(self, chosen):
+        """For each of SHARES a histogram over events, and how many never reached all that count."""
+        histograms = {share: HdrHistogram(1, LONGEST, 3) for share in SHARES}
+        incomplete = 0
+        for times, counts in zip(self.times[chosen], self.counts[chosen], strict=True):
+            arrived = numpy.sort(times[counts])
+            if not len(arrived):
+                continue
+            incomplete += bool(numpy.isinf(arrived[-1]))
+            for share, part in SHARES.items():
+                value = arrived[max(0, int(numpy.ceil(part * len(arrived))) - 1)]
+                if numpy.isfinite(value):
+                    histograms[share].record_value(int(min(LONGEST, max(1, value))))
+        return histograms, incomplete
+
+    def late(self, phase):
+        """Arrivals later than the phase's bound, at fronts that no fault struck."""
+        chosen = self.phases == phase
+        over = (self.times[chosen] > self.promise.event[phase]) & self.counts[chosen]
+        return int(over.sum())
+
+    def lost(self):
+        """Arrivals that never came, at whatever front."""
+        return int(numpy.isinf(self.times).sum())
+
+    def rows(self):
+        rows = []
+        for (phase, kind), (histograms, incomplete) in self.histograms.items():
+            for share, histogram in histograms.items():
+                what = (
+                    f"{phase}: a {kind} event at {share} of the fronts, worst of {histogram.total_count}, s"
+                )
+                worst = seconds(histogram.max_value) if histogram.total_count else None
+                if share != "all":
+                    rows.append(Row(what, worst))
+                    continue
+                bound = seconds(self.promise.event[phase])
+                holds = not incomplete and worst is not None and worst <= bound
+                rows.append(Row(what, worst if not incomplete else f"{incomplete} never", bound, holds))
+        for phase in dict.fromkeys(phase for phase, _ in self.histograms):
+            rows.append(at_most(f"{phase}: late arrivals", self.late(phase), 0))
+        return [
+            *rows,
+            at_most("lost events, all fronts", self.lost(), 0),
+            Row("doubled events, all fronts", sum(self.seen.doubled.values())),
+            Row("generations of the list seen", len(self.seen.generations)),
+        ]
+
+    def data(self):
+        told = {}
+        for (phase, kind), (histograms, incomplete) in self.histograms.items():
+            told.setdefault(phase, {})[kind] = {"never_everywhere": incomplete} | {
+                share: histogram_data(histogram) for share, histogram in histograms.items()
+            }
+        return told
+
+
+def histogram_data(histogram):
+    if not histogram.total_count:
+        return None
+    return {
+        "events": histogram.total_count,
+        "median_s": seconds(histogram.get_value_at_percentile(50)),
+        "99%_s": seconds(histogram.get_value_at_percentile(99)),
+        "worst_s": seconds(histogram.max_value),
+    }
--- /dev/null
+++ b/limepath/scale/plan.py
@@ -0,0 +1,198 @@
+"""The layout of a scale run: which front and cache stands where, and whether this machine can hold the run.
+
+Free of I/O: the machine's size is handed in. Regions hold zones, zones hold sites, sites hold fronts; caches
+stand in zones. What does not divide evenly differs by one at most between neighbours.
+"""
+
+from typing import NamedTuple
+
+from limepath.scale.control import Place
+
+MOST_PROCESSES = 300  # started by one run, the run itself among them
+MEMORY_SHARE = 0.5  # of the machine's memory, that a run may plan with
+FRONTS_A_PROCESS = 25  # hollow fronts in one process, as far as there are cores for more processes
+MOST_FRONTS = 10_000  # as many as a peers file may tell ([listing] fronts)
+
+# The memory model. Bytes of resident memory; sizes are rounded up. Sources: trials of this run on the text of
+# the star at 25 to 300 fronts and 8 to 1,400 caches (docs/scale.md, "The scale run"), and the project's
+# measurement of idle fronts (34, 40 and 52 MB at lists of 8, 1,400 and 5,000 members).
+PROCESS_BYTES = 60_000_000  # one hollow process without fronts
+FRONT_BYTES = 1_000_000  # one hollow front: its store, sockets, logic
+MEMBER_BYTES = 5_000  # one member of the cache list at one front, with the event that told it
+VIEW_BYTES = 1_000  # one other front in one front's view
+REAL_BYTES = 45_000_000  # one process of the program, without its list
+RUN_BYTES = 150_000_000  # the run itself with the stand-ins
+CACHE_BYTES = 20_000  # one stand-in cache
+
+
+class BadSize(Exception):
+    """A size that cannot be; the text names the option and says what would fit."""
+
+
+class Sizes(NamedTuple):
+    """What the command line asks for. `fronts` includes the `real` ones; `purges` and `settings_changes` are
+    by second; `processes` 0 lets the plan choose.
+    """
+
+    fronts: int
+    real: int = 0
+    caches: int = 24
+    regions: int = 1
+    zones: int = 1
+    sites: int = 1
+    purges: float = 1.0
+    settings_changes: float = 0.0
+    processes: int = 0
+
+
+class Machine(NamedTuple):
+    """What the run may use: cores, bytes of memory, files that one process may hold open."""
+
+    cores: int
+    memory: int
+    descriptors: int = 65_536
+
+
+class CachePlace(NamedTuple):
+    name: str
+    zone: str
+
+
+class Plan(NamedTuple):
+    """`fronts` by index; `real` are the indexes of fronts that are processes of the program; `hollow` are the
+    indexes of each hollow process.
+    """
+
+    sizes: Sizes
+    regions: tuple[str, ...]
+    zones: tuple[str, ...]
+    fronts: tuple[Place, ...]
+    caches: tuple[CachePlace, ...]
+    real: tuple[int, ...]
+    hollow: tuple[tuple[int, ...], ...]
+    memory: int  # bytes, as the model tells
+
+
+def check_sizes(sizes):
+    """Raise BadSize at the first size that cannot be, whatever the machine."""
+    least = {"fronts": 2, "real": 0, "caches": 1, "regions": 1, "zones": 1, "sites": 1, "processes": 0}
+    for name, smallest in least.items():
+        if getattr(sizes, name) < smallest:
+            raise BadSize(f"{option(name)} {getattr(sizes, name)}: at least {smallest} is wanted")
+    for name in ("purges", "settings_changes"):
+        if not 0 <= getattr(sizes, name) <= 10_000:
+            raise BadSize(f"{option(name)} {getattr(sizes, name)}: from 0 to 10,000 a second is wanted")
+    if sizes.fronts > MOST_FRONTS:
+        raise BadSize(f"--fronts {sizes.fronts}: at most {MOST_FRONTS} is wanted")
+    if sizes.real > sizes.fronts:
+        raise BadSize(f"--real {sizes.real}: more than --fronts {sizes.fronts}; it counts among these")
+    for inner, outer in (("zones", "regions"), ("sites", "zones")):
+        small, large = getattr(sizes, outer), getattr(sizes, inner)
+        if large % small:
+            fits = max(small, large - large % small)
+            raise BadSize(
+                f"--{inner} {large}: every one lies in one of --{outer} {small}, as many in each; "
+                f"{fits} would fit"
+            )
+    if sizes.sites > sizes.fronts:
+        raise BadSize(f"--sites {sizes.sites}: more than --fronts {sizes.fronts}; every site has a front")
+
+
+def option(name):
+    return "--" + name.replace("_", "-")
+
+
+def process_count(sizes, cores):
+    """How many hollow processes: more than there are cores only make each slower."""
+    hollow = sizes.fronts - sizes.real
+    if not hollow:
+        return 0
+    if sizes.processes:
+        return min(sizes.processes, hollow)
+    return min(cores, -(-hollow // FRONTS_A_PROCESS))
+
+
+def memory_of(sizes, processes):
+    """Bytes of resident memory of the whole run, by the model."""
+    front = MEMBER_BYTES * sizes.caches + VIEW_BYTES * sizes.fronts
+    hollow = (sizes.fronts - sizes.real) * (FRONT_BYTES + front) + processes * PROCESS_BYTES
+    real = sizes.real * (REAL_BYTES + front)
+    return hollow + real + RUN_BYTES + CACHE_BYTES * sizes.caches
+
+
+def descriptors_of(sizes, processes):
+    """Files that the run itself holds open: a port and a stream of the list service for each front, ports and
+    connections of caches, pipes.
+    """
+    return 2 * sizes.fronts + sizes.caches * (1 + 2 * sizes.real) + 4 * processes + 100
+
+
+def most_fronts(sizes, machine):
+    """The largest number of fronts, all else as it is, that fits; 0 where none does."""
+    low, high = 0, sizes.fronts
+    while low < high:
+        middle = (low + high + 1) // 2
+        if obstacle(sizes._replace(fronts=middle), machine):
+            high = middle - 1
+        else:
+            low = middle
+    return low
+
+
+def obstacle(sizes, machine):
+    """Why a run of these sizes does not fit this machine, or None."""
+    processes = process_count(sizes, machine.cores)
+    if (count := processes + sizes.real + 1) > MOST_PROCESSES:
+        return f"{count} processes, of at most {MOST_PROCESSES}"
+    needed, allowed = memory_of(sizes, processes), int(MEMORY_SHARE * machine.memory)
+    if needed > allowed:
+        return f"about {needed / 1e9:.1f} GB of memory, of at most {allowed / 1e9:.1f} GB"
+    if (files := descriptors_of(sizes, processes)) > machine.descriptors:
+        return f"{files} open files, of at most {machine.descriptors}"
+    return None
+
+
+def check_machine(sizes, machine):
+    """Raise BadSize where the machine cannot hold the run, with what would fit."""
+    reason = obstacle(sizes, machine)
+    if reason is None:
+        return
+    too_many_real = sizes.real + 1 + process_count(sizes, machine.cores) > MOST_PROCESSES
+    if too_many_real:
+        name, fits = "real", MOST_PROCESSES - 1 - process_count(sizes, machine.cores)
+    else:
+        name, fits = "fronts", most_fronts(sizes, machine)
+    hint = f"--{name} {fits} would fit" if fits >= max(2, sizes.sites) else "fewer caches would be needed"
+    raise BadSize(f"--{name} {getattr(sizes, name)}: needs {reason}; {hint}")
+
+
+def spread(count, groups):
+    """The group of each of `count`, in blocks whose sizes differ by one at most."""
+    return [index * groups // count for index in range(count)]
+
+
+def plan_of(sizes, machine):
+    """The Plan of a run; BadSize where it cannot be, or not here."""
+    check_sizes(sizes)
+    check_machine(sizes, machine)
+    regions = tuple(f"r{number}" for number in range(sizes.regions))
+    zones = tuple(f"z{number}" for number in range(sizes.zones))
+    fronts = tuple(place(sizes, who, site) for who, site in enumerate(spread(sizes.fronts, sizes.sites)))
+    caches = tuple(
+        CachePlace(f"s-{number}", zones[zone])
+        for number, zone in enumerate(spread(sizes.caches, sizes.zones))
+    )
+    real = tuple(number * sizes.fronts // sizes.real for number in range(sizes.real))
+    hollow = [who for who in range(sizes.fronts) if who not in set(real)]
+    processes = process_count(sizes, machine.cores)
+    shares = [[] for _ in range(processes)]
+    for who, process in zip(hollow, spread(len(hollow), processes), strict=True) if processes else ():
+        shares[process].append(who)
+    memory = memory_of(sizes, processes)
+    return Plan(sizes, regions, zones, fronts, caches, real, tuple(map(tuple, shares)), memory)
+
+
+def place(sizes, who, site):
+    zone = site // (sizes.sites // sizes.zones)
+    region = zone // (sizes.zones // sizes.regions)
+    return Place(f"n{who}", f"r{region}", f"z{zone}", f"s{site}")
--- /dev/null
+++ b/limepath/scale/report.py
@@ -0,0 +1,324 @@
+"""The result of a scale run: rows with their bounds, what each role used, as a table and as plain values."""
+
+import os
+import subprocess
+from collections import Counter
+from typing import NamedTuple
+
+import numpy
+import psutil
+
+from limepath.duties.measure import machine
+from limepath.scale.delivery import Delivery
+from limepath.scale.faults import Kind
+from limepath.verdicts import Row, at_most, hold, plain, seconds, shown, table
+
+STATISTICS = ("median", "99%", "worst")
+MEASURES = {
+    "cpu": "processor time, % of a core",
+    "sent_bytes": "sent, bytes a second",
+    "sent_datagrams": "sent, datagrams a second",
+    "received_bytes": "received, bytes a second",
+    "received_datagrams": "received, datagrams a second",
+}
+
+
+class Result(NamedTuple):
+    rows: list[Row]
+    said: list[str]
+    data: dict  # for --json, beside the rows
+
+
+def statistics(values):
+    """{"median", "99%", "worst"} of some numbers; None where there are none."""
+    if not values:
+        return None
+    held = numpy.asarray(values, dtype=float)
+    return {
+        "median": float(numpy.median(held)),
+        "99%": float(numpy.percentile(held, 99)),
+        "worst": float(held.max()),
+    }
+
+
+def result_of(run, budget):
+    """Give the Result of a run that is over."""
+    promise = run.promise(budget=budget)
+    effects = run.strikes.effects()
+    delivery = Delivery(run, promise)
+    use = use_by_role(run)
+    rows = [
+        *shape_rows(run),
+        *delivery.rows(),
+        *use_rows(run, use, promise),
+        *fault_rows(run, promise, effects),
+        *agreement_rows(run, promise),
+        *around_rows(run),
+    ]
+    data = {
+        "sizes": run.plan.sizes._asdict(),
+        "seed": run.options.seed,
+        "broken": run.options.broken or None,
+        "seconds_measured": run.schedule.end / 1e6,
+        "speed_up_of_churn": run.schedule.speed_up or None,
+        "hollow_processes": len(run.plan.hollow),
+        "arrivals": delivery.data(),
+        "use": use,
+        "memory_bytes": memory_by_role(run),
+        "faults": {kind.value: count for kind, count in effects.items()},
+        "whole_again_s": spans_of(run.seen.whole_again),
+        "known_late_s": spans_of(run.seen.late_known),
+        "log_events": dict(run.seen.said.most_common(40)),
+        "run_itself": run.own_use(),
+        "machine": machine_facts(),
+        "load_before": run.load_before,
+        "load_after": run.load_after,
+        "revision": revision(),
+    }
+    return Result(rows, run.said, data)
+
+
+def spans_of(by_kind):
+    return {
+        str(kind.value): {name: value / 1e6 for name, value in statistics(list(spans.values())).items()}
+        for kind, spans in by_kind.items()
+    }
+
+
+# Use
+
+
+def role_of(run, name):
+    """What a hollow front is to the others: "root relay", "inner node", "leaf"; or "real"."""
+    if run.fleet.who[name] in run.fleet.real:
+        return "real"
+    return run.roles.get(name, "leaf")
+
+
+def use_by_role(run):
+    """{phase: {role: {measure: {subsystem: statistics}}}}; the role "all" holds every hollow front."""
+    told = {}
+    for phase, uses in run.seen.uses.items():
+        groups = {"all": []}
+        for name, use in uses.items():
+            groups["all"].append(use)
+            groups.setdefault(role_of(run, name), []).append(use)
+        told[phase] = {role: use_of(group) for role, group in groups.items()}
+    return told
+
+
+def use_of(uses):
+    rates = [use.rates() for use in uses]
+    told = {"fronts": len(uses)}
+    for measure in MEASURES:
+        told[measure] = {
+            subsystem: statistics([rate[measure][subsystem] for rate in rates])
+            for subsystem in rates[0][measure]
+        }
+    told["peak_bytes"] = statistics([use.peak_bytes for use in uses])
+    told["peak_datagrams"] = statistics([use.peak_datagrams for use in uses])
+    return told
+
+
+def memory_by_role(run):
+    groups = {}
+    for name, size in run.seen.memory.items():
+        groups.setdefault(role_of(run, name), []).append(size)
+    return {role: statistics(sizes) for role, sizes in groups.items()}
+
+
+def use_rows(run, use, promise):
+    budget, rows = promise.budget, []
+    calm_peak = use.get("calm", {}).get("all", {}).get("peak_bytes")
+    for phase, roles in use.items():
+        told = roles["all"]
+        busiest = told["sent_bytes"]["all"]["worst"]
+        datagrams = told["sent_datagrams"]["all"]["worst"]
+        cpu = told["cpu"]["all"]["worst"]
+        rows += [
+            at_most(f"{phase}: busiest front, bytes sent a second", round(busiest), round(budget.bytes_sent)),
+            datagram_row(
+                f"{phase}: busiest front, datagrams sent a second", datagrams, promise.datagrams_sent
+            ),
+            at_most(
+                f"{phase}: worst front, % of a core", round(100 * cpu, 2), round(100 * budget.cpu_share, 2)
+            ),
+        ]
+        if phase != "calm" and calm_peak:
+            peak, bound = told["peak_bytes"]["worst"], budget.storm * calm_peak["worst"]
+            rows.append(at_most(f"{phase}: most bytes sent in a sample, a second", round(peak), round(bound)))
+    for role, sizes in memory_by_role(run).items():
+        share = "" if role == "real" else ", its share of a process"
+        worst = round(sizes["worst"] / 1e6, 1)
+        rows.append(at_most(f"memory of a {role}{share}, worst, MB", worst, round(budget.memory / 1e6, 1)))
+    return rows
+
+
+def datagram_row(what, measured, bound):
+    if bound is None:
+        return Row(what, round(measured, 1))
+    return at_most(what, round(measured, 1), round(bound, 1))
+
+
+# Faults and agreement
+
+
+def fault_rows(run, promise, effects):
+    rows = []
+    for kind, count in effects.items():
+        rows.append(Row(f"{kind.value}: times that it took effect", count, "over 0", count > 0))
+    for kind, spans in run.seen.whole_again.items():
+        worst = seconds(max(spans.values()))
+        what = f"{kind.value}: {len(spans)} fronts whole again after it, worst, s"
+        rows.append(at_most(what, worst, seconds(promise.whole_again)))
+    if run.seen.returning:
+        away = Counter(back.kind.value for back in run.seen.returning.values())
+        for kind, count in away.items():
+            rows.append(at_most(f"{kind}: fronts never whole again", count, 0))
+    if Kind.CUT in effects:
+        rows += cut_rows(run, promise)
+    if run.schedule.speed_up:
+        rows.append(Row("restarts, times an ordinary day's", round(run.schedule.speed_up, 1)))
+    return rows
+
+
+def cut_rows(run, promise):
+    fault = next(fault for fault in run.schedule.faults if fault.kind == Kind.CUT)
+    behind = sum(
+        place.region == fault.regions[1] and who not in run.fleet.real
+        for who, place in enumerate(run.plan.fronts)
+    )
+    known = run.seen.late_known.get(Kind.CUT, {})
+    hollow = [span for name, span in known.items() if run.fleet.who[name] not in run.fleet.real]
+    return [
+        Row(
+            "cut: hollow fronts behind it that knew that they were late",
+            len(hollow),
+            behind,
+            len(hollow) >= behind,
+        ),
+        at_most("cut: until each knew, s", seconds(max(hollow, default=0)), seconds(promise.late_known)),
+    ]
+
+
+def agreement_rows(run, promise):
+    ready, settled = run.ready, run.settled
+    until = seconds(settled.took)
+    return [
+        Row("fronts with the list before the measured time", ready.lists, ready.of, ready.lists == ready.of),
+        Row("fronts that saw all others by then", ready.views, ready.of, ready.views == ready.of),
+        Row("until all were ready, s", seconds(ready.took)),
+        Row("fronts with the list at the end", settled.lists, settled.of, settled.lists == settled.of),
+        Row("fronts that see all others at the end", settled.views, settled.of, settled.views == settled.of),
+        at_most("until lists and views were one at the end, s", until, seconds(promise.disagreement)),
+    ]
+
+
+def shape_rows(run):
+    sizes = run.plan.sizes
+    return [
+        Row("fronts", sizes.fronts),
+        Row("of these processes of the program", sizes.real),
+        Row("processes of hollow fronts", len(run.plan.hollow)),
+        Row(
+            "caches, zones, sites, regions", f"{sizes.caches}, {sizes.zones}, {sizes.sites}, {sizes.regions}"
+        ),
+        Row("purges a second", sizes.purges),
+        Row("list events a second", sizes.settings_changes),
+        Row("measured, s", run.schedule.end / 1e6),
+    ]
+
+
+def around_rows(run):
+    around, service = run.around, run.around.service
+    rows = [
+        Row("events told", len(around.issued)),
+        Row("calls at the list service", len(service.calls)),
+        Row("most streams of a zone at the list service", max(service.most_streams.values(), default=0)),
+        Row("bytes that the list service sent", service.bytes),
+        Row("connections at all caches", around.connections_at_caches()),
+        Row("requests at all caches", around.requests_at_caches()),
+    ]
+    if run.fleet.real:
+        clients = run.clients
+        rows += [
+            Row("requests to real fronts, served", clients.served),
+            Row("requests to real fronts, failed, shed or not taken", clients.failed),
+        ]
+        for phase, (shares, _) in real_cpu(run).items():
+            rows.append(Row(f"{phase}: worst real front, requests and control, % of a core", shares))
+    return rows
+
+
+def real_cpu(run):
+    """{phase: (the worst real front's processor share in %, how many told)}"""
+    told = {}
+    for samples in run.fleet.real_cpu.values():
+        by_phase = {}
+        for phase, at, cpu in samples:
+            if phase is not None:
+                by_phase.setdefault(phase, []).append((at, cpu))
+        for phase, points in by_phase.items():
+            (first, used), (last, more) = points[0], points[-1]
+            if last > first and more >= used:
+                told.setdefault(phase, []).append(100 * (more - used) / (last - first))
+    return {phase: (round(max(shares), 2), len(shares)) for phase, shares in told.items()}
+
+
+# Facts, table
+
+
+def machine_facts():
+    return machine() | {"memory_bytes": psutil.virtual_memory().total}
+
+
+def revision():
+    """The text's revision, with "+" where files differ from it; None outside a checkout."""
+    where = os.path.dirname(os.path.abspath(__file__))
+
+    def git(*words):
+        return subprocess.run(["git", *words], cwd=where, capture_output=True, text=True)
+
+    try:
+        found = git("rev-parse", "HEAD")
+        differs = git("status", "--porcelain", "--untracked-files=no")
+    except OSError:
+        return None
+    return found.stdout.strip() + ("+" if differs.stdout.strip() else "") if not found.returncode else None
+
+
+def use_table(use, phase="calm"):
+    """What fronts used in a phase, by subsystem and by role, as lines."""
+    roles = use.get(phase)
+    if not roles:
+        return []
+    lines = [f"{phase}: per hollow front, " + ", ".join(STATISTICS)]
+    for measure, title in MEASURES.items():
+        lines.append(f"  {title}")
+        for subsystem, values in roles["all"][measure].items():
+            lines.append(f"    {subsystem:<12}" + three(values, measure))
+        for role, told in roles.items():
+            if role != "all":
+                lines.append(
+                    f"    {role:<12}" + three(told[measure]["all"], measure) + f"  of {told['fronts']}"
+                )
+    return lines
+
+
+def three(values, measure):
+    scale = 100 if measure == "cpu" else 1
+    return "".join(f"{shown(round(values[one] * scale, 2)):>14}" for one in STATISTICS)
+
+
+def text_of(result):
+    """The whole report as lines."""
+    lines = list(result.said)
+    for phase in result.data["use"]:
+        lines += use_table(result.data["use"], phase)
+    lines.append(table(result.rows))
+    lines.append("all bounds hold" if hold(result.rows) else "a stated bound is BROKEN")
+    return lines
+
+
+def plain_of(result, command):
+    return plain(result.rows, **result.data, said=result.said, command=command)
--- /dev/null
+++ b/limepath/scale/run.py
@@ -0,0 +1,194 @@
+"""The scale run: start the fleet, tell events, cause faults, sample what each front used and when it knew.
+
+The reactor's thread steps through one timeline of samples, beginnings and ends of faults. What it sees goes
+to `observations`, which `report` judges by `bounds`.
+"""
+
+import os
+import socket
+from random import Random
+from typing import NamedTuple
+
+from twisted.internet.defer import Deferred, inlineCallbacks
+
+from limepath.opening import peers as peers_opening
+from limepath.scale import settings
+from limepath.scale.bounds import SAMPLE, promised
+from limepath.scale.faults import Kind
+from limepath.scale.fleet import Fleet
+from limepath.scale.observations import Observations, role_in
+from limepath.scale.processes import boottime_us
+from limepath.scale.service import Around, Clients
+from limepath.scale.strikes import Strikes
+from limepath.testbed.process import NotStarted, free_ports
+from limepath.testbed.regions import Doors
+
+SECOND = 1_000_000
+START, START_EACH = 60 * SECOND, SECOND // 8  # that all may take to be ready, and more by front
+CALM, CHURN = "calm", Kind.CHURN.value  # phases beside those that a fault gives its name
+
+
+class Options(NamedTuple):
+    seed: int = 1
+    broken: str = ""
+    logs: bool = False  # keep the hollow fronts' log lines
+
+
+class Standing(NamedTuple):
+    """How many fronts hold the list service's list and are not late, how many see all others; and how long it
+    took until they did, or until that was given up, in microseconds.
+    """
+
+    took: int
+    lists: int
+    views: int
+    of: int
+
+    @property
+    def whole(self):
+        return self.lists == self.views == self.of
+
+
+class Run:
+    """One run of a Plan under a Schedule. After it `seen`, `fleet`, `around`, `clients`, `strikes` hold what
+    came of it.
+    """
+
+    def __init__(self, reactor, plan, schedule, options, folder):
+        self.reactor, self.plan, self.schedule, self.options = reactor, plan, schedule, options
+        self.folder, self.zero, self.said, self.roles = folder, None, [], {}
+        self.ready = self.settled = None
+        self.fleet = self.around = self.doors = None
+        self.load_before, self.load_after = os.getloadavg(), None
+
+    def prepare(self):
+        """Open what stands around the fronts and write their files."""
+        plan, reactor, seed = self.plan, self.reactor, self.options.seed
+        listens = free_ports(socket.SOCK_DGRAM, len(plan.fronts))
+        clients = free_ports(socket.SOCK_STREAM, len(plan.fronts))
+        region_of = {port: place.region for port, place in zip(listens, plan.fronts, strict=True)}
+        self.doors = Doors(reactor, Random(f"doors {seed}"), region_of)
+        reached = list(listens)
+        for who in plan.real:
+            reached[who] = self.doors.open(listens[who], plan.fronts[who].region)
+        self.around = Around(reactor, plan, seed, lambda who: plan.fronts[who].name not in self.fleet.stopped)
+        addresses = settings.Addresses(listens, reached, clients, self.around.service.port_of)
+        self.write(addresses)
+        configs = settings.write_processes(self.folder, plan, addresses, self.options.logs)
+        self.seen = Observations([place.name for place in plan.fronts])
+        self.fleet = Fleet(plan, self.folder, configs, self.seen, self.doors)
+        ports = {who: clients[who] for who in plan.real}
+        self.clients = Clients(reactor, seed, ports, lambda who: self.seen.well(self.fleet.names[who]))
+        number = self.around.number
+        self.strikes = Strikes(plan, self.schedule, self.fleet, self.around.service, number, self.said)
+
+    def write(self, addresses):
+        """Write the fronts' settings, and read them once as the bounds go by them."""
+        broken = settings.broken_of(self.options.broken, len(self.plan.fronts))
+        settings.write_fronts(self.folder, self.plan, addresses, self.options.seed, broken)
+        stated = os.path.join(self.folder, "stated.ini")
+        settings.write_private(stated, settings.peers_text(self.plan, addresses, 0, "peers.keys"))
+        self.stated = peers_opening.read(stated)
+
+    def promise(self, **budget):
+        """The Promise of this run, by its settings as stated."""
+        sizes, phases = self.plan.sizes, [phase.name for phase in self.seen.phases]
+        events = (sizes.purges + sizes.settings_changes) * self.schedule.end / 1e6
+        return promised(self.stated, sizes.fronts, sizes.zones, phases, events, **budget)
+
+    def now(self):
+        return boottime_us() - self.zero
+
+    def pause(self, span):
+        done = Deferred()
+        self.reactor.callLater(max(0, span) / 1e6, done.callback, None)
+        return done
+
+    @inlineCallbacks
+    def play(self):
+        self.reactor.suggestThreadPoolSize(len(self.plan.hollow) + len(self.plan.real) + 8)
+        self.zero = boottime_us()
+        self.around.begin()
+        yield self.fleet.start_all()
+        limit = START + START_EACH * len(self.plan.fronts)
+        self.ready = yield self.until_whole(limit, self.fleet.serves)
+        if not self.ready.lists:
+            raise NotStarted("no front ever had the list; --keep DIR keeps the logs")
+        yield self.measure()
+        promise = self.promise()
+        limit = max(promise.disagreement, promise.whole_again)
+        self.settled = yield self.until_whole(limit, lambda: not self.seen.returning)
+        self.seen.finish()
+        self.load_after = os.getloadavg()
+
+    @inlineCallbacks
+    def until_whole(self, limit, also):
+        """Sample until all lists and views are one and `also()` holds, at most for `limit`; the Standing."""
+        began = boottime_us()
+        while True:
+            yield self.fleet.sample()
+            lists, views = self.fleet.whole(self.around.number())
+            standing = Standing(boottime_us() - began, lists, views, len(self.plan.fronts))
+            if standing.whole and also() or standing.took > limit:
+                return standing
+            yield self.pause(SAMPLE // 2)
+
+    @inlineCallbacks
+    def measure(self):
+        """The measured time: the calm, then the faults."""
+        self.zero = boottime_us()
+        self.around.start_events()
+        self.clients.start()
+        yield self.fleet.sample()  # what came before is not measured
+        self.begin_phase(CALM)
+        steps = self.strikes.steps()
+        while self.now() < self.schedule.end:
+            until = min(steps[0][0] if steps else self.schedule.end, self.now() + SAMPLE, self.schedule.end)
+            yield self.pause(until - self.now())
+            yield self.fleet.sample()
+            while steps and steps[0][0] <= self.now():
+                yield self.step(*steps.pop(0))
+        for step in steps:
+            yield self.step(*step)
+        self.clients.stop()
+        self.around.stop_events()
+
+    @inlineCallbacks
+    def step(self, at, function, index):
+        """Begin or end one fault; a phase begins with it, but churn beside others has none of its own."""
+        kind = self.schedule.faults[index].kind
+        if self.seen.phase == CALM:
+            self.roles = {name: role_in(report) for name, report in self.seen.latest.items()}
+        begins = function == self.strikes.begin
+        if begins and (kind != Kind.CHURN or self.seen.phase == CALM):
+            self.begin_phase(kind.value)
+        yield function(index)
+
+    def begin_phase(self, name):
+        self.seen.begin(name, boottime_us())
+
+    def close(self):
+        for part in (self.fleet, self.around, self.doors):
+            if part:
+                part.close()
+
+
+def played(plan, schedule, options, folder):
+    """Play a run in this process's reactor, once; give the Run. Raises what ended it."""
+    from twisted.internet import reactor
+
+    run, failures = Run(reactor, plan, schedule, options, folder), []
+
+    def over(result):
+        reactor.callLater(0, reactor.stop)
+        return result
+
+    try:
+        run.prepare()
+        reactor.callWhenRunning(lambda: run.play().addBoth(over).addErrback(failures.append))
+        reactor.run(installSignalHandlers=False)
+    finally:
+        run.close()
+    if failures:
+        failures[0].raiseException()
+    return run
