--- a/limepath/cli/scale_run.py
+++ b/limepath/cli/scale_run.py
@@ -69,6 +69,8 @@
             raise plan.BadSize(f"--budget-bytes {budget_bytes:g}: over 0 is wanted")
         if keep and len(os.path.abspath(keep)) > LONGEST_FOLDER:
             raise plan.BadSize(f"--keep {keep}: a path of at most {LONGEST_FOLDER} characters is wanted")
+        if keep and os.path.isdir(keep) and os.listdir(keep):
+            raise plan.BadSize(f"--keep {keep}: an empty or a new folder is wanted")
         schedule = faults.schedule(layout, chosen, duration, seed)
         settings.broken_of(broken, len(layout.fronts))
     except (plan.BadSize, faults.UnknownFault, settings.UnknownSetting) as error:
--- a/limepath/scale/delivery.py
+++ b/limepath/scale/delivery.py
@@ -3,7 +3,7 @@
 import numpy
 from hdrh.histogram import HdrHistogram
 
-from limepath.scale.bounds import REQUIRED
+from limepath.scale.bounds import REQUIRED, SAMPLE
 from limepath.scale.service import LIST, PURGE
 from limepath.verdicts import Row, at_most, seconds
 
@@ -12,15 +12,20 @@
 
 
 class Delivery:
-    """When events reached fronts, by phase and kind, from the observations of a run."""
+    """When events reached fronts, by phase and kind, from the observations of a run. Histograms are of hollow
+    fronts: real ones are asked once a sample where their list stands, so that their times are coarse.
+    """
 
     def __init__(self, run, promise):
         self.run, self.promise, self.seen = run, promise, run.seen
         issued = run.around.issued[1:]  # the first is the whole list, told before anybody is up
         horizon = max(promise.event.values(), default=REQUIRED)
         moments = [at for _, at in run.around.issued]
-        times, counts = self.seen.times(moments, horizon)
+        names, real = run.fleet.names, {run.fleet.names[who] for who in run.plan.real}
+        hollow = [name for name in names if name not in real]
+        times, counts = self.seen.times(moments, horizon, hollow)
         self.times, self.counts = times[1:], counts[1:]
+        self.real_times, self.real_counts = self.seen.times(moments, horizon, sorted(real))
         self.kinds = numpy.array([kind for kind, _ in issued] or [""])[: len(issued)]
         self.phases = numpy.array([self.seen.phase_of(at) or "" for _, at in issued] or [""])[: len(issued)]
         self.histograms = {}
@@ -53,7 +58,18 @@
 
     def lost(self):
         """Arrivals that never came, at whatever front."""
-        return int(numpy.isinf(self.times).sum())
+        return int(numpy.isinf(self.times).sum() + numpy.isinf(self.real_times[1:]).sum())
+
+    def real_rows(self):
+        """The worst time to a real front; a sample's span belongs to it."""
+        if not self.real_counts.any():
+            return []
+        worst = self.real_times[1:][self.real_counts[1:]].max(initial=0)
+        bound = max(self.promise.event.values()) + SAMPLE
+        what = "an event at all real fronts, asked once a second, worst, s"
+        if numpy.isinf(worst):
+            return [Row(what, "never", seconds(bound), False)]
+        return [at_most(what, seconds(int(worst)), seconds(bound))]
 
     def rows(self):
         rows = []
@@ -73,6 +89,7 @@
             rows.append(at_most(f"{phase}: late arrivals", self.late(phase), 0))
         return [
             *rows,
+            *self.real_rows(),
             at_most("lost events, all fronts", self.lost(), 0),
             Row("doubled events, all fronts", sum(self.seen.doubled.values())),
             Row("generations of the list seen", len(self.seen.generations)),
--- a/limepath/scale/fleet.py
+++ b/limepath/scale/fleet.py
@@ -131,7 +131,7 @@
         if self.who[name] in self.real:
             peers = self.real[self.who[name]].told("peers")
             living = [one for one in peers["members"] if one["state"] in LIVING] if peers else ()
-            return len(living) + 1 == len(self.names)
+            return len(living) == len(self.names)  # itself among them
         report = self.seen.latest.get(name)
         return report is not None and report.live == len(self.names) and report.view == common
 
--- a/limepath/scale/observations.py
+++ b/limepath/scale/observations.py
@@ -184,20 +184,22 @@
 
     # Events
 
-    def times(self, issued, horizon):
-        """Times from `issued` (of each event, in order) to each front, as a matrix of events by fronts; and
-        the same of whether it counts: a front that a fault struck within `horizon` after an event, or was not
-        whole again yet, does not.
+    def times(self, issued, horizon, names):
+        """Times from `issued` (of each event, in order) to each front of `names`, as a matrix of events by
+        fronts; and the same of whether it counts: a front that a fault struck within `horizon` after an
+        event, or was not whole again yet, does not.
         """
         count = len(issued)
         at = numpy.asarray(issued, dtype=numpy.int64)
-        times = numpy.empty((count, len(self.names)), dtype=numpy.float64)
-        counts = numpy.ones((count, len(self.names)), dtype=bool)
-        column = {name: index for index, name in enumerate(self.names)}
+        times = numpy.empty((count, len(names)), dtype=numpy.float64)
+        counts = numpy.ones((count, len(names)), dtype=bool)
+        column = {name: index for index, name in enumerate(names)}
         for name, index in column.items():
             reached = self.arrivals[name].reached(count)
             times[:, index] = numpy.where(reached == NEVER, numpy.inf, reached - at)
         for away in self.away:
+            if away.name not in column:
+                continue
             over = numpy.zeros(count, dtype=bool) if away.until == NEVER else at >= away.until
             counts[:, column[away.name]] &= (at + horizon < away.since) | over
         return times, counts
--- a/limepath/scale/processes.py
+++ b/limepath/scale/processes.py
@@ -80,8 +80,11 @@
         except (HollowFailed, subprocess.TimeoutExpired):
             self.process.kill()
             self.process.wait()
-        self.process.stdin.close()
-        self.process.stdout.close()
+        for pipe in (self.process.stdin, self.process.stdout):
+            try:
+                pipe.close()
+            except OSError:  # what was not written any more
+                pass
 
 
 class RealView(NamedTuple):
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -69,7 +69,7 @@
         "whole_again_s": spans_of(run.seen.whole_again),
         "known_late_s": spans_of(run.seen.late_known),
         "log_events": dict(run.seen.said.most_common(40)),
-        "run_itself": run.own_use(),
+        "run_itself": own_use(),
         "machine": machine_facts(),
         "load_before": run.load_before,
         "load_after": run.load_after,
@@ -268,6 +268,13 @@
 # Facts, table
 
 
+def own_use():
+    """Processor seconds and memory of the run itself, with the list service and the caches."""
+    used = psutil.Process()
+    times = used.cpu_times()
+    return {"cpu_s": round(times.user + times.system, 1), "rss_bytes": used.memory_info().rss}
+
+
 def machine_facts():
     return machine() | {"memory_bytes": psutil.virtual_memory().total}
 
--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -74,7 +74,7 @@
         self.around = Around(reactor, plan, seed, lambda who: plan.fronts[who].name not in self.fleet.stopped)
         addresses = settings.Addresses(listens, reached, clients, self.around.service.port_of)
         self.write(addresses)
-        configs = settings.write_processes(self.folder, plan, addresses, self.options.logs)
+        configs = settings.write_processes(self.folder, plan, addresses, seed, self.options.logs)
         self.seen = Observations([place.name for place in plan.fronts])
         self.fleet = Fleet(plan, self.folder, configs, self.seen, self.doors)
         ports = {who: clients[who] for who in plan.real}
@@ -146,6 +146,8 @@
             until = min(steps[0][0] if steps else self.schedule.end, self.now() + SAMPLE, self.schedule.end)
             yield self.pause(until - self.now())
             yield self.fleet.sample()
+            if self.seen.phase == CALM:
+                self.roles = {name: role_in(report) for name, report in self.seen.latest.items()}
             while steps and steps[0][0] <= self.now():
                 yield self.step(*steps.pop(0))
         for step in steps:
@@ -157,8 +159,6 @@
     def step(self, at, function, index):
         """Begin or end one fault; a phase begins with it, but churn beside others has none of its own."""
         kind = self.schedule.faults[index].kind
-        if self.seen.phase == CALM:
-            self.roles = {name: role_in(report) for name, report in self.seen.latest.items()}
         begins = function == self.strikes.begin
         if begins and (kind != Kind.CHURN or self.seen.phase == CALM):
             self.begin_phase(kind.value)
--- a/limepath/scale/settings.py
+++ b/limepath/scale/settings.py
@@ -161,7 +161,7 @@
     return paths
 
 
-def write_processes(folder, plan, addresses, logs=False):
+def write_processes(folder, plan, addresses, seed, logs=False):
     """Write the configuration of each hollow process; give their paths. `logs`: the fronts' log lines go to a
     file each process.
     """
@@ -174,7 +174,7 @@
         log = os.path.join(folder, f"hollow-{number}.log") if logs else ""
         paths.append(os.path.join(folder, f"hollow-{number}.json"))
         with open(paths[-1], "wb") as file:
-            file.write(encode(ProcessConfig(fronts, directory, log)))
+            file.write(encode(ProcessConfig(fronts, directory, 1000 * seed + number, log)))
     return paths
 
 
