--- a/limepath/scale/delivery.py
+++ b/limepath/scale/delivery.py
@@ -74,17 +74,13 @@
     def rows(self):
         rows = []
         for (phase, kind), (histograms, incomplete) in self.histograms.items():
-            for share, histogram in histograms.items():
-                what = (
-                    f"{phase}: a {kind} event at {share} of the fronts, worst of {histogram.total_count}, s"
-                )
-                worst = seconds(histogram.max_value) if histogram.total_count else None
-                if share != "all":
-                    rows.append(Row(what, worst))
-                    continue
-                bound = seconds(self.promise.event[phase])
-                holds = not incomplete and worst is not None and worst <= bound
-                rows.append(Row(what, worst if not incomplete else f"{incomplete} never", bound, holds))
+            histogram = histograms["all"]
+            what = f"{phase}: a {kind} event at all fronts, worst of {histogram.total_count}, s"
+            worst, bound = seconds(histogram.max_value), seconds(self.promise.event[phase])
+            if incomplete:
+                rows.append(Row(what, f"{incomplete} never", bound, False))
+            else:
+                rows.append(at_most(what, worst, bound))
         for phase in dict.fromkeys(phase for phase, _ in self.histograms):
             rows.append(at_most(f"{phase}: late arrivals", self.late(phase), 0))
         return [
@@ -113,3 +109,17 @@
         "99%_s": seconds(histogram.get_value_at_percentile(99)),
         "worst_s": seconds(histogram.max_value),
     }
+
+
+def delivery_table(data):
+    """Times until events had reached 50%, 99% and all fronts, as lines, from `Delivery.data`."""
+    statistics = ("median_s", "99%_s", "worst_s")
+    lines = ["s until an event is at a share of the fronts: median, 99% and worst event"]
+    for phase, kinds in data.items():
+        for kind, told in kinds.items():
+            lines.append(f"  {phase}, {kind} events")
+            for share in SHARES:
+                held = told[share]
+                drawn = "".join(f"{held[name]:>12.3f}" for name in statistics) if held else "       never"
+                lines.append(f"    {share:<12}{drawn}" + (f"  of {held['events']}" if held else ""))
+    return lines
--- a/limepath/scale/observations.py
+++ b/limepath/scale/observations.py
@@ -14,6 +14,7 @@
 from limepath.scale.control import Subsystem
 
 NEVER = -1
+PEAK_SPAN = 900_000  # a second, less what a sample may come early
 
 
 class Phase(NamedTuple):
@@ -24,8 +25,8 @@
 
 
 class Use:
-    """What one front used in one phase. `peak_bytes` and `peak_datagrams` are the most sent a second in one
-    sample.
+    """What one front used in one phase. `peak_bytes` and `peak_datagrams` are the most sent a second, over
+    samples that make up PEAK_SPAN or more together.
     """
 
     __slots__ = (
@@ -37,12 +38,14 @@
         "received_bytes",
         "peak_bytes",
         "peak_datagrams",
+        "recent",
     )
 
     def __init__(self):
         self.span, self.cpu = 0, Counter()
         self.sent, self.sent_bytes, self.received, self.received_bytes = (Counter() for _ in range(4))
         self.peak_bytes = self.peak_datagrams = 0.0
+        self.recent = (0, 0, 0)  # span, datagrams and bytes sent since the last look for a peak
 
     def add(self, report, span):
         self.span += span
@@ -56,9 +59,17 @@
         for subsystem, traffic in report.received.items():
             self.received[subsystem] += traffic.datagrams
             self.received_bytes[subsystem] += traffic.bytes
-        if span > 0:
+        self.look_for_peak(span, datagrams, size)
+
+    def look_for_peak(self, span, datagrams, size):
+        span, datagrams, size = (
+            one + other for one, other in zip(self.recent, (span, datagrams, size), strict=True)
+        )
+        self.recent = span, datagrams, size
+        if span >= PEAK_SPAN:
             self.peak_bytes = max(self.peak_bytes, size * 1e6 / span)
             self.peak_datagrams = max(self.peak_datagrams, datagrams * 1e6 / span)
+            self.recent = (0, 0, 0)
 
     def rates(self):
         """{measure: {subsystem or "all": a second}}; cpu as a share of a core."""
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -9,7 +9,7 @@
 import psutil
 
 from limepath.duties.measure import machine
-from limepath.scale.delivery import Delivery
+from limepath.scale.delivery import Delivery, delivery_table
 from limepath.scale.faults import Kind
 from limepath.verdicts import Row, at_most, hold, plain, seconds, shown, table
 
@@ -322,6 +322,7 @@
     lines = list(result.said)
     for phase in result.data["use"]:
         lines += use_table(result.data["use"], phase)
+    lines += delivery_table(result.data["arrivals"])
     lines.append(table(result.rows))
     lines.append("all bounds hold" if hold(result.rows) else "a stated bound is BROKEN")
     return lines
--- a/limepath/scale/strikes.py
+++ b/limepath/scale/strikes.py
@@ -31,6 +31,8 @@
     def begin(self, index):
         fault = self.schedule.faults[index]
         names = [name for name in self.names_of(fault) if self.seen.well(name)]
+        if fault.kind == Kind.CHURN and not names:
+            names = self.next_well(fault.names[0])
         self.struck[index] = names
         if fault.kind == Kind.LOSS:
             yield self.fleet.set_links(fault.share, ())
@@ -46,6 +48,11 @@
         self.counts[fault.kind] += len(names)
         self.said.append(f"{fault.at / 1e6:7.1f} s  {described(fault, names)}")
 
+    def next_well(self, name):
+        """The next front by index that no fault strikes, as a list of one or none."""
+        names, at = self.fleet.names, self.fleet.who[name]
+        return [other for other in (*names[at:], *names[:at]) if self.seen.well(other)][:1]
+
     def names_of(self, fault):
         if fault.kind in RELAYS:
             busiest = self.fleet.busiest_relay()
