--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -25,7 +25,8 @@
 
 SECOND = 1_000_000
 START, START_EACH = 60 * SECOND, SECOND // 8  # that all may take to be ready, and more by front
-CALM, CHURN = "calm", Kind.CHURN.value  # phases beside those that a fault gives its name
+SETTLE = 5 * SECOND  # after that, until streams that no relay needs any more are hung up
+CALM = "calm"  # the phase before any fault
 
 
 class Options(NamedTuple):
@@ -114,6 +115,7 @@
         self.ready = yield self.until_whole(limit, self.fleet.serves)
         if not self.ready.lists:
             raise NotStarted("no front ever had the list; --keep DIR keeps the logs")
+        yield self.pause(SETTLE)
         yield self.measure()
         promise = self.promise()
         limit = max(promise.disagreement, promise.whole_again)
