--- a/limepath/scale/plan.py
+++ b/limepath/scale/plan.py
@@ -13,18 +13,22 @@
 FRONTS_A_PROCESS = 25  # hollow fronts in one process, as far as there are cores for more processes
 MOST_FRONTS = 10_000  # as many as a peers file may tell ([listing] fronts)
 
-# The memory model. Bytes of resident memory; sizes are rounded up. Sources: trials of this run on the text of
-# the star at 25 to 300 fronts and 8 to 1,400 caches (docs/scale.md, "The scale run"), and the project's
-# measurement of idle fronts (34, 40 and 52 MB at lists of 8, 1,400 and 5,000 members).
+# The memory model, bytes of resident memory, rounded up. Measured by trial runs of this program on the star
+# of relays: hollow processes of 20 fronts among 40 (lists of 24 and of 1,400 caches: 63.6 and 110.3 MB), of
+# 80 among 160 (107.5 MB) and of 75 among 300 (136.3 MB), and real ones at lists of 24 to 140 caches (58 to 61
+# MB).
 PROCESS_BYTES = 60_000_000  # one hollow process without fronts
-FRONT_BYTES = 1_000_000  # one hollow front: its store, sockets, logic
-MEMBER_BYTES = 5_000  # one member of the cache list at one front, with the event that told it
-VIEW_BYTES = 1_000  # one other front in one front's view
-REAL_BYTES = 45_000_000  # one process of the program, without its list
+FRONT_BYTES = 300_000  # one hollow front: its store, sockets, logic
+MEMBER_BYTES = 2_000  # one member of the cache list at one front
+VIEW_BYTES = 3_200  # one other front in one front's view, at the height of the joining
+REAL_BYTES = 60_000_000  # one process of the program, without its list
 RUN_BYTES = 150_000_000  # the run itself with the stand-ins
 CACHE_BYTES = 20_000  # one stand-in cache
 
 
+LEAST = {"fronts": 2, "real": 0, "caches": 1, "regions": 1, "zones": 1, "sites": 1, "processes": 0}
+
+
 class BadSize(Exception):
     """A size that cannot be; the text names the option and says what would fit."""
 
@@ -75,8 +79,7 @@
 
 def check_sizes(sizes):
     """Raise BadSize at the first size that cannot be, whatever the machine."""
-    least = {"fronts": 2, "real": 0, "caches": 1, "regions": 1, "zones": 1, "sites": 1, "processes": 0}
-    for name, smallest in least.items():
+    for name, smallest in LEAST.items():
         if getattr(sizes, name) < smallest:
             raise BadSize(f"{option(name)} {getattr(sizes, name)}: at least {smallest} is wanted")
     for name in ("purges", "settings_changes"):
@@ -127,12 +130,14 @@
     return 2 * sizes.fronts + sizes.caches * (1 + 2 * sizes.real) + 4 * processes + 100
 
 
-def most_fronts(sizes, machine):
-    """The largest number of fronts, all else as it is, that fits; 0 where none does."""
-    low, high = 0, sizes.fronts
+def largest(sizes, machine, name):
+    """The largest value of one size, all else as it is, that fits; None where none does."""
+    low, high = LEAST[name], getattr(sizes, name)
+    if obstacle(sizes._replace(**{name: low}), machine):
+        return None
     while low < high:
         middle = (low + high + 1) // 2
-        if obstacle(sizes._replace(fronts=middle), machine):
+        if obstacle(sizes._replace(**{name: middle}), machine):
             high = middle - 1
         else:
             low = middle
@@ -157,13 +162,14 @@
     reason = obstacle(sizes, machine)
     if reason is None:
         return
-    too_many_real = sizes.real + 1 + process_count(sizes, machine.cores) > MOST_PROCESSES
-    if too_many_real:
-        name, fits = "real", MOST_PROCESSES - 1 - process_count(sizes, machine.cores)
-    else:
-        name, fits = "fronts", most_fronts(sizes, machine)
-    hint = f"--{name} {fits} would fit" if fits >= max(2, sizes.sites) else "fewer caches would be needed"
-    raise BadSize(f"--{name} {getattr(sizes, name)}: needs {reason}; {hint}")
+    many = sizes.real + 1 + process_count(sizes, machine.cores) > MOST_PROCESSES
+    for name in ("real",) if many else ("fronts", "caches"):
+        fits = largest(sizes, machine, name)
+        if fits is not None and (name != "fronts" or fits >= max(sizes.sites, sizes.real)):
+            raise BadSize(
+                f"{option(name)} {getattr(sizes, name)}: needs {reason}; {option(name)} {fits} would fit"
+            )
+    raise BadSize(f"--fronts {sizes.fronts}: needs {reason}; no size would fit with these sites and caches")
 
 
 def spread(count, groups):
