--- a/limepath/cli/scale_run.py
+++ b/limepath/cli/scale_run.py
@@ -9,6 +9,7 @@
 
 from limepath.cli.duties import Span, json_option, seed_option
 
+MOST_STRETCH = 20  # at which the longest span of the settings is still one that they take
 LONGEST_FOLDER = 80  # characters: a control socket's path below it must fit the system's 107
 MEMORY_FOLDER = "/dev/shm"  # where it is there: a thousand stores on one disk would measure that disk
 
@@ -46,17 +47,25 @@
 )
 @click.option("--faults", "kinds", default="", help="Kinds with commas, one after another, or 'all'.")
 @click.option("--duration", type=Span(), default="60s", show_default=True, help="Of the measured time.")
+@click.option(
+    "--stretch",
+    type=click.IntRange(1, MOST_STRETCH),
+    default=1,
+    show_default=True,
+    help="Play so much slower: all spans longer, all rates lower, all figures in the run's own time.",
+)
 @click.option("--broken", type=click.Choice(["fan-out", "window"]), help="Break this setting, not its bound.")
 @click.option("--budget-bytes", type=float, help="That a front may send a second, in place of 24,000.")
 @seed_option
 @json_option
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep settings and logs in this folder.")
-def command(kinds, churn, duration, broken, budget_bytes, seed, as_json, keep, **sizes):
+def command(kinds, churn, duration, stretch, broken, budget_bytes, seed, as_json, keep, **sizes):
     """Run hollow fronts and real processes on loopback, tell events, cause faults, judge by the bounds.
 
     Status 1 when a bound breaks, 2 for sizes or faults that cannot be.
     """
     from limepath.scale import faults, plan, settings
+    from limepath.scale.run import Options
 
     try:
         layout = plan.plan_of(plan.Sizes(**sizes), this_machine())
@@ -75,15 +84,16 @@
         settings.broken_of(broken, len(layout.fronts))
     except (plan.BadSize, faults.UnknownFault, settings.UnknownSetting) as error:
         refuse(error)
-    played_and_told(layout, schedule, broken, budget_bytes, seed, as_json, keep)
+    options = Options(seed, broken or "", stretch, bool(keep))
+    played_and_told(layout, schedule, options, budget_bytes, as_json, keep)
 
 
-def played_and_told(layout, schedule, broken, budget_bytes, seed, as_json, keep):
+def played_and_told(layout, schedule, options, budget_bytes, as_json, keep):
     """Play, print, end with the status."""
     from limepath.scale import report
     from limepath.scale.bounds import Budget
     from limepath.scale.processes import HollowFailed
-    from limepath.scale.run import Options, played
+    from limepath.scale.run import played
     from limepath.testbed.process import NotStarted
     from limepath.verdicts import hold
 
@@ -94,7 +104,7 @@
             os.makedirs(keep, exist_ok=True)
         folder = os.path.abspath(keep) if keep else scratch
         try:
-            run = played(layout, schedule, Options(seed, broken or "", bool(keep)), folder)
+            run = played(layout, schedule, options, folder)
         except (HollowFailed, NotStarted) as error:
             print(f"limepath: {error}", file=sys.stderr)
             sys.exit(1)
--- a/limepath/scale/fleet.py
+++ b/limepath/scale/fleet.py
@@ -27,8 +27,8 @@
 class Fleet:
     """The fronts of a Plan. What samples bring goes to `seen`, the Observations."""
 
-    def __init__(self, plan, folder, configs, seen, doors):
-        self.plan, self.seen, self.doors = plan, seen, doors
+    def __init__(self, plan, folder, configs, seen, doors, pace):
+        self.plan, self.seen, self.doors, self.pace = plan, seen, doors, pace
         self.names = [place.name for place in plan.fronts]
         self.who = {name: who for who, name in enumerate(self.names)}
         self.process_of = {who: number for number, share in enumerate(plan.hollow) for who in share}
@@ -92,25 +92,28 @@
 
     def take_process(self, process, reported):
         seen, reply = self.seen, reported.reply
-        span = reported.read_us - self.read_at.get(process.number, reported.read_us)
-        self.read_at[process.number] = reported.read_us
+        at = self.pace.of(reported.read_us)
+        span = at - self.read_at.get(process.number, at)
+        self.read_at[process.number] = at
         for name, report in reply.fronts.items():
-            seen.take(name, report, span, reported.read_us)
+            if self.pace.stretch > 1:
+                report.events = [one._replace(at_us=self.pace.of(one.at_us)) for one in report.events]
+            seen.take(name, report, span, at)
             share = reply.process.rss_bytes / len(reply.fronts)
             seen.memory[name] = max(seen.memory.get(name, 0), share)
         self.dropped["loss"] += reply.process.dropped.loss
         self.dropped["cut"] += reply.process.dropped.cut
 
     def take_real(self, who, view):
-        name, seen = self.names[who], self.seen
+        name, seen, at = self.names[who], self.seen, self.pace.of(view.at_us)
         self.real[who].latest = view
         if view.rss_bytes is not None:
             seen.memory[name] = max(seen.memory.get(name, 0), view.rss_bytes)
         if view.cpu_us is not None:
-            self.real_cpu.setdefault(who, []).append((seen.phase, view.at_us, view.cpu_us))
+            self.real_cpu.setdefault(who, []).append((seen.phase, at, view.cpu_us))
         if view.listing:
-            seen.arrivals[name].add(view.listing["number"], view.at_us)
-            seen.look(name, view.listing["late"], view.listing["number"], view.at_us)
+            seen.arrivals[name].add(view.listing["number"], at)
+            seen.look(name, view.listing["late"], view.listing["number"], at)
 
     # How all stand, by the last sample
 
--- a/limepath/scale/plan.py
+++ b/limepath/scale/plan.py
@@ -10,7 +10,8 @@
 
 MOST_PROCESSES = 300  # started by one run, the run itself among them
 MEMORY_SHARE = 0.5  # of the machine's memory, that a run may plan with
-FRONTS_A_PROCESS = 25  # hollow fronts in one process, as far as there are cores for more processes
+FRONTS_A_PROCESS = 25  # hollow fronts in one process: each waits while another one computes
+PROCESSES_A_CORE = 4  # hollow processes, at most
 MOST_FRONTS = 10_000  # as many as a peers file may tell ([listing] fronts)
 
 # The memory model, bytes of resident memory, rounded up. Measured by trial runs of this program on the star
@@ -106,13 +107,15 @@
 
 
 def process_count(sizes, cores):
-    """How many hollow processes: more than there are cores only make each slower."""
+    """How many hollow processes: few enough that the machine holds them, so many that fronts of one process
+    do not wait long for one another.
+    """
     hollow = sizes.fronts - sizes.real
     if not hollow:
         return 0
     if sizes.processes:
         return min(sizes.processes, hollow)
-    return min(cores, -(-hollow // FRONTS_A_PROCESS))
+    return min(PROCESSES_A_CORE * cores, -(-hollow // FRONTS_A_PROCESS))
 
 
 def memory_of(sizes, processes):
--- a/limepath/scale/processes.py
+++ b/limepath/scale/processes.py
@@ -7,13 +7,13 @@
 import subprocess
 import sys
 import threading
-import time
 from typing import NamedTuple
 
 import psutil
 
 from limepath.peers.control import Unanswered, ask
 from limepath.scale.control import BadLine, End, Report, decode_reply, encode
+from limepath.scale.pace import boottime_us
 from limepath.testbed.process import Process
 
 ENDING = 5  # seconds that a hollow process has to end by itself
@@ -24,14 +24,9 @@
     """A hollow process ended, or answered that it could not do what it was told; the text says which."""
 
 
-def boottime_us():
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
-
-
 class Reported(NamedTuple):
-    """A Reply to a Report, when it was asked for and when it was read."""
+    """A Reply to a Report, and when it was read, of CLOCK_BOOTTIME."""
 
-    asked_us: int
     read_us: int
     reply: object
 
@@ -69,9 +64,8 @@
         return reply
 
     def report(self):
-        asked = boottime_us()
         reply = self.do(Report())
-        return Reported(asked, boottime_us(), reply)
+        return Reported(boottime_us(), reply)
 
     def end(self):
         try:
@@ -88,7 +82,9 @@
 
 
 class RealView(NamedTuple):
-    """What a process of the program told of itself; None where it did not answer."""
+    """What a process of the program told of itself, at a moment of CLOCK_BOOTTIME; None where it did not
+    answer.
+    """
 
     at_us: int
     listing: dict | None
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -59,6 +59,7 @@
         "sizes": run.plan.sizes._asdict(),
         "seed": run.options.seed,
         "broken": run.options.broken or None,
+        "stretch": run.options.stretch,
         "seconds_measured": run.schedule.end / 1e6,
         "speed_up_of_churn": run.schedule.speed_up or None,
         "hollow_processes": len(run.plan.hollow),
@@ -226,6 +227,7 @@
         Row("purges a second", sizes.purges),
         Row("list events a second", sizes.settings_changes),
         Row("measured, s", run.schedule.end / 1e6),
+        Row("real time for one of the run's, as all times and rates here are", run.options.stretch),
     ]
 
 
--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -17,7 +17,7 @@
 from limepath.scale.faults import Kind
 from limepath.scale.fleet import Fleet
 from limepath.scale.observations import Observations, role_in
-from limepath.scale.processes import boottime_us
+from limepath.scale.pace import Pace
 from limepath.scale.service import Around, Clients
 from limepath.scale.strikes import Strikes
 from limepath.testbed.process import NotStarted, free_ports
@@ -32,6 +32,7 @@
 class Options(NamedTuple):
     seed: int = 1
     broken: str = ""
+    stretch: int = 1  # real time for one of the run's
     logs: bool = False  # keep the hollow fronts' log lines
 
 
@@ -58,6 +59,7 @@
     def __init__(self, reactor, plan, schedule, options, folder):
         self.reactor, self.plan, self.schedule, self.options = reactor, plan, schedule, options
         self.folder, self.zero, self.said, self.roles = folder, None, [], {}
+        self.pace = Pace(options.stretch)
         self.ready = self.settled = None
         self.fleet = self.around = self.doors = None
         self.load_before, self.load_after = os.getloadavg(), None
@@ -72,21 +74,24 @@
         reached = list(listens)
         for who in plan.real:
             reached[who] = self.doors.open(listens[who], plan.fronts[who].region)
-        self.around = Around(reactor, plan, seed, lambda who: plan.fronts[who].name not in self.fleet.stopped)
+        runs = lambda who: plan.fronts[who].name not in self.fleet.stopped  # noqa: E731
+        self.around = Around(reactor, plan, seed, self.pace, runs)
         addresses = settings.Addresses(listens, reached, clients, self.around.service.port_of)
         self.write(addresses)
         configs = settings.write_processes(self.folder, plan, addresses, seed, self.options.logs)
         self.seen = Observations([place.name for place in plan.fronts])
-        self.fleet = Fleet(plan, self.folder, configs, self.seen, self.doors)
+        self.fleet = Fleet(plan, self.folder, configs, self.seen, self.doors, self.pace)
         ports = {who: clients[who] for who in plan.real}
-        self.clients = Clients(reactor, seed, ports, lambda who: self.seen.well(self.fleet.names[who]))
+        well = lambda who: self.seen.well(self.fleet.names[who])  # noqa: E731
+        self.clients = Clients(reactor, seed, ports, self.pace, well)
         number = self.around.number
         self.strikes = Strikes(plan, self.schedule, self.fleet, self.around.service, number, self.said)
 
     def write(self, addresses):
         """Write the fronts' settings, and read them once as the bounds go by them."""
         broken = settings.broken_of(self.options.broken, len(self.plan.fronts))
-        settings.write_fronts(self.folder, self.plan, addresses, self.options.seed, broken)
+        stretch = self.options.stretch
+        settings.write_fronts(self.folder, self.plan, addresses, self.options.seed, broken, stretch)
         stated = os.path.join(self.folder, "stated.ini")
         settings.write_private(stated, settings.peers_text(self.plan, addresses, 0, "peers.keys"))
         self.stated = peers_opening.read(stated)
@@ -98,17 +103,17 @@
         return promised(self.stated, sizes.fronts, sizes.zones, phases, events, **budget)
 
     def now(self):
-        return boottime_us() - self.zero
+        return self.pace.now() - self.zero
 
     def pause(self, span):
         done = Deferred()
-        self.reactor.callLater(max(0, span) / 1e6, done.callback, None)
+        self.reactor.callLater(self.pace.seconds(span), done.callback, None)
         return done
 
     @inlineCallbacks
     def play(self):
         self.reactor.suggestThreadPoolSize(len(self.plan.hollow) + len(self.plan.real) + 8)
-        self.zero = boottime_us()
+        self.zero = self.pace.now()
         self.around.begin()
         yield self.fleet.start_all()
         limit = START + START_EACH * len(self.plan.fronts)
@@ -126,11 +131,11 @@
     @inlineCallbacks
     def until_whole(self, limit, also):
         """Sample until all lists and views are one and `also()` holds, at most for `limit`; the Standing."""
-        began = boottime_us()
+        began = self.pace.now()
         while True:
             yield self.fleet.sample()
             lists, views = self.fleet.whole(self.around.number())
-            standing = Standing(boottime_us() - began, lists, views, len(self.plan.fronts))
+            standing = Standing(self.pace.now() - began, lists, views, len(self.plan.fronts))
             if standing.whole and also() or standing.took > limit:
                 return standing
             yield self.pause(SAMPLE // 2)
@@ -138,7 +143,7 @@
     @inlineCallbacks
     def measure(self):
         """The measured time: the calm, then the faults."""
-        self.zero = boottime_us()
+        self.zero = self.pace.now()
         self.around.start_events()
         self.clients.start()
         yield self.fleet.sample()  # what came before is not measured
@@ -167,7 +172,7 @@
         yield function(index)
 
     def begin_phase(self, name):
-        self.seen.begin(name, boottime_us())
+        self.seen.begin(name, self.pace.now())
 
     def close(self):
         for part in (self.fleet, self.around, self.doors):
--- a/limepath/scale/service.py
+++ b/limepath/scale/service.py
@@ -11,7 +11,6 @@
 from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 
-from limepath.scale.processes import boottime_us
 from limepath.testbed.coldstart import Asking
 from limepath.testbed.process import HOST
 from limepath.testbed.regions import RegionalListService
@@ -24,25 +23,25 @@
 
 
 class Around:
-    """The list service and the caches. `issued` holds of each event its kind and CLOCK_BOOTTIME in
+    """The list service and the caches. `issued` holds of each event its kind and the run's time in
     microseconds; event n is at n - 1.
     """
 
-    def __init__(self, reactor, plan, seed, runs):
-        self.reactor, self.plan, self.chance = reactor, plan, Random(f"events {seed}")
+    def __init__(self, reactor, plan, seed, pace, runs):
+        self.reactor, self.plan, self.pace, self.chance = reactor, plan, pace, Random(f"events {seed}")
         self.service = RegionalListService(reactor, len(plan.fronts), lambda who: plan.fronts[who].zone, runs)
         self.caches = {cache.name: StandInCache(reactor) for cache in plan.caches}
         self.upper = {"p-1": StandInCache(reactor), "o-1": StandInCache(reactor)}
         self.zones = {cache.name: cache.zone for cache in plan.caches}
         self.draining, self.issued, self.loops = None, [], []
-        self.purges = Paced(plan.sizes.purges, self.purge)
-        self.changes = Paced(plan.sizes.settings_changes, self.change)
+        self.purges = Paced(plan.sizes.purges / pace.stretch, self.purge)
+        self.changes = Paced(plan.sizes.settings_changes / pace.stretch, self.change)
 
     def begin(self):
         """Tell the whole list, and go on showing that the service lives."""
         members = [self.member(name) for name in (*self.caches, *self.upper)]
         self.tell(LIST, {"fleet": {"revision": 1, "complete": True, "members": members}})
-        self.repeat(BEAT, self.service.beat)
+        self.repeat(BEAT * self.pace.stretch, self.service.beat)
 
     def repeat(self, seconds, function):
         loop = LoopingCall(function)
@@ -65,7 +64,7 @@
         }
 
     def tell(self, kind, event):
-        self.issued.append((kind, boottime_us()))
+        self.issued.append((kind, self.pace.now()))
         return self.service.add(event)
 
     def number(self):
@@ -137,14 +136,14 @@
     and leaves out requests to a front that was struck by a fault meanwhile.
     """
 
-    def __init__(self, reactor, seed, ports, well):
-        self.reactor, self.ports, self.well = reactor, ports, well
+    def __init__(self, reactor, seed, ports, pace, well):
+        self.reactor, self.ports, self.pace, self.well = reactor, ports, pace, well
         self.chance, self.answers, self.sent, self.loop = Random(f"clients {seed}"), Counter(), 0, None
 
     def start(self):
         if self.ports:
             self.loop = LoopingCall(self.send_all)
-            self.loop.start(1 / REQUESTS, now=False)
+            self.loop.start(self.pace.stretch / REQUESTS, now=False)
 
     def stop(self):
         if self.loop and self.loop.running:
--- a/limepath/scale/settings.py
+++ b/limepath/scale/settings.py
@@ -18,9 +18,10 @@
 
 CALLS = 20  # a second at the list service, of the whole fleet
 CONNECTIONS, READY = 100, 100  # a second, of the whole fleet: new ones at one cache, fronts that become ready
+PROBES = 20_000_000  # microseconds between two probes of a cache, as in the cold start's drill
 SEEDS = 3
-FAN_OUT, GATHER, WINDOW = 4, "250ms", "5m"  # as the program has them where nothing is told
-BROKEN_WINDOW = "2s"
+FAN_OUT = 4
+BROKEN_WINDOW = 2_000_000  # microseconds
 TOKEN_BITS = 63
 
 
@@ -32,7 +33,7 @@
     """What the fronts are told otherwise than the bounds are computed for, on purpose."""
 
     fan_out: int = 0
-    window: str = ""
+    window: int = 0  # microseconds
 
 
 STATED = Broken()
@@ -63,21 +64,32 @@
     return Broken(fan_out=fronts) if what == "fan-out" else Broken(window=BROKEN_WINDOW)
 
 
+def span_lines(section, stretch, broken=STATED):
+    """All spans of a section as this program has them where nothing is told, stretched; the window as it is
+    broken on purpose.
+    """
+    lines = []
+    for name, key in FORM[section].keys.items():
+        if key.unit == "span":
+            span = broken.window if name == "window" and broken.window else key.absent
+            lines.append(f"{name} = {span * stretch}us")
+    return lines
+
+
 def scoped_lines(place, broken):
-    """The lines of [listing] that only a program with scopes knows; the fan-out and the window as they are
-    stated, or as they are broken on purpose.
+    """The lines of [listing] that only a program with scopes knows; the fan-out as it is stated, or broken on
+    purpose.
     """
-    wanted = {
-        "region": place.region,
-        "site": place.site,
-        "fan-out": str(broken.fan_out or FAN_OUT),
-        "gather": GATHER,
-        "window": broken.window or WINDOW,
-    }
+    wanted = {"region": place.region, "site": place.site, "fan-out": broken.fan_out or FAN_OUT}
     return [f"{key} = {value}" for key, value in wanted.items() if knows(key)]
 
 
-def peers_text(plan, addresses, who, keys, broken=STATED):
+def by_pace(rate, stretch):
+    """A whole rate a second, at least 1."""
+    return max(1, rate // stretch)
+
+
+def peers_text(plan, addresses, who, keys, broken=STATED, stretch=1):
     """The peers.ini of one front."""
     place = plan.fronts[who]
     seeds = [
@@ -95,15 +107,19 @@
         f"advertise = {HOST}:{addresses.reached[who]}",
         f"seeds = {', '.join(seeds)}",
         f"keys = {keys}",
+        *span_lines("peers", stretch),
+        "[sharing]",
+        *span_lines("sharing", stretch),
         "[duty probe]",
-        "interval = 20s",
+        f"interval = {PROBES * stretch}us",
         "[listing]",
         f"fronts = {len(plan.fronts)}",
-        f"calls = {CALLS}",
+        f"calls = {by_pace(CALLS, stretch)}",
+        *span_lines("listing", stretch, broken),
         *scoped_lines(place, broken),
         "[caches]",
-        f"connections = {CONNECTIONS}",
-        f"ready = {READY}",
+        f"connections = {by_pace(CONNECTIONS, stretch)}",
+        f"ready = {by_pace(READY, stretch)}",
     ]
     return "\n".join(lines) + "\n"
 
@@ -145,7 +161,7 @@
     store.close()
 
 
-def write_fronts(folder, plan, addresses, seed, broken=STATED):
+def write_fronts(folder, plan, addresses, seed, broken=STATED, stretch=1):
     """Write all fronts' files below the folder; give the peers.ini's path of each."""
     keys = os.path.join(folder, "peers.keys")
     write_private(keys, f"{Random(f'keys {seed}').getrandbits(256):064x}\n")
@@ -153,7 +169,8 @@
     for who, token in enumerate(tokens(plan, seed)):
         own = os.path.join(folder, plan.fronts[who].name)
         os.makedirs(own, exist_ok=True)
-        write_private(os.path.join(own, "peers.ini"), peers_text(plan, addresses, who, keys, broken))
+        text = peers_text(plan, addresses, who, keys, broken, stretch)
+        write_private(os.path.join(own, "peers.ini"), text)
         settings = json.dumps(front_settings(plan, addresses, who, seed))
         write_private(os.path.join(own, "front.json"), settings)
         write_store(os.path.join(own, "peers.db"), token)
--- a/limepath/scale/strikes.py
+++ b/limepath/scale/strikes.py
@@ -5,7 +5,6 @@
 from twisted.internet.defer import inlineCallbacks
 
 from limepath.scale.faults import Kind
-from limepath.scale.processes import boottime_us
 
 RELAYS = (Kind.RELAY_STOPPED, Kind.RELAY_KILLED)
 
@@ -37,7 +36,7 @@
         if fault.kind == Kind.LOSS:
             yield self.fleet.set_links(fault.share, ())
         else:
-            self.seen.struck(fault.kind, names, boottime_us())
+            self.seen.struck(fault.kind, names, self.fleet.pace.now())
         if fault.kind == Kind.CUT:
             self.service.part(self.fleet.who[name] for name in names)
             yield self.fleet.set_links(0.0, (fault.regions,))
@@ -72,7 +71,7 @@
             yield self.fleet.resume(names)
         elif fault.kind != Kind.LOSS:
             yield self.fleet.start(names)
-        self.seen.ended(names, boottime_us(), self.number())
+        self.seen.ended(names, self.fleet.pace.now(), self.number())
 
     def effects(self):
         """{kind: times that it took effect}: fronts killed or stopped, pieces lost or cut."""
--- a/limepath/testbed/regions.py
+++ b/limepath/testbed/regions.py
@@ -20,6 +20,8 @@
         if self.service.parted(self.who):
             self.service.held += 1
             self.head += data  # it lies in the network
+        elif b"\r\n\r\n" in self.head + data and b"Last-Event-ID: " not in self.head + data:
+            self.transport.loseConnection()  # a port may be tried by whom it belonged to before
         else:
             super().dataReceived(data)
 
