--- a/limepath/cli/__init__.py
+++ b/limepath/cli/__init__.py
@@ -13,6 +13,7 @@
     "duties": "Periodic duties that instances divide among themselves.",
     "listing": "The list of caches, told once to a fleet.",
     "coldstart": "Many fronts that start at once.",
+    "scale": "What a size costs: slopes of each role, the capacity page.",
     "peers": "The instances that share.",
     "opening": "Settings files.",
     "keys": "Certificates and keys for TLS to servers.",
