--- /dev/null
+++ b/limepath/scale/roles_decision.py
@@ -0,0 +1,131 @@
+"""The decision module alone: processor time a request, by caches seen by one front and by parents seen.
+
+The real `choice.Front` gets requests and the ends of its attempts; nothing else runs. Three of ten requests
+miss at their cache and are filled from a parent.
+"""
+
+from random import Random
+
+from limepath import contract
+from limepath.choice import Front
+from limepath.opening_values import start_of
+from limepath.scale.measured import Found, Series
+from limepath.scale.roles import least_cpu, settings
+
+CACHES = (6, 20, 70, 200, 500, 1400)
+PARENTS = (2, 5, 10, 20, 47)
+FEW_PARENTS, FEW_CACHES = 2, 6  # beside the number that varies
+OBJECTS, MISSES = 10_000, 0.3
+COST = 1.5  # microseconds of a request by member, taken for the bound on the number of requests only
+BOUND = 300_000  # microseconds of processor time that one run may take, about
+MOST_REQUESTS, FEWEST_REQUESTS, REPEATS = 3000, 200, 5
+CACHE_KIND, PARENT_KIND, ORIGIN_KIND = 0, 1, 2
+PATIENCE = 5_000_000
+
+
+def member(ident, kind):
+    zone = 0 if kind == CACHE_KIND else 1
+    weight = 6.0 if kind == CACHE_KIND else 30.0
+    return contract.Member(contract.Standing.READY, ident, 0, 0, zone, kind, weight)
+
+
+def front_of(caches, parents):
+    """A Front that has heard of so many members."""
+    front = Front(seed=1, **start_of(settings()))
+    members = [member(1 + index, CACHE_KIND) for index in range(caches)]
+    members += [member(100_000 + index, PARENT_KIND) for index in range(parents)]
+    members.append(member(200_000, ORIGIN_KIND))
+    front.handle(1_000_000, (contract.Roster(contract.Listing.FULL, 1, tuple(members)),))
+    return front
+
+
+class Load:
+    """Requests one after another, each carried to its end."""
+
+    def __init__(self, front, seed):
+        self.front, self.chance, self.now, self.served = front, Random(seed), 2_000_000, 0
+
+    def tell(self, note):
+        self.now += 500
+        orders = self.front.handle(self.now, (note,))
+        return [order for order in orders if isinstance(order, contract.Forward)]
+
+    def request(self, ident):
+        misses = self.chance.random() < MISSES
+        obj = 1 + self.chance.randrange(OBJECTS)
+        forwards = self.tell(contract.Get(ident, 0, 0, obj, PATIENCE, 0.0, 0, 0, False, False))
+        number = 0
+        while forwards:
+            forward = forwards[0]
+            missed = misses and forward.source == forward.cache
+            verdict = contract.Verdict.MISS if missed else contract.Verdict.RETURNED
+            ended = contract.Outcome(
+                ident, number, verdict, forward.cache, 40_000, 0, not missed, contract.Hint.NONE, {}
+            )
+            self.served += not missed
+            forwards, number = self.tell(ended), number + 1
+
+
+class Trial:
+    """One size: a front under load, the least processor time of its runs."""
+
+    def __init__(self, caches, parents):
+        count = int(BOUND / (40 + COST * (caches + parents)))
+        self.count = max(FEWEST_REQUESTS, min(MOST_REQUESTS, count))
+        self.load, self.asked, self.least = Load(front_of(caches, parents), 7), 0, None
+
+    def run(self):
+        for _ in range(self.count):
+            self.asked += 1
+            self.load.request(self.asked)
+
+    def time(self):
+        spent = least_cpu(self.run, 1) / self.count
+        self.least = spent if self.least is None else min(self.least, spent)
+
+    def cost(self):
+        """Microseconds of processor time a request."""
+        if self.load.served < self.asked * 0.99:
+            raise ValueError(f"{self.load.served} of {self.asked} requests served")
+        return round(self.least, 1)
+
+
+def costs(sizes):
+    """The cost of each (caches, parents); the sizes take turns, so that a busy spell meets all of them."""
+    trials = [Trial(caches, parents) for caches, parents in sizes]
+    for trial in trials:
+        trial.run()
+    for _ in range(REPEATS):
+        for trial in trials:
+            trial.time()
+    return [trial.cost() for trial in trials]
+
+
+def measure():
+    """Give the Found of the decision module."""
+    caches = tuple(zip(CACHES, costs([(size, FEW_PARENTS) for size in CACHES]), strict=True))
+    parents = tuple(zip(PARENTS, costs([(FEW_CACHES, size) for size in PARENTS]), strict=True))
+    return Found(
+        (
+            Series(
+                "caches",
+                "a decision",
+                "us of CPU a request",
+                "caches seen by one front",
+                caches,
+                "real logic",
+            ),
+            Series(
+                "parents",
+                "a decision",
+                "us of CPU a request",
+                "parents seen by one front",
+                parents,
+                "real logic",
+            ),
+        ),
+        notes=(
+            f"{FEW_PARENTS} parents beside the caches, {FEW_CACHES} caches beside the parents; "
+            f"{MISSES:.0%} of the requests miss; least of {REPEATS} runs",
+        ),
+    )
--- /dev/null
+++ b/limepath/scale/roles_idle.py
@@ -0,0 +1,134 @@
+"""An idle front: real processes that hold a list and serve nobody; memory, processor time, start, profile.
+
+The processes of all sizes idle side by side over one span (each needs a hundredth of a core or two). The list
+is known at the start; no member listens, so that no connection is open. A profile of one more process, with
+its own overhead in it, tells where the time goes.
+"""
+
+import json
+import os
+import pstats
+import tempfile
+import time
+
+import psutil
+
+from limepath.scale.measured import Fact, Found, Series
+from limepath.scale.roles import await_line, configuration, end, listed, process_cpu, started
+from limepath.testbed.process import HOST, free_ports
+
+SIZES = (8, 200, 500, 1000, 1400, 5000)
+SETTLE, SPAN, PROFILED = 4.0, 30.0, 20.0  # seconds
+PROFILED_SIZE, SHOWN = 1400, 8
+NOBODY = f"{HOST}:9"
+
+
+class IdleFront:
+    """One process with a list of `members`."""
+
+    def __init__(self, folder, members, port, words=()):
+        self.members, self.log = members, os.path.join(folder, f"{members}.log")
+        file = os.path.join(folder, f"{members}.json")
+        told = configuration(f"{HOST}:{port}", [listed(index, NOBODY) for index in range(members)])
+        with open(file, "w", encoding="utf-8") as out:
+            json.dump(told, out)
+        self.process = started([*(words or ("-m", "limepath"))], self.log, {"ROUTER_CONFIG": file})
+
+    def ready(self):
+        await_line(self.process, self.log, "event=ready")
+
+    def cpu(self):
+        return process_cpu(self.process.pid)
+
+    def memory(self):
+        """Megabytes: resident, and of those the ones that no other process shares."""
+        told = psutil.Process(self.process.pid).memory_full_info()
+        return round(told.rss / 1e6, 1), round(told.uss / 1e6, 1)
+
+
+def measure():
+    """Give the Found of an idle front."""
+    import socket
+
+    with tempfile.TemporaryDirectory() as folder:
+        ports = free_ports(socket.SOCK_STREAM, len(SIZES) + 1)
+        starts, fronts = [], []
+        try:
+            for members, port in zip(SIZES, ports, strict=False):
+                front = IdleFront(folder, members, port)
+                fronts.append(front)
+                front.ready()
+                starts.append((members, round(front.cpu() / 1e6, 3)))
+            time.sleep(SETTLE)
+            before = [(time.monotonic(), front.cpu()) for front in fronts]
+            time.sleep(SPAN)
+            shares, memory = [], []
+            for front, (at, spent) in zip(fronts, before, strict=True):
+                share = (front.cpu() - spent) / (time.monotonic() - at) / 1e6
+                shares.append((front.members, round(100 * share, 3)))
+                memory.append((front.members, *front.memory()))
+        finally:
+            end(*(front.process for front in fronts))
+        facts, note = profiled(folder, ports[-1])
+    size, source = "members of the list", "real process"
+    return Found(
+        (
+            Series("cpu", "an idle front", "% of a core", size, tuple(shares), source),
+            Series("memory", "an idle front, resident", "MB", size, tuple(row[:2] for row in memory), source),
+            Series("private", "the same, not shared", "MB", size, tuple(row[::2] for row in memory), source),
+            Series("start", "a start, until ready", "s of CPU", size, tuple(starts), source),
+        ),
+        facts,
+        (f"processor time over {SPAN:.0f} s, all sizes side by side", note),
+    )
+
+
+def profiled(folder, port):
+    """Where an idle front's time goes: facts of the functions with the most time of their own, and a note."""
+    file = os.path.join(folder, "profile")
+    front = IdleFront(folder, PROFILED_SIZE, port, ("-c", PROFILING, file))
+    try:
+        front.ready()
+        time.sleep(PROFILED)
+    finally:
+        end(front.process)
+    return facts_of(file)
+
+
+PROFILING = """
+import cProfile, runpy, sys
+from twisted.internet import reactor
+profile, run = cProfile.Profile(), reactor.run
+def profiled(**words):
+    reactor.callLater(2, profile.enable)
+    run(**words)
+    profile.disable()
+reactor.run = profiled
+file = sys.argv[1]
+sys.argv = ["limepath"]
+from limepath.front.start import main
+status = main()
+profile.dump_stats(file)
+sys.exit(status)
+"""
+
+
+def facts_of(file):
+    """The functions with the most own time of a profile, waiting left out."""
+    stats = pstats.Stats(file).stats
+    own = {place: values[2] for place, values in stats.items() if "epoll" not in place[2]}
+    total = sum(own.values())
+    most = sorted(own, key=own.get, reverse=True)[:SHOWN]
+    facts = tuple(
+        Fact(f"profile {at}", name_of(place), "% of the profiled time", round(100 * own[place] / total, 1))
+        for at, place in enumerate(most, 1)
+    )
+    return facts, f"profile at {PROFILED_SIZE:,} members over {PROFILED - 2:.0f} s, waiting left out"
+
+
+def name_of(place):
+    path, _, function = place
+    for package in ("limepath", "twisted"):
+        if f"{package}/" in path:
+            return f"{package}/{path.rpartition(f'{package}/')[2]} {function}"
+    return function
--- a/limepath/scale/slopes.py
+++ b/limepath/scale/slopes.py
@@ -3,9 +3,10 @@
 The models, from simple to steep: constant, a + b log2 n, a + b n, a + b n log2 n. Residuals are relative to
 the measured values, since sizes span decades. The rule that chooses: each model's cross-validation error is
 the mean relative error with which it predicts each fitted size from the others; the simplest model is taken
-whose error is under `CLOSE`, or at most `NEAR` times the least of all models. The largest size has no part in
-it. An error of its prediction over `WRONG` says that the model is wrong: the figure is looked into, and
-nothing is to be extrapolated with it. Free of I/O.
+whose error is within one standard error of the best one's (the one-standard-error rule of Breiman, Friedman,
+Olshen and Stone, Classification and Regression Trees, 1984). The largest size has no part in it. An error of
+its prediction over `WRONG` says that the model is wrong: the figure is looked into, and nothing is to be
+extrapolated with it. Free of I/O.
 """
 
 from enum import Enum
@@ -14,8 +15,6 @@
 import numpy
 
 LEAST_SIZES = 5
-CLOSE = 0.05  # a cross-validation error below which a model is taken as it is
-NEAR = 1.25  # times the least cross-validation error, up to which a simpler model is taken
 WRONG = 0.20  # of the measured value: an error of the prediction over it
 
 
@@ -103,21 +102,21 @@
 
 
 def cross_validation(model, sizes, values):
-    """The mean relative error with which each point is predicted from the others."""
+    """Mean and standard error of the relative errors with which each point is predicted from the others."""
     errors = []
     for index, (size, value) in enumerate(zip(sizes, values, strict=True)):
         others = [at for at in range(len(sizes)) if at != index]
         fit = coefficients(model, [sizes[at] for at in others], [values[at] for at in others])
         predicted = fit.base + fit.slope * float(model.basis([size])[0])
         errors.append(abs(predicted - value) / value)
-    return sum(errors) / len(errors)
+    return float(numpy.mean(errors)), float(numpy.std(errors, ddof=1)) / len(errors) ** 0.5
 
 
 def chosen(sizes, values):
     """The model, by the rule in this module's head."""
     errors = {model: cross_validation(model, sizes, values) for model in Model}
-    least = min(errors.values())
-    return next(model for model in Model if errors[model] <= max(CLOSE, NEAR * least))
+    least, spread = min(errors.values())
+    return next(model for model in Model if errors[model][0] <= least + spread)
 
 
 def fitted(points):
