--- a/limepath/cli/scale.py
+++ b/limepath/cli/scale.py
@@ -19,7 +19,8 @@
 
     def get_command(self, context, name):
         if name == "run" and find_spec(RUN):
-            return import_module(RUN).run
+            module = import_module(RUN)
+            return getattr(module, "run", None) or module.command
         return super().get_command(context, name)
 
 
--- a/limepath/scale/measured.py
+++ b/limepath/scale/measured.py
@@ -17,7 +17,11 @@
 
 
 class Circumstances(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Of one run. `load` is the load average of one minute before and after; `seconds` is wall-clock time."""
+    """Of one run.
+
+    `load` is the load average of one minute before and after; `yardstick` the milliseconds of processor time
+    that a fixed piece of work took then: a core that others share is slower. `seconds` is wall-clock time.
+    """
 
     command: str
     revision: str
@@ -27,6 +31,7 @@
     python: str
     system: str
     load: tuple[float, float]
+    yardstick: tuple[float, float]
     seconds: float
 
 
--- a/limepath/scale/roles.py
+++ b/limepath/scale/roles.py
@@ -35,6 +35,7 @@
     "relay": Role("roles_relay", "events at a relay: bytes, datagrams, processor time by followers"),
     "probes": Role("roles_probes", "check results told to all: bytes by targets and by fronts"),
     "membership": Role("roles_membership", "membership: set-up apart from running cost, joins, a return"),
+    "view": Role("roles_view", "membership of one front alone, at the whole fleet's size"),
     "data": Role("roles_data", "the data path: processor time a request by size of body"),
 }
 
@@ -43,14 +44,18 @@
     """A process that is measured never came up, or ended; the text tells which."""
 
 
-def least_cpu(work, repeats=3):
-    """The least processor time of several runs of `work()`, in microseconds: noise only adds to it."""
-    times = []
-    for _ in range(repeats):
-        began = time.process_time_ns()
-        work()
-        times.append(time.process_time_ns() - began)
-    return min(times) / 1000
+def least_cpu(works, rounds=5):
+    """For each of some callables the least processor time of its runs, in microseconds.
+
+    Noise only adds to it. They take turns, so that a busy spell of the machine meets all of them.
+    """
+    least = [float("inf")] * len(works)
+    for _ in range(rounds):
+        for at, work in enumerate(works):
+            began = time.process_time_ns()
+            work()
+            least[at] = min(least[at], (time.process_time_ns() - began) / 1000)
+    return least
 
 
 def process_cpu(pid):
--- a/limepath/scale/roles_decision.py
+++ b/limepath/scale/roles_decision.py
@@ -72,33 +72,27 @@
     def __init__(self, caches, parents):
         count = int(BOUND / (40 + COST * (caches + parents)))
         self.count = max(FEWEST_REQUESTS, min(MOST_REQUESTS, count))
-        self.load, self.asked, self.least = Load(front_of(caches, parents), 7), 0, None
+        self.load, self.asked = Load(front_of(caches, parents), 7), 0
 
     def run(self):
         for _ in range(self.count):
             self.asked += 1
             self.load.request(self.asked)
 
-    def time(self):
-        spent = least_cpu(self.run, 1) / self.count
-        self.least = spent if self.least is None else min(self.least, spent)
-
-    def cost(self):
-        """Microseconds of processor time a request."""
+    def cost(self, spent):
+        """Microseconds of processor time a request, from those of a run."""
         if self.load.served < self.asked * 0.99:
             raise ValueError(f"{self.load.served} of {self.asked} requests served")
-        return round(self.least, 1)
+        return round(spent / self.count, 1)
 
 
 def costs(sizes):
-    """The cost of each (caches, parents); the sizes take turns, so that a busy spell meets all of them."""
+    """The cost of each (caches, parents)."""
     trials = [Trial(caches, parents) for caches, parents in sizes]
     for trial in trials:
         trial.run()
-    for _ in range(REPEATS):
-        for trial in trials:
-            trial.time()
-    return [trial.cost() for trial in trials]
+    spent = least_cpu([trial.run for trial in trials], REPEATS)
+    return [trial.cost(least) for trial, least in zip(trials, spent, strict=True)]
 
 
 def measure():
--- a/limepath/scale/roles_listing.py
+++ b/limepath/scale/roles_listing.py
@@ -6,13 +6,14 @@
 
 import json
 import tracemalloc
+from functools import partial
 
 from limepath import contract
 from limepath.choice import Front
 from limepath.front.changelog import Entry
 from limepath.listing.state import List, parsed, unpacked
 from limepath.opening_values import start_of
-from limepath.scale.measured import Found, Series
+from limepath.scale.measured import Fact, Found, Series
 from limepath.scale.roles import least_cpu, listed, settings
 
 SIZES = (100, 200, 500, 1000, 1400, 5000)
@@ -20,6 +21,19 @@
 ZONES, KINDS = ["z0", "hub"], ["box", "parent", "origin"]
 
 
+TOLD = {
+    "parse": ("a whole list taken in by a front", "ms of CPU"),
+    "memory": ("the list in a front", "MB"),
+    "check": ("a whole list checked and kept for sharing", "ms of CPU"),
+    "pack": ("the list packed", "ms of CPU"),
+    "unpack": ("a packed list read", "ms of CPU"),
+    "shared memory": ("the list kept for sharing", "MB"),
+    "packed": ("the packed list, without purges", "KB"),
+    "text": ("the list as the service tells it", "KB"),
+}
+PACKED_MEMBERS, PACKED_PURGES = 1400, 4096
+
+
 def event(members):
     """The text of an event with a whole list."""
     told = [listed(index, f"10.{index >> 8}.{index & 255}.7:9001") for index in range(members)]
@@ -43,6 +57,20 @@
     return held
 
 
+def purge(number):
+    """An event that purges one object."""
+    name = f"{number * 0x9E3779B97F4A7C15 & (1 << 64) - 1:016x}"
+    return {"invalidate": {"object": name, "time": 1_790_000_000_000 + 28 * number}}
+
+
+def with_purges():
+    """Kilobytes of a packed list that holds many purges."""
+    held = checked(event(PACKED_MEMBERS))
+    for number in range(2, 2 + PACKED_PURGES):
+        held.take({"seq": number} | purge(number))
+    return len(held.packed()) / 1000
+
+
 def held_bytes(make):
     """Bytes of what `make()` gives."""
     tracemalloc.start()
@@ -57,35 +85,44 @@
 
 def measure():
     """Give the Found of a list taken in."""
-    rows = {name: [] for name in ("parse", "memory", "check", "pack", "unpack", "shared memory", "packed")}
-    for size in SIZES:
-        text = event(size)
-        held = checked(text)
-        packed = held.packed()
-        values = {
-            "parse": least_cpu(lambda text=text: taken_in(text)) / 1000,
-            "check": least_cpu(lambda text=text: checked(text)) / 1000,
-            "pack": least_cpu(held.packed) / 1000,
-            "unpack": least_cpu(lambda packed=packed: unpacked(packed, LONGEST)) / 1000,
-            "memory": held_bytes(lambda text=text: taken_in(text)) / 1e6,
-            "shared memory": held_bytes(lambda text=text: checked(text)) / 1e6,
-            "packed": len(packed) / 1000,
-        }
-        for name, value in values.items():
-            rows[name].append((size, round(value, 4)))
-    told = {
-        "parse": ("a whole list taken in by a front", "ms of CPU"),
-        "memory": ("the list in a front", "MB"),
-        "check": ("a whole list checked and kept for sharing", "ms of CPU"),
-        "pack": ("the list packed", "ms of CPU"),
-        "unpack": ("a packed list read", "ms of CPU"),
-        "shared memory": ("the list kept for sharing", "MB"),
-        "packed": ("the packed list", "KB"),
+    texts = [event(size) for size in SIZES]
+    lists = [checked(text) for text in texts]
+    packs = [held.packed() for held in lists]
+    works = {
+        "parse": [partial(taken_in, text) for text in texts],
+        "check": [partial(checked, text) for text in texts],
+        "pack": [held.packed for held in lists],
+        "unpack": [partial(unpacked, pack, LONGEST) for pack in packs],
+    }
+    values = {name: [spent / 1000 for spent in least_cpu(work)] for name, work in works.items()}
+    values |= {
+        "memory": [held_bytes(partial(taken_in, text)) / 1e6 for text in texts],
+        "shared memory": [held_bytes(partial(checked, text)) / 1e6 for text in texts],
+        "packed": [len(pack) / 1000 for pack in packs],
+        "text": [len(text) / 1000 for text in texts],
+    }
+    rows = {
+        name: [(size, round(value, 4)) for size, value in zip(SIZES, values[name], strict=True)]
+        for name in TOLD
     }
     return Found(
         tuple(
-            Series(name, *told[name], "members of the list", tuple(points), "real logic")
+            Series(name, *TOLD[name], "members of the list", tuple(points), "real logic")
             for name, points in rows.items()
         ),
-        notes=("processor time: the least of 3 runs; memory by tracemalloc; all members in one zone",),
+        (
+            Fact(
+                "packed purges",
+                f"a packed list of {PACKED_MEMBERS:,} members and {PACKED_PURGES:,} purges",
+                "KB",
+                round(with_purges(), 1),
+            ),
+            Fact(
+                "event",
+                "a purge as the service words it",
+                "bytes",
+                len(json.dumps({"seq": 10**6} | purge(9))),
+            ),
+        ),
+        notes=("processor time: the least of 5 runs; memory by tracemalloc; all members in one zone",),
     )
--- a/limepath/scale/roles_relay.py
+++ b/limepath/scale/roles_relay.py
@@ -18,7 +18,7 @@
 from limepath.peers.guard import Guard, Key
 from limepath.peers.interface import MESSAGES, Spans
 from limepath.scale.measured import Fact, Found, Series
-from limepath.scale.roles import least_cpu
+from limepath.scale.roles_listing import purge
 
 FRONTS = (10, 20, 40, 80, 160, 260)  # of one zone; 260 is the zone's size at 5,200 fronts and 20 zones
 CACHES = 40
@@ -26,7 +26,7 @@
 SECOND = 1_000_000
 SETTLED, SPAN, REACH = 5 * SECOND, 5 * SECOND, 2 * SECOND
 LIMIT = 120 * SECOND
-DATAGRAMS, DATAGRAM = 20_000, 200
+ROUNDS, ROUND, DATAGRAM = 400, 50, 200  # datagrams and their bytes, for the socket's cost
 
 
 class Zone(World):
@@ -66,15 +66,6 @@
         node.logic.handle = handled
 
 
-def purge(number):
-    return {
-        "invalidate": {
-            "object": f"{number * 0x9E3779B97F4A7C15 & (1 << 64) - 1:016x}",
-            "time": 1_790_000_000_000,
-        }
-    }
-
-
 def played(fronts):
     """A zone with EVENTS purges a second; give the Zone after SPAN of them."""
     zone = Zone(fronts)
@@ -96,19 +87,22 @@
 
 
 def datagram_cost():
-    """Microseconds of processor time for a datagram sent to a socket of this machine that is not read."""
+    """Microseconds of processor time for a datagram sent to a socket of this machine that has room for it."""
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as to,
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as out,
     ):
         to.bind(("127.0.0.1", 0))
-        where, data = to.getsockname(), bytes(DATAGRAM)
-
-        def work():
-            for _ in range(DATAGRAMS):
+        to.setblocking(False)
+        where, data, spent = to.getsockname(), bytes(DATAGRAM), 0
+        for _ in range(ROUNDS):
+            began = time.thread_time_ns()
+            for _ in range(ROUND):
                 out.sendto(data, where)
-
-        return least_cpu(work) / DATAGRAMS
+            spent += time.thread_time_ns() - began
+            for _ in range(ROUND):
+                to.recv(DATAGRAM)
+        return spent / ROUNDS / ROUND / 1000
 
 
 def window():
