--- a/limepath/scale/capacity.py
+++ b/limepath/scale/capacity.py
@@ -157,7 +157,8 @@
         ]
         head = ("body, bytes", "held, us of CPU", "held, requests a second and core", "lacked, us of CPU")
         parts.append(text.table(head, rows))
-    parts.append(text.CORES)
+    misses, parents = capacity_front.MISSES, SIZE.parents
+    parts.append(text.CORES.format(full=FULL, misses=misses, parents=parents))
     rows = []
     for what, caches in scopes():
         cores = capacity_front.cores(figures, caches)
@@ -191,7 +192,7 @@
                 text.number(figures.at("decision", "caches", caches).value),
                 text.number(figures.at("idle", "cpu", caches).value),
                 text.number(figures.at("listing", "memory", caches).value),
-                text.number(capacity_front.scoped_probes(figures, caches).value),
+                text.number(capacity_front.probes(figures, "bytes", caches).value),
                 text.number(round(others)),
                 text.number(figures.at("view", "memory", others).value),
                 text.number(figures.at("membership", "join bytes", others).value),
--- a/limepath/scale/capacity_front.py
+++ b/limepath/scale/capacity_front.py
@@ -7,8 +7,8 @@
 MEAN_BODY = 129_000  # bytes; the measured size next to the mean of an answer
 MISSES = 0.3  # share of the requests
 FEW_CACHES, FEW_PARENTS = 6, 2  # that the data path was measured with
-INTERVAL = 5.0  # seconds between checks of a target: the shipped default
 CORE = "% of a core"
+THREAD = 100.0  # % of a core, the most of a process
 CLIENTS = "front/clients.py, front/caches.py"
 RESULTS = "results told to all, duties/learnt.py"
 SWIM = "SWIM with suspicion, peers/members.py"
@@ -71,6 +71,10 @@
         caches,
         "hash order over the zone's caches, choice.py",
     )
+    for what, seen in (("its zone's", SIZE.caches // SIZE.zones), ("all", SIZE.caches)):
+        whole = cores(figures, seen).times(100, CORE)
+        what = f"all of it, where it sees {what} caches ({seen:,})"
+        lines.add(Kind.PROCESSOR, what, whole, "one thread a process", THREAD)
     lines.add(Kind.MEMORY, "resident after loads", figures.fact("data", "memory"), CLIENTS, BUDGET.memory)
     return lines.lines
 
@@ -78,18 +82,9 @@
 # Control
 
 
-def scoped_probes(figures, targets):
-    """KB a second of check results, where only so many targets concern a front."""
-    return probes(figures, "bytes", targets)
-
-
 def probes(figures, name, targets=SIZE.caches):
-    """Check results of so many targets, at the shipped interval."""
-    interval, figure = figures.fact("probes", "interval"), figures.at("probes", name, targets)
-    if None in (interval.value, figure.value):
-        return figure
-    reason = f"measured at an interval of {interval.value:g} s, shipped are {INTERVAL:g}"
-    return figure.times(interval.value / INTERVAL, figure.unit, reason)
+    """Check results of so many targets, at the interval that they were measured at."""
+    return figures.at("probes", name, targets)
 
 
 def membership_bytes(figures):
--- a/limepath/scale/capacity_roles.py
+++ b/limepath/scale/capacity_roles.py
@@ -66,7 +66,7 @@
     calls = assumed(promised.calls, "a second", BY_CODE)
     lines.add(Kind.MESSAGES, "calls of the whole fleet, at most", calls, "listing/calls.py")
     for kind in (Kind.PROCESSOR, Kind.MEMORY):
-        lines.add(kind, "of the service itself", missing("not ours, a stand-in in our runs"), "none")
+        lines.add(kind, "of the service itself", missing("not ours, a stand-in in our runs"), "not ours")
     return lines.lines
 
 
--- a/limepath/scale/capacity_text.py
+++ b/limepath/scale/capacity_text.py
@@ -19,10 +19,11 @@
 """
 
 CORES = """The program has one thread. Above one core a machine needs several processes; each is a front
-of its own to caches, to the list and to membership, so that fronts, views and messages grow by as much, and each
-has control's costs again. Below it a second process still pays where one core at this load leaves
-answers late: at 70% of a core (assumed) queues begin to show. The table below takes that as the most
-that one process may be given.
+of its own to caches, to the list and to membership, so that fronts, views and messages grow by as much,
+and each has control's costs again. A process near the whole of its core leaves answers late: the table
+takes {full:.0%} of a core (assumed) as the most that one may be given. Held copies, {misses:.0%} of the
+requests lacked (assumed), {parents} parents (assumed), decisions by the caches seen; a network card's
+work and TLS are not in it.
 """
 
 KNOW = """A front decides by its own caches, so what it must know of caches ends at the caches that it may
@@ -31,8 +32,8 @@
 costs one front.
 """
 
-MUST = """- Of caches: address, standing and start of those it sends requests to (its site's; its zone's while a
-  site's are away), of the parents and of the origin; check results of the same. Nothing of the others.
+MUST = """- Of caches: address, standing and start of those it sends requests to (its site's; its zone's
+  while a site's are away), of the parents and of the origin; check results of the same. Not of the others.
 - Of purges: all, everywhere, since a copy may lie in any of its caches.
 - Of fronts: its zone's, for who passes the list on; of the others only whom to ask where all of the zone
   are gone. Today's view of all carries who divides the checks, which a site can do alone.
--- a/limepath/scale/estimates.py
+++ b/limepath/scale/estimates.py
@@ -33,9 +33,12 @@
     reason: str = ""
 
     def times(self, factor, unit, reason=""):
-        """The same in another unit, or of several."""
-        value = None if self.value is None else self.value * factor
-        return self._replace(value=value, unit=unit, reason=", ".join(filter(None, (self.reason, reason))))
+        """The same in another unit; with a reason, of several, which is assumed."""
+        if self.value is None:
+            return self
+        word = Word.ASSUMED if reason else self.word
+        told = "; ".join(filter(None, (self.reason, reason)))
+        return self._replace(value=self.value * factor, unit=unit, word=word, reason=told)
 
 
 MISSING = Estimate(None, Word.MISSING)
--- a/limepath/scale/roles_probes.py
+++ b/limepath/scale/roles_probes.py
@@ -10,7 +10,7 @@
 SECOND = 1_000_000
 TARGETS, FEW_FRONTS = (100, 200, 400, 700, 1000, 1400), 60
 FRONTS, FEW_TARGETS = (12, 25, 50, 100, 200, 400), 100
-INTERVAL, LENGTH = 10 * SECOND, 20 * SECOND
+INTERVAL, LENGTH = 5 * SECOND, 15 * SECOND  # the shipped interval
 BYTES, DATAGRAMS = "bytes per instance and second", "messages per instance and second"
 
 
--- a/limepath/scale/roles_relay.py
+++ b/limepath/scale/roles_relay.py
@@ -10,6 +10,9 @@
 import socket
 import time
 from collections import Counter
+from importlib import import_module
+from importlib.util import find_spec
+from typing import NamedTuple
 
 from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
 from limepath.listing.interface import MESSAGES as LIST_MESSAGES
@@ -24,50 +27,78 @@
 CACHES = 40
 EVENTS = 36  # a second
 SECOND = 1_000_000
-SETTLED, SPAN, REACH = 5 * SECOND, 5 * SECOND, 2 * SECOND
+TREE, TREE_ROLE = "limepath.listing.simulate_tree", "limepath.scale.roles_tree"  # where fronts have sites
+SETTLED, SPAN, REACH, ARRIVE = 5 * SECOND, 5 * SECOND, 2 * SECOND, 7_300_000
 LIMIT = 120 * SECOND
 ROUNDS, ROUND, DATAGRAM = 400, 50, 200  # datagrams and their bytes, for the socket's cost
 
 
+class Traffic:
+    """Of the list, by front's index: what each sent and received, and the processor time that it took."""
+
+    def __init__(self):
+        self.bytes, self.datagrams, self.cpu, self.received = Counter(), Counter(), Counter(), Counter()
+
+    def counted(self, sender, to, size):
+        self.bytes[sender] += size
+        self.datagrams[sender] += 1
+        self.received[to] += size
+
+    def timed(self, index, logic):
+        """Let a front's list logic be timed from now on."""
+        handle = logic.handle
+
+        def handled(now, notes=()):
+            began = time.thread_time_ns()
+            orders = handle(now, notes)
+            self.cpu[index] += time.thread_time_ns() - began
+            return orders
+
+        logic.handle = handled
+
+
+class Played(NamedTuple):
+    """What SPAN of events gave; `late` are microseconds until an event was at a front, in order.
+
+    `lost` counts what was not at a front ARRIVE after the last event.
+    """
+
+    fronts: int
+    traffic: Traffic
+    late: list
+    lost: int
+
+    def busiest(self, kind):
+        """The most of one kind at any front, a second."""
+        return max(getattr(self.traffic, kind).values()) / (SPAN / SECOND)
+
+    def median_bytes(self):
+        """Of bytes sent, a second."""
+        sent = sorted(self.traffic.bytes[index] for index in range(self.fronts))
+        return sent[len(sent) // 2] / (SPAN / SECOND)
+
+
 class Zone(World):
-    """One zone's fronts; counts what each sends of the list, and the processor time that it takes."""
+    """One zone's fronts without sites, with their membership."""
 
     def __init__(self, fronts):
         super().__init__(fronts, 1, 1, Terms(fronts=fronts), 0.0, False, CACHES, Spans())
         types = (*MESSAGES, *LIST_MESSAGES, *DUTY_MESSAGES)
         secret = (Key(b"abcd", os.urandom(32)),)
         self.guards = [Guard(secret, types) for _ in self.nodes]
-        self.clear()
-
-    def clear(self):
-        self.datagrams, self.bytes, self.cpu, self.received, self.taken = (Counter() for _ in range(5))
+        self.traffic = Traffic()
 
     def send(self, node, order):
         if isinstance(order.message, LIST_MESSAGES):
             began = time.thread_time_ns()
             sealed = self.guards[node.index].seal(node.members.me, order.to, order.message)
-            self.cpu[node.index] += time.thread_time_ns() - began
-            self.datagrams[node.index] += 1
-            self.bytes[node.index] += len(sealed)
-            self.received[int(order.host)] += len(sealed)
-            self.taken[int(order.host)] += 1
+            self.traffic.cpu[node.index] += time.thread_time_ns() - began
+            self.traffic.counted(node.index, int(order.host), len(sealed))
         super().send(node, order)
 
-    def timed(self, node):
-        """Let the node's list logic be timed from now on."""
-        handle = node.logic.handle
-
-        def handled(now, notes=()):
-            began = time.thread_time_ns()
-            orders = handle(now, notes)
-            self.cpu[node.index] += time.thread_time_ns() - began
-            return orders
-
-        node.logic.handle = handled
-
 
 def played(fronts):
-    """A zone with EVENTS purges a second; give the Zone after SPAN of them."""
+    """A zone with EVENTS purges a second; give what was Played in SPAN of them."""
     zone = Zone(fronts)
     zone.at(SECOND // 2, zone.service.comment)
     for node in zone.nodes:
@@ -78,12 +109,17 @@
     for number in range(EVENTS * (REACH + SPAN) // SECOND):
         zone.at(zone.now + number * SECOND // EVENTS, zone.service.add, purge(number))
     zone.run(zone.now + REACH)
-    zone.clear()
+    zone.traffic = Traffic()
     zone.lates.clear()
     for node in zone.nodes:
-        zone.timed(node)
-    zone.run(zone.now + SPAN)
-    return zone
+        zone.traffic.timed(node.index, node.logic)
+    since = zone.now
+    zone.run(since + SPAN)
+    traffic, zone.traffic = zone.traffic, Traffic()
+    zone.run(zone.now + ARRIVE)
+    told = {number for (_, number), at in zone.service.told_at.items() if since <= at < since + SPAN}
+    late = sorted(late for late, number, _ in zone.lates if number in told)
+    return Played(fronts, traffic, late, fronts * len(told) - len(late))
 
 
 def datagram_cost():
@@ -109,10 +145,10 @@
     """Events that a front keeps for those behind, and how: a count, or a span in seconds."""
     from limepath.listing import relay, state
 
-    if kept := getattr(relay, "KEPT", None):
-        yield Fact("events kept", "events kept for those behind", "events", kept)
-    elif span := getattr(Terms(), "window", None):
+    if span := getattr(Terms(), "window", None):
         yield Fact("window", "span of events kept for those behind", "s", span / 1e6)
+    elif kept := getattr(relay, "KEPT", None):
+        yield Fact("events kept", "events kept for those behind", "events", kept)
     if kept := getattr(state, "KEPT_PURGES", None):
         yield Fact("purges kept", "purges kept in the list", "purges", kept)
 
@@ -121,35 +157,31 @@
     """Give the Found of events in a zone."""
     names = ("bytes", "datagrams", "cpu", "received", "median bytes")
     rows, facts = {name: [] for name in names}, []
+    way = import_module(TREE_ROLE).played if find_spec(TREE) else played
     collecting = gc.isenabled()
     gc.disable()
     try:
         for fronts in FRONTS:
-            zone = played(fronts)
-            seconds = SPAN / SECOND
-            sent = sorted(zone.bytes[node.index] for node in zone.nodes)
-            rows["bytes"].append((fronts, round(max(sent) / seconds / 1000, 3)))
-            rows["median bytes"].append((fronts, round(sent[len(sent) // 2] / seconds / 1000, 3)))
-            rows["datagrams"].append((fronts, round(max(zone.datagrams.values()) / seconds, 1)))
-            rows["cpu"].append((fronts, round(max(zone.cpu.values()) / SPAN / 10, 3)))
-            rows["received"].append((fronts, round(max(zone.received.values()) / seconds / 1000, 3)))
-            lates = sorted(late for late, _, _ in zone.lates)
+            one = way(fronts)
+            rows["bytes"].append((fronts, round(one.busiest("bytes") / 1000, 3)))
+            rows["median bytes"].append((fronts, round(one.median_bytes() / 1000, 3)))
+            rows["datagrams"].append((fronts, round(one.busiest("datagrams"), 1)))
+            rows["cpu"].append((fronts, round(one.busiest("cpu") / 1e7, 3)))
+            rows["received"].append((fronts, round(one.busiest("received") / 1000, 3)))
     finally:
         if collecting:
             gc.enable()
+    late = one.late
     facts += [
-        Fact(
-            "reach median", f"an event at a front of {FRONTS[-1]}, median", "s", lates[len(lates) // 2] / 1e6
-        ),
-        Fact(
-            "reach worst", f"the same, at the last front, worst of {SPAN // SECOND} s", "s", lates[-1] / 1e6
-        ),
+        Fact("reach median", f"an event at a front of {FRONTS[-1]}, median", "s", late[len(late) // 2] / 1e6),
+        Fact("reach worst", f"the same, at the last front, worst of {SPAN // SECOND} s", "s", late[-1] / 1e6),
         Fact(
             "datagram",
             f"a datagram of {DATAGRAM} bytes sent on loopback",
             "us of CPU",
             round(datagram_cost(), 2),
         ),
+        Fact("lost", f"events of {SPAN // SECOND} s not at a front after 7.3 s", "events", one.lost),
         *window(),
     ]
     told = {
@@ -159,10 +191,11 @@
         "received": ("list traffic received by the front that receives most", "KB/s"),
         "median bytes": ("list traffic sent by the median front", "KB/s"),
     }
+    form = "trees below its roots" if find_spec(TREE) else "a star below each relay"
     return Found(
         tuple(
             Series(name, *told[name], "fronts of a zone", tuple(rows[name]), "virtual time") for name in names
         ),
         tuple(facts),
-        (f"{EVENTS} purges a second for {SPAN // SECOND} s, no loss; datagrams without IP and UDP headers",),
+        (f"{form}; {EVENTS} purges a second for {SPAN // SECOND} s, no loss; no IP and UDP headers",),
     )
--- /dev/null
+++ b/limepath/scale/roles_tree.py
@@ -0,0 +1,59 @@
+"""Events at the fronts of one zone whose fronts have sites, in virtual time: trees in place of stars.
+
+The fleet is that of `limepath.listing.simulate_tree`, with one view on which all agree. Every datagram is
+sealed here as on the socket, and what a front's logic and its seals cost is timed.
+"""
+
+import os
+import time
+
+from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
+from limepath.listing.interface import MESSAGES as LIST_MESSAGES
+from limepath.listing.simulate_tree import Plan, World, lateness, purge_every
+from limepath.peers.guard import Guard, Key
+from limepath.peers.interface import MESSAGES
+from limepath.scale.roles_relay import ARRIVE, EVENTS, LIMIT, REACH, SECOND, SETTLED, SPAN, Played, Traffic
+
+SITE = 21.7  # fronts of a site at 5,200 fronts and 240 sites
+
+
+class Tree(World):
+    """One zone's fronts at as many sites as they fill."""
+
+    def __init__(self, fronts):
+        sites = max(1, round(fronts / SITE))
+        super().__init__(Plan(fronts=fronts, regions=1, zones=1, sites=sites, rate=EVENTS), 1)
+        secret = (Key(b"abcd", os.urandom(32)),)
+        types = (*MESSAGES, *LIST_MESSAGES, *DUTY_MESSAGES)
+        self.guards = [Guard(secret, types) for _ in self.fronts]
+        self.traffic = Traffic()
+
+    def send(self, front, order):
+        began = time.thread_time_ns()
+        sealed = self.guards[front.index].seal(front.me, 1, order.message)
+        self.traffic.cpu[front.index] += time.thread_time_ns() - began
+        self.traffic.counted(front.index, self.by_token[order.token].index, len(sealed))
+        super().send(front, order)
+
+
+def played(fronts):
+    """A zone with EVENTS purges a second; give what was Played after SPAN of them."""
+    world = Tree(fronts)
+    world.at(SECOND // 2, world.service.comment)
+    for front in world.fronts:
+        world.at(world.chance.randrange(SECOND), front.start)
+    while not world.whole() and world.now < LIMIT:
+        world.run(world.now + SECOND)
+    world.run(world.now + SETTLED)
+    world.at(world.now, purge_every, world, SECOND // EVENTS, world.now + REACH + SPAN)
+    world.run(world.now + REACH)
+    world.traffic = Traffic()
+    for front in world.fronts:
+        world.traffic.timed(front.index, front.logic)
+    since = world.now
+    world.run(since + SPAN)
+    until = world.now
+    traffic, world.traffic = world.traffic, Traffic()
+    world.run(until + ARRIVE)
+    late, lost = lateness(world, world.fronts, since, until)
+    return Played(fronts, traffic, late, lost)
