--- a/limepath/scale/capacity.py
+++ b/limepath/scale/capacity.py
@@ -47,7 +47,7 @@
     calm = [lines(figures) for lines in CALM]
     other = capacity_hours.other_hours(figures)
     parts = [
-        text.HEAD.format(file=file),
+        text.HEAD,
         size_section(),
         first_section([line for lines in calm for line in lines] + other),
         calm_section(calm),
--- a/limepath/scale/capacity_front.py
+++ b/limepath/scale/capacity_front.py
@@ -8,6 +8,7 @@
 MISSES = 0.3  # share of the requests
 FEW_CACHES, FEW_PARENTS = 6, 2  # that the data path was measured with
 CORE = "% of a core"
+FEW_LISTED = 8  # members of the list that sharing was measured with
 THREAD = 100.0  # % of a core, the most of a process
 CLIENTS = "front/clients.py, front/caches.py"
 RESULTS = "results told to all, duties/learnt.py"
@@ -126,16 +127,26 @@
     resident = figures.at("idle", "memory", SIZE.caches)
     view = figures.at("view", "memory", SIZE.fronts)
     shared = figures.at("listing", "shared memory", SIZE.caches)
+    sharing = code_of_sharing(figures)
     added = [
         (f"resident, idle, a list of {SIZE.caches:,}", resident, "front/, choice.py"),
+        ("the sharing's code and store", sharing, "peers/, duties/, listing/, tallies/, limits/"),
         (f"a view of {SIZE.fronts:,}", view, SWIM),
         ("the list kept for sharing", shared, "listing/state.py"),
-        ("these together, the sharing's code not in it", total([resident, view, shared], "MB"), ""),
+        ("these together", total([resident, sharing, view, shared], "MB"), ""),
     ]
     for what, figure, mechanism in added:
         lines.add(Kind.MEMORY, what, figure, mechanism, BUDGET.memory)
 
 
+def code_of_sharing(figures):
+    """MB more of a front that shares, alone in its fleet, than of one that does not; with a short list."""
+    with_it, without = figures.fact("idle", "sharing"), figures.at("idle", "memory", FEW_LISTED)
+    if None in (with_it.value, without.value):
+        return missing("not measured")
+    return with_it._replace(value=max(0.0, with_it.value - without.value))
+
+
 def messages(figures, lines):
     swim, results = membership_bytes(figures), probes(figures, "bytes")
     median = figures.at("relay", "median bytes", SIZE.zone_fronts)
--- a/limepath/scale/capacity_roles.py
+++ b/limepath/scale/capacity_roles.py
@@ -76,7 +76,10 @@
     reason = f"at most {SLOTS} owners by duty, each renews every {RENEWAL} s"
     claims = assumed(SLOTS / RENEWAL, "a second by duty", reason)
     lines.add(Kind.MESSAGES, "claims answered", claims, "duties/leases.py")
-    lines.add(Kind.PROCESSOR, "claims answered", missing("not measured"), "duties/leases.py", BUDGET.cpu)
+    each = figures.at("voter", "claim", 1)
+    if each.value is not None:
+        each = each.times(claims.value / 1e4, "% of a core by duty", f"{claims.value:.1f} claims a second")
+    lines.add(Kind.PROCESSOR, "claims answered", each, "duties/leases.py", BUDGET.cpu)
     fixed = missing("a fixed list of names; a change wants a restart of every front")
     lines.add(Kind.STATE, "a voter's machine replaced", fixed, "opening/peers.py")
     return lines.lines
@@ -112,6 +115,12 @@
 def console(figures):
     """The lines of an operator's console."""
     lines = Lines("an operator's console")
-    lines.add(Kind.STATE, "one front shown", missing("not measured"), "cli/peers.py, cli/listing.py")
+    text, cpu = figures.at("console", "shown", SIZE.fronts), figures.at("console", "cpu", SIZE.fronts)
+    shown = "cli/peers.py, peers/control.py"
+    lines.add(Kind.MESSAGES, "one front's view shown", text, shown)
+    lines.add(Kind.PROCESSOR, "the same, at the front, which stands meanwhile", cpu, shown)
+    if text.value is not None:
+        whole = text.times(SIZE.fronts / 1e6, "GB", f"{SIZE.fronts:,} fronts asked one by one")
+        lines.add(Kind.MESSAGES, "all fronts' views shown", whole, shown)
     lines.add(Kind.STATE, "all fronts, or where they differ", missing("one front at a time"), "none")
     return lines.lines
--- a/limepath/scale/capacity_text.py
+++ b/limepath/scale/capacity_text.py
@@ -2,9 +2,10 @@
 
 HEAD = """# Capacity
 
-What limepath costs at the size that is coming, worked out by `limepath scale check` from `{file}`,
-which `limepath scale measure` writes. The check ends with status 1 where this page is not what the file
-gives; `limepath scale check --write` writes it anew. No figure here is typed by hand.
+What limepath costs at the size that is coming, worked out by `limepath scale check` from
+`docs/measurements/scale.json`, which `limepath scale measure` writes. The check ends with status 1 where
+this page is not what the file gives; `limepath scale check --write` writes it anew. No figure here is
+typed by hand.
 
 Each figure bears one word. **measured**: the size lies within the sizes measured. **extrapolated**: by
 a fit over at least five sizes, the largest of them predicted and not fitted; `factor` is how far beyond
--- a/limepath/scale/roles.py
+++ b/limepath/scale/roles.py
@@ -36,6 +36,8 @@
     "probes": Role("roles_probes", "check results told to all: bytes by targets and by fronts"),
     "membership": Role("roles_membership", "membership: set-up apart from running cost, joins, a return"),
     "view": Role("roles_view", "membership of one front alone, at the whole fleet's size"),
+    "voter": Role("roles_voter", "a voter on leases: processor time of a claim by slots"),
+    "console": Role("roles_console", "what an operator is shown of one front, by instances"),
     "data": Role("roles_data", "the data path: processor time a request by size of body"),
 }
 
--- a/limepath/scale/roles_idle.py
+++ b/limepath/scale/roles_idle.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pstats
+import socket
 import tempfile
 import time
 
@@ -20,7 +21,19 @@
 SIZES = (8, 200, 500, 1000, 1400, 5000)
 SETTLE, SPAN, PROFILED = 4.0, 30.0, 20.0  # seconds
 PROFILED_SIZE, SHOWN = 1400, 8
-NOBODY = f"{HOST}:9"
+NOBODY, FEW = f"{HOST}:9", 8
+PEERS = """[instance]
+name = n1
+store = n1.db
+[peers]
+listen = {host}:{port}
+seeds = {host}:{port}
+keys = peers.keys
+[duty probe]
+interval = 5s
+[listing]
+fronts = 5200
+"""
 
 
 class IdleFront:
@@ -48,8 +61,6 @@
 
 def measure():
     """Give the Found of an idle front."""
-    import socket
-
     with tempfile.TemporaryDirectory() as folder:
         ports = free_ports(socket.SOCK_STREAM, len(SIZES) + 1)
         starts, fronts = [], []
@@ -70,6 +81,7 @@
         finally:
             end(*(front.process for front in fronts))
         facts, note = profiled(folder, ports[-1])
+        facts += (sharing(folder),)
     size, source = "members of the list", "real process"
     return Found(
         (
@@ -83,6 +95,25 @@
     )
 
 
+def sharing(folder):
+    """The memory of a front that shares, alone in its fleet and with a short list."""
+    port, *_ = free_ports(socket.SOCK_STREAM, 1)
+    datagrams, *_ = free_ports(socket.SOCK_DGRAM, 1)
+    keys, file = os.path.join(folder, "peers.keys"), os.path.join(folder, "peers.ini")
+    with open(os.open(keys, os.O_WRONLY | os.O_CREAT, 0o600), "w", encoding="ascii") as out:
+        out.write(os.urandom(32).hex() + "\n")
+    with open(file, "w", encoding="utf-8") as out:
+        out.write(PEERS.format(host=HOST, port=datagrams))
+    front = IdleFront(folder, FEW, port, ("-m", "limepath", "run", "--peers", file))
+    try:
+        await_line(front.process, front.log, "event=sharing")
+        time.sleep(SETTLE)
+        resident, _ = front.memory()
+    finally:
+        end(front.process)
+    return Fact("sharing", f"resident where it shares, a list of {FEW}, nobody else there", "MB", resident)
+
+
 def profiled(folder, port):
     """Where an idle front's time goes: facts of the functions with the most time of their own, and a note."""
     file = os.path.join(folder, "profile")
--- /dev/null
+++ b/limepath/scale/roles_voter.py
@@ -0,0 +1,65 @@
+"""A voter on leases: processor time of a claim by the slots in it, renewed, datagrams opened and sealed."""
+
+import os
+from functools import partial
+
+from limepath.agenda import Agenda
+from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
+from limepath.duties.interface import Claim, Leasing
+from limepath.duties.leases import Voter
+from limepath.peers.guard import Guard, Key
+from limepath.peers.interface import MESSAGES, REFUTALS, News
+from limepath.scale.measured import Found, Series
+from limepath.scale.roles import least_cpu
+
+SLOTS = (1, 2, 4, 8, 16, 32)
+CLAIMS, WARM = 2000, 10  # of a run; before it
+HOLDER = "n1"
+
+
+class Claims:
+    """Claims of one holder on the same slots, each renewed."""
+
+    def __init__(self, slots):
+        types, key = (*MESSAGES, *DUTY_MESSAGES), (Key(b"abcd", os.urandom(32)),)
+        self.mine, self.theirs = Guard(key, types), Guard(key, types)
+        self.voter = Voter(Agenda(1), Leasing(), (), 0, True)
+        self.voter.mute_until = 0
+        self.news = News(7, HOLDER, "127.0.0.1", 7946, 1 << REFUTALS, 1)
+        self.claim, self.granted = Claim(0, 1, tuple((slot, 1) for slot in range(slots))), 0
+        self.run(WARM)
+
+    def run(self, count=CLAIMS):
+        for datagram in [self.theirs.seal(self.news, 1, self.claim) for _ in range(count)]:
+            self.one(datagram)
+
+    def one(self, datagram):
+        sender, _, claim = self.mine.open(datagram)
+        vote = self.voter.claimed((sender.name, sender.door), claim)
+        self.mine.seal(self.news, sender.door, vote)
+        self.granted += len(vote.granted) == len(claim.slots)
+
+    def sealed(self):
+        """What `run` does beside the voter's part."""
+        for _ in range(CLAIMS):
+            self.theirs.seal(self.news, 1, self.claim)
+
+
+def measure():
+    """Give the Found of a voter."""
+    claims = [Claims(slots) for slots in SLOTS]
+    whole = least_cpu([partial(one.run) for one in claims])
+    beside = least_cpu([one.sealed for one in claims])
+    asked = WARM + CLAIMS * 5
+    for one in claims:
+        if one.granted != asked:
+            raise ValueError(f"{asked - one.granted} of {asked} claims denied")
+    points = tuple(
+        (slots, round((spent - less) / CLAIMS, 2))
+        for slots, spent, less in zip(SLOTS, whole, beside, strict=True)
+    )
+    what, size = "a claim renewed, opened and its vote sealed", "slots in the claim"
+    return Found(
+        (Series("claim", what, "us of CPU", size, points, "real logic"),),
+        notes=("the least of 5 runs; no socket, no store: a renewal writes nothing",),
+    )
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -7,6 +7,8 @@
 import pytest
 from click.testing import CliRunner
 
+import limepath.cli
+from limepath.cli import scale
 from limepath.cli.scale import command
 from limepath.scale.estimates import Word, estimate
 from limepath.scale.measured import Series
@@ -202,6 +204,26 @@
             assert cells[column] in words, line
 
 
+# The group of commands
+
+
+@pytest.mark.parametrize("name", ["run", "command"])
+def test_run_comes_from_a_file_of_its_own(tmp_path, monkeypatch, name):
+    text = f"import click\n@click.command('run')\ndef {name}():\n    click.echo('ran')\n"
+    (tmp_path / f"stand_in_{name}.py").write_text(text)
+    monkeypatch.setattr(limepath.cli, "__path__", [*limepath.cli.__path__, str(tmp_path)])
+    monkeypatch.setattr(scale, "RUN", f"limepath.cli.stand_in_{name}")
+    assert "run" in run("--help").output
+    assert run("run").output == "ran\n"
+
+
+def test_the_group_works_without_that_file(monkeypatch):
+    monkeypatch.setattr(scale, "RUN", "limepath.cli.no_such_file")
+    result = run("--help")
+    assert result.exit_code == 0 and "measure" in result.output and "  run " not in result.output
+    assert run("run").exit_code == 2
+
+
 # Estimates
 
 
