--- a/limepath/scale/roles_membership.py
+++ b/limepath/scale/roles_membership.py
@@ -22,7 +22,7 @@
 from limepath.scale.measured import Found, Series
 
 SECOND = 1_000_000
-STEADY, JOINS, RETURNS = (125, 250, 500, 1000, 2000), (60, 125, 250, 500, 1000), (25, 50, 100, 200, 400)
+STEADY, JOINS, RETURNS = (125, 250, 500, 1000, 2000), (60, 125, 250, 500, 1000), (30, 60, 125, 250, 500)
 WARM, SPAN = 10 * SECOND, 10 * SECOND
 JOIN_LIMIT = 60 * SECOND
 REGIONS, CUT, HEALING = 10, 90 * SECOND, 120 * SECOND
