--- a/limepath/scale/capacity_appendix.py
+++ b/limepath/scale/capacity_appendix.py
@@ -11,11 +11,28 @@
         for series in role.found.series:
             rows.append((name, *slope_row(series)))
     head = ("role", "cost", "size", "unit", "slope", "fitted", "kept out", "measured", "predicted", "error")
-    parts = ["## All slopes\n", text.table(head, rows)]
+    parts = ["## All slopes\n", text.table(head, rows), looked_into(measured)]
     parts += [f"![{name}](measurements/scale-{name}.png)\n" for name in measured.roles]
     return "\n".join(parts)
 
 
+def looked_into(measured):
+    """For each model that is wrong, what was found."""
+    rows = []
+    for name, role in measured.roles.items():
+        for series in role.found.series:
+            try:
+                wrong = fitted(series.points).wrong
+            except (TooFewSizes, BadPoints):
+                continue
+            if wrong:
+                found = text.LOOKED_INTO.get((name, series.name), text.NOT_LOOKED_INTO)
+                rows.append((name, series.what, found))
+    if not rows:
+        return "No model is wrong.\n"
+    return "Models that are wrong, and what was found:\n\n" + text.table(("role", "cost", "found"), rows)
+
+
 def slope_row(series):
     start = (series.what, series.size, series.unit)
     try:
@@ -106,11 +123,10 @@
         "command",
         "how",
     )
-    profile = [
-        f"- {fact.what}: {fact.value:g} {fact.unit}"
-        for role in measured.roles.values()
-        for fact in role.found.facts
-        if fact.name.startswith("profile")
-    ]
-    told = "Where an idle front's time goes (own time of functions):\n\n" + "\n".join(profile) + "\n"
-    return "## How it was measured\n\n" + text.table(head, rows) + ("\n" + told if profile else "")
+    parts = ["## How it was measured\n", text.table(head, rows)]
+    for name, role in measured.roles.items():
+        profile = [fact for fact in role.found.facts if fact.name.startswith("profile")]
+        if profile:
+            told = "\n".join(f"- {fact.what}: {fact.value:g} {fact.unit}" for fact in profile)
+            parts.append(f"Where the time of `{name}` goes (functions' own time):\n\n{told}\n")
+    return "\n".join(parts)
--- a/limepath/scale/capacity_text.py
+++ b/limepath/scale/capacity_text.py
@@ -43,6 +43,24 @@
 FIRST = """Costs over their budget, the worst first, then what has no mechanism at all.
 """
 
+NOT_LOOKED_INTO = "not looked into"
+STEPS = (
+    "flat up to 64 KB, which the transport reads at once; above it each 64 KB is one more pass of the loop"
+)
+WALKS = "`Members.seek` walks all members every fifth period: its share is in the profile of `view`"
+CROWD = "one pass of the loop takes in more the higher the rate is; measured at the rate itself"
+WHOLE_SECONDS = "looked at in whole and half seconds and tenths, so that small values come in steps"
+LOOKED_INTO = {
+    ("data", "held"): STEPS,
+    ("data", "lacked"): STEPS,
+    ("data", "paced"): CROWD,
+    ("view", "cpu"): WALKS,
+    ("membership", "cpu"): WALKS,
+    ("membership", "join time"): WHOLE_SECONDS,
+    ("membership", "join known"): WHOLE_SECONDS,
+    ("membership", "return time"): WHOLE_SECONDS,
+}
+
 
 def number(value):
     """Three digits, with commas; whole numbers as they are.
--- a/limepath/scale/roles.py
+++ b/limepath/scale/roles.py
@@ -14,7 +14,10 @@
 
 import psutil
 
+from limepath.scale.measured import Fact
+
 POLL = 0.02  # seconds between looks at a process that is coming up
+PROFILE_SHOWN = 8  # functions
 START_LIMIT = 60  # seconds that a process may take to come up
 
 
@@ -60,6 +63,26 @@
     return least
 
 
+def profile_facts(stats):
+    """Facts of the functions with the most own time in a profile's `stats`; waiting is left out."""
+    own = {place: values[2] for place, values in stats.items() if "epoll" not in place[2]}
+    total = sum(own.values())
+    most = sorted(own, key=own.get, reverse=True)[:PROFILE_SHOWN]
+    return tuple(
+        Fact(f"profile {at}", name_of(place), "% of the profiled time", round(100 * own[place] / total, 1))
+        for at, place in enumerate(most, 1)
+    )
+
+
+def name_of(place):
+    """A profile's place (file, line, function) without the folders of this machine."""
+    path, line, function = place
+    for package in ("limepath", "twisted"):
+        if f"{package}/" in path:
+            return f"{package}/{path.rpartition(f'{package}/')[2]}:{line} {function}"
+    return function
+
+
 def process_cpu(pid):
     """Processor time of all threads of a process, in microseconds.
 
--- a/limepath/scale/roles_idle.py
+++ b/limepath/scale/roles_idle.py
@@ -15,12 +15,12 @@
 import psutil
 
 from limepath.scale.measured import Fact, Found, Series
-from limepath.scale.roles import await_line, configuration, end, listed, process_cpu, started
+from limepath.scale.roles import await_line, configuration, end, listed, process_cpu, profile_facts, started
 from limepath.testbed.process import HOST, free_ports
 
 SIZES = (8, 200, 500, 1000, 1400, 5000)
 SETTLE, SPAN, PROFILED = 4.0, 30.0, 20.0  # seconds
-PROFILED_SIZE, SHOWN = 1400, 8
+PROFILED_SIZE = 1400
 NOBODY, FEW = f"{HOST}:9", 8
 PEERS = """[instance]
 name = n1
@@ -123,7 +123,8 @@
         time.sleep(PROFILED)
     finally:
         end(front.process)
-    return facts_of(file)
+    note = f"profile at {PROFILED_SIZE:,} members over {PROFILED - 2:.0f} s, waiting left out"
+    return profile_facts(pstats.Stats(file).stats), note
 
 
 PROFILING = """
@@ -142,24 +143,3 @@
 profile.dump_stats(file)
 sys.exit(status)
 """
-
-
-def facts_of(file):
-    """The functions with the most own time of a profile, waiting left out."""
-    stats = pstats.Stats(file).stats
-    own = {place: values[2] for place, values in stats.items() if "epoll" not in place[2]}
-    total = sum(own.values())
-    most = sorted(own, key=own.get, reverse=True)[:SHOWN]
-    facts = tuple(
-        Fact(f"profile {at}", name_of(place), "% of the profiled time", round(100 * own[place] / total, 1))
-        for at, place in enumerate(most, 1)
-    )
-    return facts, f"profile at {PROFILED_SIZE:,} members over {PROFILED - 2:.0f} s, waiting left out"
-
-
-def name_of(place):
-    path, _, function = place
-    for package in ("limepath", "twisted"):
-        if f"{package}/" in path:
-            return f"{package}/{path.rpartition(f'{package}/')[2]} {function}"
-    return function
--- a/limepath/scale/roles_view.py
+++ b/limepath/scale/roles_view.py
@@ -5,7 +5,9 @@
 seals, without the socket's.
 """
 
+import cProfile
 import os
+import pstats
 import time
 import tracemalloc
 from random import Random
@@ -16,6 +18,7 @@
 from limepath.peers.interface import REFUTALS, Ack, Heard, News, Ping, Send, Spans
 from limepath.peers.members import Members
 from limepath.scale.measured import Found, Series
+from limepath.scale.roles import profile_facts
 
 SIZES = (125, 250, 500, 1000, 2000, 5200)
 SECOND = 1_000_000
@@ -103,6 +106,17 @@
     return set_up, view.spent / SPAN / 10
 
 
+def profiled(size):
+    """Where the running cost of so large a view goes."""
+    view = View(fleet(size))
+    view.set_up()
+    view.members.start(0)
+    view.run(2 * SECOND)
+    profile = cProfile.Profile()
+    profile.runcall(view.run, 2 * SECOND + SPAN)
+    return profile_facts(pstats.Stats(profile).stats)
+
+
 def memory(size):
     """Megabytes of a view with its News."""
     tracemalloc.start()
@@ -140,7 +154,9 @@
             )
             for at, (name, what, unit) in enumerate(told, 1)
         ),
-        notes=(
-            f"{SPAN // SECOND} s, nothing fails; the least of {REPEATS} runs; sealed datagrams, no socket",
+        profiled(SIZES[-1]),
+        (
+            f"{SPAN // SECOND} s, nothing fails; the least of {REPEATS} runs; sealed datagrams, no socket; "
+            f"profile at {SIZES[-1]:,} instances",
         ),
     )
