--- /dev/null
+++ b/limepath/listing/component.py
@@ -0,0 +1,38 @@
+"""A part of a front's listing logic: what all parts share."""
+
+
+class Component:
+    """One job of the Listing that it belongs to, and through which it reaches the others."""
+
+    def __init__(self, listing):
+        self.listing = listing
+        self.me, self.terms, self.live = listing.me, listing.terms, listing.live
+        self.agenda, self.counts, self.zones = listing.agenda, listing.counts, listing.zones
+
+    @property
+    def held(self):
+        return self.listing.held
+
+    @property
+    def upstream(self):
+        return self.listing.upstream
+
+    @property
+    def roles(self):
+        return self.listing.roles
+
+    @property
+    def stream(self):
+        return self.listing.stream
+
+    @property
+    def heard(self):
+        return self.listing.heard
+
+    @property
+    def followers(self):
+        return self.listing.followers
+
+    @property
+    def snapshot(self):
+        return self.listing.snapshot
--- /dev/null
+++ b/limepath/listing/roles.py
@@ -0,0 +1,86 @@
+"""Whether a front relays, follows or calls the service for itself; looked at every beat.
+
+Free of I/O.
+"""
+
+from limepath.listing.bounds import TURN
+from limepath.listing.calls import Budget
+from limepath.listing.component import Component
+from limepath.listing.interface import Follow, Reach, Role, Say, Where
+from limepath.listing.upstream import Source
+
+ASKED = 8  # of unknown zone, in one beat
+HOLD = 2  # patiences for which a relay that is none any more keeps its stream
+
+
+class Roles(Component):
+    """`suspicious`: another told a list that contradicts ours, so the service is asked."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.budget = Budget(self.terms, self.agenda.chance)
+        self.role, self.unneeded, self.unheard, self.looking = Role.FOLLOWS, None, None, 0
+        self.tries_since, self.suspicious = None, False
+
+    def look(self):
+        """Every beat: who is to be followed, who is passed over, whether to call."""
+        now, terms = self.agenda.now, self.terms
+        live = set(self.live())
+        for known in (self.zones, self.upstream.sources, self.followers.known):
+            for token in [token for token in known if token not in live]:
+                del known[token]
+        self.followers.known = {token: until for token, until in self.followers.known.items() if until > now}
+        self.budget.view(now, len(live) + 1)
+        self.upstream.choose()
+        unknown = [
+            token for token in self.upstream.ranked(4 * ASKED) if token != self.me and token not in self.zones
+        ]
+        for token in unknown[:ASKED]:
+            self.agenda.order(Reach(token, Where(terms.zone, True)))
+        place = self.held.list.place
+        for token in dict.fromkeys([*self.upstream.chosen, *self.upstream.first]):
+            if token != self.me:
+                source = self.upstream.sources.setdefault(token, Source())
+                source.owes = source.owes or now
+                self.agenda.order(Reach(token, Follow(terms.zone, *place)))
+        self.looking = now + terms.beat
+        self.decide()
+        self.agenda.at(self.looking, self.look)
+
+    def decide(self):
+        """Whether to hold a stream; all calls go out here."""
+        now = self.agenda.now
+        unheard = self.held.late() and not self.upstream.told_by_others()
+        relay = (
+            self.me in self.upstream.first
+            or self.me in self.upstream.chosen
+            and (self.upstream.helps or unheard or self.upstream.first_gone())
+        )
+        self.unheard = (self.unheard or now) if unheard else None
+        needy = self.suspicious or unheard and now - self.unheard >= TURN  # the next by hash are to act first
+        role = Role.RELAYS if relay else Role.ALONE if needy else Role.FOLLOWS
+        if role != self.role:
+            self.agenda.order(Say("list-role", {"role": role.name.lower(), "live": len(self.live()) + 1}))
+            self.role = role
+        if role == Role.FOLLOWS:
+            self.unneeded = self.unneeded or now
+            self.budget.unwanted()
+            if (
+                self.stream.state
+                and now - self.unneeded > HOLD * self.terms.patience
+                and self.upstream.told_by_others()
+            ):
+                self.stream.hang_up("relays tell")
+            elif not self.stream.state:
+                self.tries_since = None
+            return
+        self.unneeded = None
+        if self.stream.state:
+            return
+        self.tries_since = self.tries_since or now
+        plausible = 2 * (len(self.live()) + 1) >= self.terms.fronts  # in a view that small, all may think so
+        zones = len({self.terms.zone, *self.zones.values()})
+        if self.budget.may_call(now, len(self.upstream.chosen) * zones if relay and plausible else 0):
+            self.stream.call()
+        elif self.budget.due < self.looking:
+            self.agenda.at(self.budget.due, self.decide)
--- /dev/null
+++ b/limepath/listing/snapshot.py
@@ -0,0 +1,118 @@
+"""The whole list on its way from one front to another, in pieces.
+
+Free of I/O.
+"""
+
+from collections import OrderedDict
+
+from limepath.listing.component import Component
+from limepath.listing.heard import IN_FLIGHT
+from limepath.listing.interface import AskPiece, Piece, Place, Reach
+from limepath.listing.state import DATA, BadList, mark_of, packed_size, unpacked
+
+WINDOW, RETRY, STALLS = 4, 250_000, 8  # pieces asked for at once; until asked for again; and until given up
+SPREAD = 2_000  # microseconds of a follower's turn to ask for the whole list, times the followers
+
+
+class Fetch:
+    """A whole list on its way here, in pieces."""
+
+    def __init__(self, token):
+        self.token, self.place, self.of, self.mark, self.pieces = token, None, 1, b"", {}
+        self.asked, self.stalls = set(), 0
+
+
+class Snapshot(Component):
+    """`packs` holds the last packed lists by place, `fetch` the one that is asked for."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.packs, self.fetch = OrderedDict(), None
+
+    def pack(self, place):
+        """The packed list at a place, if it is held; `place` with number -1 is the newest."""
+        if place.number < 0 and self.held.list.place.number and self.held.confirmed_at is not None:
+            place = self.held.list.place
+            if place not in self.packs:
+                self.packs[place] = self.held.list.packed()
+                while len(self.packs) > 2:
+                    self.packs.popitem(last=False)
+        return place, self.packs.get(place)
+
+    def asked(self, token, message):
+        place, data = self.pack(Place(message.generation, message.number))
+        of = packed_size(data) if data else 0
+        if 0 <= message.piece < of:
+            at = message.piece * DATA
+            answer = Piece(*place, message.piece, of, mark_of(data), data[at : at + DATA])
+        else:
+            answer = Piece(*place, message.piece, 0)
+        self.agenda.order(Reach(token, answer))
+
+    def begin(self, token, followers):
+        """Each in its turn, since all that follow one lack the same."""
+        self.fetch = Fetch(token)
+        wait = int(self.agenda.chance() * followers * SPREAD)
+        self.agenda.at(self.agenda.now + wait, self.proceed, self.fetch)
+
+    def proceed(self, fetch):
+        """Ask for what is missing, again after RETRY."""
+        if fetch is not self.fetch:
+            return
+        fetch.stalls += 1
+        if fetch.stalls > STALLS:
+            self.fetch = None
+            return self.heard.nonsense(fetch.token, "the whole list never came")
+        fetch.asked = set()
+        self.ask(fetch)
+        self.agenda.at(self.agenda.now + RETRY, self.proceed, fetch)
+
+    def ask(self, fetch):
+        place = fetch.place or Place(0, -1)
+        for piece in range(fetch.of):
+            if len(fetch.asked) >= WINDOW:
+                return
+            if piece not in fetch.pieces and piece not in fetch.asked:
+                fetch.asked.add(piece)
+                self.agenda.order(Reach(fetch.token, AskPiece(*place, piece)))
+
+    def arrived(self, token, message):
+        fetch, place = self.fetch, Place(message.generation, message.number)
+        if fetch is None or token != fetch.token:
+            return
+        if not message.of:  # it has a newer one by now, or none: the next beat tells
+            self.fetch = None
+            return
+        if message.of * DATA > self.terms.longest + DATA or not 0 <= message.piece < message.of:
+            self.fetch = None
+            return self.heard.nonsense(token, f"a list of {message.of} pieces")
+        if fetch.place is None:
+            fetch.place, fetch.of, fetch.mark = place, message.of, message.mark
+        if (place, message.of, message.mark) != (fetch.place, fetch.of, fetch.mark):
+            return
+        fetch.stalls = 0
+        fetch.asked.discard(message.piece)
+        fetch.pieces[message.piece] = message.data
+        if len(fetch.pieces) < fetch.of:
+            return self.ask(fetch)
+        self.fetch = None
+        data = b"".join(fetch.pieces[at] for at in range(fetch.of))
+        try:
+            if mark_of(data) != fetch.mark:
+                raise BadList("does not fit its digest")
+            new = unpacked(data, self.terms.longest)
+            if new.place != fetch.place:
+                raise BadList("another place than told")
+        except BadList as flaw:
+            return self.heard.nonsense(token, flaw)
+        self.counts["fetched"] += 1
+        if new.place > self.held.list.place:
+            self.held.adopt(new)
+            source = self.upstream.sources.get(token)
+            if (
+                source
+                and source.beat
+                and source.beat.age >= 0
+                and (source.beat.generation, source.beat.number) <= new.place
+            ):
+                self.held.confirm(source.at - source.beat.age - IN_FLIGHT)
--- /dev/null
+++ b/limepath/listing/stream.py
@@ -0,0 +1,180 @@
+"""The stream of the list service: calls, what it tells, whether it told all, numbers that run backwards.
+
+Free of I/O.
+"""
+
+from zlib import crc32
+
+from limepath.listing.bounds import QUIET
+from limepath.listing.component import Component
+from limepath.listing.interface import Call, HangUp, Place, Role, Say
+from limepath.listing.state import BadList, List, parsed, summary
+
+CALLING, UP = "calling", "up"
+
+
+class Stream(Component):
+    """`state` is None, CALLING or UP; `whole`: the next call asks for all, gathered in `incoming`."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.state, self.heard_at, self.event_at, self.serial = None, 0, 0, 0
+        self.incoming, self.caught_up, self.overlapped = None, False, False
+        self.whole, self.doubted = True, None
+
+    def call(self):
+        self.roles.budget.called()
+        self.counts["calls"] += 1
+        self.serial += 1
+        self.state, self.heard_at, self.event_at, self.caught_up = (
+            CALLING,
+            self.agenda.now,
+            self.agenda.now,
+            False,
+        )
+        number = self.held.list.place.number
+        self.whole |= number not in self.held.log
+        self.incoming, self.overlapped = List() if self.whole else None, False
+        self.agenda.order(
+            Call(0 if self.whole else number - 1)
+        )  # one that we hold: a service restored from an older
+        # state, which would say nothing until its numbers pass ours, does not tell it again
+        self.agenda.at(self.agenda.now + self.terms.silence, self.still_silent, self.serial)
+
+    def still_silent(self, serial):
+        if serial != self.serial or not self.state:
+            return
+        if self.agenda.now - self.heard_at >= self.terms.silence:
+            self.hang_up("silent")
+        else:
+            self.agenda.at(self.heard_at + self.terms.silence, self.still_silent, serial)
+
+    def hang_up(self, why):
+        self.agenda.order(HangUp(why))
+        self.ended(why)
+
+    def ended(self, why):
+        now = self.agenda.now
+        self.agenda.order(Say("list-stream", {"ended": why, "after": self.held.list.place.number}))
+        self.whole |= (
+            not self.caught_up or now - self.heard_at >= self.terms.silence
+        )  # it may have been restored meanwhile
+        self.state, self.incoming = None, None
+        self.serial += 1
+        if self.roles.role != Role.FOLLOWS:
+            self.roles.tries_since = self.roles.tries_since or now
+            self.roles.decide()
+
+    def up(self, note):
+        self.state, self.heard_at = UP, self.agenda.now
+        self.agenda.at(self.agenda.now + QUIET, self.told_all, self.serial)
+
+    def says(self, note):
+        self.heard_at = self.agenda.now
+        self.told_all(self.serial)
+
+    def lost(self, note):
+        if self.state:
+            self.ended(note.why)
+
+    def moved(self, note):
+        """Another address: its numbers go on, as far as it tells; the stream is opened anew."""
+        if self.state:
+            self.hang_up("another address")
+
+    def event(self, note):
+        now = self.agenda.now
+        self.heard_at = self.event_at = now
+        if not self.state:
+            return
+        try:
+            told = parsed(note.text)
+            if self.incoming is not None:
+                self.replayed(told)
+            else:
+                self.continued(told, note.text)
+            self.doubted = None
+        except BadList as flaw:
+            mark = crc32(note.text.encode())
+            if self.doubted != mark:  # it may have been damaged on the way: once more from the start
+                self.doubted, self.whole = mark, True
+                return self.hang_up(f"event: {flaw}"[:120])
+            self.agenda.order(Say("list-event", {"skipped": str(flaw)[:120], "number": note.number}))
+            self.counts["nonsense"] += 1
+        if self.caught_up:
+            self.held.confirm(now)
+        else:
+            self.agenda.at(now + QUIET, self.told_all, self.serial)
+
+    def replayed(self, told):
+        """Of a stream that tells all from the start: the first event holds the whole list, no number is left
+        out.
+        """
+        incoming, number = self.incoming, told["seq"]
+        if not incoming.place.number and not incoming.members:
+            if not told.get("fleet", {}).get("complete"):
+                raise BadList("the first event holds no whole list")
+        elif number <= incoming.place.number:
+            return
+        elif number != incoming.place.number + 1 and self.doubted is None:
+            raise BadList(f"{number} comes after {incoming.place.number}")
+        incoming.take(told)
+
+    def continued(self, told, text):
+        number, known = told["seq"], self.held.list.place.number
+        if number == known and number in self.held.log and self.held.log[number][1] == summary(told):
+            self.overlapped = True
+        elif number == known + 1:
+            self.overlapped = True
+            self.held.advance(told, text)
+        elif number > known:
+            self.whole = True
+            raise BadList(f"{number} comes after {known}")
+        elif number not in self.held.log or self.held.log[number][1] != summary(told):
+            self.whole = True  # told before, but not so: the service's numbers ran backwards
+            self.counts["contradictions"] += 1
+            self.hang_up(f"event {number} is told anew, and otherwise")
+
+    def told_all(self, serial):
+        """Whether the stream has told what it had, so that the list is the service's as of now: no event came
+        for a while, a longer one before we believe that its numbers ran backwards; it may be telling all
+        slowly.
+        """
+        now, incoming = self.agenda.now, self.incoming
+        if serial != self.serial or self.state != UP or incoming is not None and not incoming.place.number:
+            return
+        if not self.caught_up:
+            behind = incoming is not None and incoming.place.number < self.held.list.place.number
+            due = self.event_at + (self.terms.silence if behind else QUIET)
+            if now < due:
+                return self.agenda.at(due, self.told_all, serial)
+        if self.incoming is not None:
+            incoming, self.incoming = self.incoming, None
+            self.replaced(incoming)
+        elif not (self.caught_up or self.overlapped):
+            self.whole = True
+            return self.hang_up(f"event {self.held.list.place.number} is not told again")
+        self.caught_up, self.whole, self.roles.suspicious, self.roles.tries_since = (
+            True,
+            False,
+            False,
+            None,
+        )
+        self.held.confirm(now)
+
+    def replaced(self, incoming):
+        """A whole list from the service itself: where its numbers are behind ours, they ran backwards."""
+        place, old = incoming.place, self.held.list.place
+        generation = old.generation
+        if (
+            place.number < old.number
+            or place.number == old.number
+            and incoming.digest != self.held.list.digest
+        ):
+            generation += 1
+            self.agenda.order(
+                Say("list-backwards", {"was": old.number, "is": place.number, "generation": generation})
+            )
+        incoming.place = Place(generation, place.number)
+        if incoming.place != old or incoming.digest != self.held.list.digest:
+            self.held.adopt(incoming)
--- /dev/null
+++ b/limepath/listing/upstream.py
@@ -0,0 +1,102 @@
+"""Those that a front follows: what each told last, why one is not to be relied on, which are chosen.
+
+Free of I/O.
+"""
+
+from heapq import nsmallest
+from zlib import crc32
+
+from limepath.agenda import mixed
+from limepath.listing import bounds
+from limepath.listing.bounds import TURN
+from limepath.listing.component import Component
+
+BAD = 30_000_000  # for which one that told nonsense is passed over
+
+
+class Source:
+    """One that this front follows: its last Beat, when it came, and since when it owes one."""
+
+    __slots__ = ("beat", "at", "owes", "bad_until", "behind")
+
+    def __init__(self):
+        self.beat = self.at = self.owes = self.behind = None
+        self.bad_until = 0
+
+
+class Upstream(Component):
+    """`first` are the first of the zone by hash, `chosen` those of them, or in their stead, relied on."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.salt = mixed(crc32(self.terms.zone.encode()))
+        self.sources, self.first, self.chosen, self.helps = {}, [], [], 0
+
+    def ranked(self, count):
+        """The first of this zone by hash, as far as zones are known; this front among them."""
+        zones, mine = self.zones, self.terms.zone
+        those = [token for token in self.live() if zones.get(token, mine) == mine]
+        those.append(self.me)
+        return nsmallest(count, those, key=lambda token: mixed(token ^ self.salt))
+
+    def choose(self):
+        """The first relays that are not passed over. Those that call in vain get helpers, as many at most."""
+        wanted, helpers = self.terms.relays, 0
+        self.first, self.chosen = None, []
+        rank = self.ranked(wanted * 8)
+        self.first = rank[:wanted]
+        for token in rank:
+            if len(self.chosen) >= wanted + helpers:
+                break
+            flaw = token != self.me and self.flaw_of(self.sources.get(token))
+            if flaw in ("silent", "bad"):
+                self.counts["passed over"] += token in self.first
+                continue
+            self.chosen.append(token)
+            if flaw == "in vain" or token == self.me and self.in_vain():
+                helpers = min(bounds.HELPERS * wanted, helpers + 1)
+        self.helps = helpers and self.me in rank[: wanted + helpers]
+        if not self.chosen:
+            self.chosen = [self.me]
+
+    def in_vain(self):
+        return self.roles.tries_since is not None and self.agenda.now - self.roles.tries_since > TURN
+
+    def first_gone(self):
+        """Whether one of the first by hash has been silent for so long that it is not a few lost
+        datagrams.
+        """
+        silent = [self.sources[token].owes for token in self.first if token in self.sources]
+        return any(since and self.agenda.now - since > TURN for since in silent)
+
+    def flaw_of(self, source):
+        """Why one is not to be relied on, or None."""
+        now, terms = self.agenda.now, self.terms
+        if source is None:
+            return None
+        if source.bad_until > now:
+            return "bad"
+        if source.owes and now - source.owes > terms.patience:
+            return "silent"
+        if source.beat:
+            age = now - source.at + source.beat.age
+            if source.beat.tries > TURN or source.beat.age >= 0 and age > bounds.fresh(terms) + TURN:
+                return "in vain"
+        return None
+
+    def told_by_others(self):
+        """Whether one that is followed is at work: it is up to date, or calls for the whole zone."""
+        now, terms = self.agenda.now, self.terms
+        for token in self.chosen:
+            source = self.sources.get(token)
+            if (
+                source
+                and source.beat
+                and now - source.at <= 2 * terms.patience + terms.beat
+                and source.bad_until <= now
+            ):
+                if source.beat.tries or 0 <= source.beat.age <= bounds.fresh(terms):
+                    return True
+            elif source and not source.beat and source.owes and now - source.owes <= terms.patience:
+                return True  # it was asked just now
+        return False
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -34,9 +34,10 @@
     Take,
     Terms,
 )
-from limepath.listing.relay import BAD, Listing
+from limepath.listing.relay import Listing
 from limepath.listing.simulate import KINDS, member, simulated
 from limepath.listing.state import DATA, List, mark_of
+from limepath.listing.upstream import BAD
 from limepath.opening import peers as peers_opening
 from limepath.opening.ini import BadSetting
 from limepath.peers.interface import Spans
@@ -108,12 +109,12 @@
 
 def test_a_saved_list_reaches_the_front_only_once_somebody_has_confirmed_it():
     front = Fronting([2], held(5).packed()).run(SECOND)
-    assert not front.said(Take) and front.logic.list.place.number == 5 and front.logic.late()
+    assert not front.said(Take) and front.logic.held.list.place.number == 5 and front.logic.held.late()
     told = front.hear(FromPeer(2, Beat("sur", 0, 5, held(5).digest, -1)))  # one that knows no better itself
     assert not of(told, Take)
     told = front.hear(FromPeer(2, Beat("sur", 0, 5, held(5).digest, 200 * MS)))
     assert of(told, Take)[0].told["fleet"]["complete"] and len(of(told, Take)) == 5 and of(told, Confirmed)
-    assert 200 * MS <= front.logic.age() < 300 * MS and not front.logic.late()
+    assert 200 * MS <= front.logic.held.age() < 300 * MS and not front.logic.held.late()
 
 
 def test_a_saved_list_is_brought_up_to_date_by_the_events_that_it_lacks():
@@ -127,7 +128,7 @@
 @pytest.mark.parametrize("spoilt", [b"", b"LPL1", held(3).packed()[:-4], b"LPL1" + held(3).packed()[9:]])
 def test_a_damaged_saved_list_is_named_and_not_used(spoilt):
     front = Fronting([], spoilt).run(SECOND)
-    assert "begins without" in front.said(Say)[0].fields["flaw"] and front.logic.list.place == (0, 0)
+    assert "begins without" in front.said(Say)[0].fields["flaw"] and front.logic.held.list.place == (0, 0)
     front.streams(whole())
     assert front.said(Confirmed)[0].place == (0, 1)
 
@@ -138,7 +139,9 @@
     assert front.said(Call) == [Call(0)] and front.said(Confirmed)[0].place == (0, 2)
     front.run(2 * SECOND)
     again = Fronting(saved=front.said(Save)[-1].data)
-    assert again.logic.list.place == (0, 2) and again.logic.list.digest == front.logic.list.digest
+    assert (
+        again.logic.held.list.place == (0, 2) and again.logic.held.list.digest == front.logic.held.list.digest
+    )
 
 
 def test_a_service_restored_from_an_older_state_is_found_out_though_it_says_nothing():
@@ -158,11 +161,11 @@
     assert front.said(Call)[-1] == Call(0)
     front.hear(StreamUp(), StreamEvent(whole(1)), StreamEvent(event(2)))
     front.run(QUIET)
-    assert front.logic.list.place == (0, 4)  # it may be telling all slowly
+    assert front.logic.held.list.place == (0, 4)  # it may be telling all slowly
     front.run(TERMS.silence - QUIET - 1)
     front.hear(StreamSays())
     front.run(10)
-    assert front.logic.list.place == (1, 2) and any(
+    assert front.logic.held.list.place == (1, 2) and any(
         said.event == "list-backwards" for said in front.said(Say)
     )
 
@@ -179,7 +182,7 @@
     front = Fronting()
     front.streams(whole(1), event(2))
     assert "5 comes after 2" in of(front.hear(StreamEvent(event(5))), HangUp)[0].why
-    assert front.logic.list.place.number == 2 and front.logic.whole
+    assert front.logic.held.list.place.number == 2 and front.logic.stream.whole
 
 
 def test_an_event_that_cannot_be_read_twice_is_skipped_by_name():
@@ -187,10 +190,10 @@
     front.streams(whole(1), event(2))
     for _ in range(2):
         front.hear(StreamEvent('{"seq": 3, "fleet": {"members": [{"id": "s-9"}]}}', "3"))
-        while front.logic.stream is None:
+        while front.logic.stream.state is None:
             front.run(100 * MS)
     assert any(said.event == "list-event" and "s-9" in said.fields["skipped"] for said in front.said(Say))
-    assert front.logic.list.place.number == 2
+    assert front.logic.held.list.place.number == 2
 
 
 def test_a_purge_is_no_older_than_the_list_was_up_to_date_whatever_the_clocks_say():
@@ -204,11 +207,14 @@
 def test_two_relays_that_tell_different_lists_are_not_believed_and_the_service_is_asked():
     front = Fronting([2, 3], held(4).packed(), TERMS._replace(fronts=3)).run(SECOND)
     front.hear(FromPeer(2, Beat("sur", 0, 4, held(4).digest, 10 * MS)))
-    assert front.logic.role != Role.ALONE and not front.logic.suspicious
+    assert front.logic.roles.role != Role.ALONE and not front.logic.roles.suspicious
     front.hear(FromPeer(3, Beat("sur", 0, 4, held(4).digest ^ 1, 10 * MS)))
-    assert front.logic.suspicious and front.logic.flaw_of(front.logic.sources[3]) == "bad"
+    assert (
+        front.logic.roles.suspicious
+        and front.logic.upstream.flaw_of(front.logic.upstream.sources[3]) == "bad"
+    )
     front.streams(whole(1), event(2), event(3), event(4))
-    assert not front.logic.suspicious and front.logic.list.digest == held(4).digest
+    assert not front.logic.roles.suspicious and front.logic.held.list.digest == held(4).digest
 
 
 def test_a_relay_that_says_it_is_up_to_date_and_stays_behind_is_passed_over():
@@ -219,11 +225,11 @@
             FromPeer(3, Beat("sur", 0, 4, held(4).digest, 10 * MS)),
         )
         front.run(TERMS.beat)
-    assert front.logic.flaw_of(front.logic.sources[3]) == "bad" and not front.logic.flaw_of(
-        front.logic.sources[2]
-    )
+    assert front.logic.upstream.flaw_of(
+        front.logic.upstream.sources[3]
+    ) == "bad" and not front.logic.upstream.flaw_of(front.logic.upstream.sources[2])
     front.run(BAD)
-    assert front.logic.flaw_of(front.logic.sources[3]) != "bad"
+    assert front.logic.upstream.flaw_of(front.logic.upstream.sources[3]) != "bad"
 
 
 @pytest.mark.parametrize(
@@ -238,23 +244,23 @@
     front = Fronting([2], held(3).packed()).run(SECOND)
     front.hear(FromPeer(2, nonsense))
     assert (
-        front.logic.list.place.number == 3
+        front.logic.held.list.place.number == 3
         and front.logic.counts["nonsense"] == 1
-        and front.logic.flaw_of(front.logic.sources[2]) == "bad"
+        and front.logic.upstream.flaw_of(front.logic.upstream.sources[2]) == "bad"
     )
-    assert front.logic.list.digest == held(3).digest
+    assert front.logic.held.list.digest == held(3).digest
 
 
 def test_what_one_that_is_not_followed_tells_is_not_taken():
     front = Fronting([2], held(3).packed()).run(SECOND)
     front.hear(FromPeer(9, Events(0, 4, (event(4),), 0)), FromPeer(9, Beat("sur", 0, 9, 1, 0)))
-    assert front.logic.list.place.number == 3 and not front.logic.fetch
+    assert front.logic.held.list.place.number == 3 and not front.logic.snapshot.fetch
 
 
 def fetched(served, longest=4_000_000, spoil=lambda piece: piece):
     """A newcomer gets a whole list from one that holds it; give the newcomer."""
     newcomer = Fronting([2], terms=TERMS._replace(longest=longest)).run(SECOND)
-    newcomer.hear(FromPeer(2, Beat("sur", *served.list.place, served.list.digest, 10 * MS)))
+    newcomer.hear(FromPeer(2, Beat("sur", *served.held.list.place, served.held.list.digest, 10 * MS)))
     done = 0
     for _ in range(3000):
         newcomer.run(10 * MS)
@@ -264,7 +270,7 @@
             if isinstance(order, Reach) and isinstance(order.message, AskPiece)
         ]
         done = len(newcomer.out)
-        if not newcomer.logic.fetch:
+        if not newcomer.logic.snapshot.fetch:
             break
         for ask in asked:
             for answer in of(served.handle(newcomer.now + 10**9, [FromPeer(1, ask)]), Reach):
@@ -282,7 +288,10 @@
 def test_a_list_of_ten_thousand_members_comes_whole_in_pieces():
     served = full(10_000)
     newcomer = fetched(served)
-    assert len(served.list.packed()) > 25 * DATA and newcomer.logic.list.digest == served.list.digest
+    assert (
+        len(served.held.list.packed()) > 25 * DATA
+        and newcomer.logic.held.list.digest == served.held.list.digest
+    )
     assert len(newcomer.said(Take)[0].told["fleet"]["members"]) == 10_000 and newcomer.said(Confirmed)
 
 
