--- /dev/null
+++ b/limepath/listing/purge_fields.py
@@ -0,0 +1,59 @@
+"""The fields of a purge that compact bytes tell wholly, and the JSON object that they stand for.
+
+An object's name in a purge is a hexadecimal number. Only 16 digits in lower case come back as they were, so
+another name, a negative or a huge number, or a field that is not known here has no fields: it goes as text.
+"""
+
+from typing import NamedTuple
+
+
+class PurgeFields(NamedTuple):
+    """A purge. `time` is in milliseconds of the Unix clock, `target` the object's number or the bucket."""
+
+    seq: int
+    time: int
+    target: int
+    is_object: bool
+
+    def told(self) -> dict:
+        """The event's JSON object."""
+        if self.is_object:
+            return {"seq": self.seq, "invalidate": {"object": object_name(self.target), "time": self.time}}
+        return {"seq": self.seq, "invalidate": {"bucket": self.target, "time": self.time}}
+
+    def valid(self) -> bool:
+        """Whether it is one that `purge_of` gives."""
+        return fits(self.seq) and fits(self.time) and (self.is_object or fits(self.target))
+
+
+def purge_of(told: dict) -> PurgeFields | None:
+    """The fields of an event, None where they would not tell all of it."""
+    purge = told.get("invalidate")
+    if told.keys() != {"seq", "invalidate"} or not isinstance(purge, dict):
+        return None
+    if purge.keys() == {"object", "time"}:
+        target, is_object = object_number(purge["object"]), True
+    elif purge.keys() == {"bucket", "time"}:
+        target, is_object = purge["bucket"], False
+    else:
+        return None
+    fields = PurgeFields(told["seq"], purge["time"], target, is_object)
+    return fields if target is not None and fields.valid() else None
+
+
+def fits(value: object) -> bool:
+    """Whether this is a whole number of 63 bits; True and 1.0 are other JSON than 1."""
+    return type(value) is int and 0 <= value < 1 << 63
+
+
+def object_name(number: int) -> str:
+    return f"{number:016x}"
+
+
+def object_number(name: object) -> int | None:
+    """The number of an object that is named by its 16 digits, else None."""
+    try:
+        number = int(name, 16)
+    except (ValueError, TypeError):
+        return None
+    return number if 0 <= number < 1 << 64 and object_name(number) == name else None
