Events for fronts that are behind, and purges, kept by time and bounded in bytes

A relay kept 512 events and 4,096 purges: 14 s and 114 s at 36 purges a second, while regions lose each other for minutes. listing/window.py keeps events for the longest cut to be bridged, and purges until their copies are gone everywhere at a front that was behind by that whole cut; each has a bound in bytes and says for how long it made something be forgotten early. Not used by the relays yet.

--- a/limepath/listing/purge_fields.py
+++ b/limepath/listing/purge_fields.py
@@ -50,10 +50,15 @@
     return f"{number:016x}"
 
 
+def object_value(name: str) -> int:
+    """The number of an object, however it is written; ValueError or TypeError where it is none."""
+    return int(name, 16)
+
+
 def object_number(name: object) -> int | None:
     """The number of an object that is named by its 16 digits, else None."""
     try:
-        number = int(name, 16)
+        number = object_value(name)
     except (ValueError, TypeError):
         return None
     return number if 0 <= number < 1 << 64 and object_name(number) == name else None
--- /dev/null
+++ b/limepath/listing/window.py
@@ -0,0 +1,225 @@
+"""What is kept of the events for fronts that are behind: the latest events, and the purges that still matter.
+
+Both are sized by time. `span` is the longest cut between fronts that is to be bridged without the whole list.
+Both have a bound in bytes of what `coding.encode` gave, and tell where it made them forget earlier: never in
+silence. Times are whole microseconds and handed in. Free of I/O.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from limepath.listing.coding import decode, encode
+from limepath.listing.integers import CodingError
+from limepath.listing.purge_fields import object_value
+
+
+class NotHeld(Exception):
+    """Events that are not in the window any more, or not yet."""
+
+
+class HeldEvent(NamedTuple):
+    """`accepted` is when this front accepted it, `digest` its `state.summary`."""
+
+    accepted: int
+    encoded: bytes
+    digest: int
+
+
+class Window:
+    """The events that were accepted within the last `span`, at most `most_bytes` of them together."""
+
+    def __init__(self, span: int, most_bytes: int):
+        self.span, self.most_bytes = span, most_bytes
+        self.events: dict[int, HeldEvent] = {}  # by number, which follow each other
+        self.oldest, self.newest = None, None  # the newest number stays known when its event is not held
+        self.bytes = 0
+        self.cut = Cut(span)
+
+    @property
+    def reaches(self) -> int | None:
+        """The oldest number that is held, or None."""
+        return self.oldest
+
+    def __contains__(self, number: int) -> bool:
+        return number in self.events
+
+    def digest(self, number: int) -> int | None:
+        """The digest of an event that is held, else None."""
+        held = self.events.get(number)
+        return held.digest if held else None
+
+    def restart(self, number: int) -> None:
+        """Begin anew behind this number: another list took the place of the one that the events led to, or
+        an event has no bytes.
+        """
+        self.events, self.oldest, self.newest, self.bytes = {}, None, number, 0
+
+    def add(self, now: int, number: int, encoded: bytes, digest: int) -> None:
+        """Take the next event in. ValueError where its number does not follow."""
+        if self.newest is not None and number != self.newest + 1:
+            raise ValueError(f"event {number} after {self.newest}")
+        self.events[number] = HeldEvent(now, encoded, digest)
+        self.newest = number
+        self.oldest = number if self.oldest is None else self.oldest
+        self.bytes += len(encoded)
+        self.expire(now)
+        while self.bytes > self.most_bytes:
+            self.cut.made(self.drop().accepted)
+
+    def expire(self, now: int) -> None:
+        """Forget what is older than the span."""
+        while self.events and now - self.events[self.oldest].accepted > self.span:
+            self.drop()
+
+    def drop(self) -> HeldEvent:
+        held = self.events.pop(self.oldest)
+        self.bytes -= len(held.encoded)
+        self.oldest = self.oldest + 1 if self.events else None
+        return held
+
+    def covers(self, number: int) -> bool:
+        """Whether all events after this number are held, or there are none."""
+        if self.newest is None or number > self.newest:
+            return False
+        return number == self.newest or self.oldest is not None and number >= self.oldest - 1
+
+    def since(self, number: int, most_bytes: int | None = None) -> tuple[bytes, ...]:
+        """The events after this number in order, as many as have `most_bytes` together, but one at the
+        least; raise NotHeld where not all of them are held.
+        """
+        if not self.covers(number):
+            raise NotHeld(f"events after {number}: held from {self.oldest} to {self.newest}")
+        found, size = [], 0
+        for following in range(number + 1, self.newest + 1):
+            encoded = self.events[following].encoded
+            size += len(encoded)
+            if found and most_bytes is not None and size > most_bytes:
+                break
+            found.append(encoded)
+        return tuple(found)
+
+    def cut_short(self, now: int) -> bool:
+        """Whether the bound in bytes made it forget an event that the span would still keep."""
+        return self.cut.lasts(now)
+
+
+class Cut:
+    """That a bound in bytes made something be forgotten before its time, which is `span` after `accepted`."""
+
+    def __init__(self, span: int):
+        self.span, self.count, self.accepted = span, 0, None
+
+    def made(self, accepted: int) -> None:
+        self.count += 1
+        self.accepted = accepted if self.accepted is None else max(self.accepted, accepted)
+
+    def lasts(self, now: int) -> bool:
+        return self.accepted is not None and now - self.accepted <= self.span
+
+
+class KeptPurge(NamedTuple):
+    """`age` is how long ago the first front that is known to have accepted it did."""
+
+    age: int
+    encoded: bytes
+
+
+class HeldPurge(NamedTuple):
+    accepted: int
+    number: int
+    encoded: bytes
+
+
+class RecentPurges:
+    """The latest purge of each object and bucket, until its copies are gone everywhere.
+
+    `gone_everywhere` is how long copies last after a purge. A front may hear of it the span of a cut later,
+    so that one which asks then has to be told: each is kept for `gone_everywhere + span` after it was
+    accepted. What comes from another front brings its age along, else restarts would keep purges for ever.
+    """
+
+    def __init__(self, gone_everywhere: int, span: int, most_bytes: int):
+        self.kept_for, self.most_bytes = gone_everywhere + span, most_bytes
+        self.purges: OrderedDict[tuple[str, int], HeldPurge] = OrderedDict()
+        self.bytes = 0
+        self.cut = Cut(self.kept_for)
+
+    def __len__(self) -> int:
+        return len(self.purges)
+
+    def __contains__(self, told: dict) -> bool:
+        """Whether this purge or a later one of the same is kept."""
+        held = self.purges.get(target_of(told))
+        return held is not None and held.number >= told["seq"]
+
+    def add(self, now: int, told: dict, text: str, age: int = 0) -> None:
+        """Take in a purge whose form was checked, accepted `age` ago by the first that is known; raise
+        Oversized.
+        """
+        self.hold(now, now - age, told, encode(told, text))
+
+    def add_kept(self, now: int, kept: KeptPurge) -> None:
+        """Take in a purge as another front keeps it; raise CodingError."""
+        told = decode(kept.encoded).told
+        if "invalidate" not in told:
+            raise CodingError(f"event {told['seq']} is no purge")
+        self.hold(now, now - kept.age, told, kept.encoded)
+
+    def hold(self, now: int, accepted: int, told: dict, encoded: bytes) -> None:
+        if self.matters(now, accepted) and told not in self:
+            target = target_of(told)
+            if target in self.purges:
+                self.drop(target)
+            self.purges[target] = HeldPurge(accepted, told["seq"], encoded)
+            self.bytes += len(encoded)
+        self.expire(now)
+
+    def matters(self, now: int, accepted: int) -> bool:
+        """Whether copies from before a purge may be left anywhere."""
+        return now - accepted <= self.kept_for
+
+    def expire(self, now: int) -> None:
+        """Forget the purges whose copies are gone everywhere, and where bytes are short the oldest."""
+        while self.purges:
+            target, held = next(iter(self.purges.items()))
+            if self.matters(now, held.accepted):
+                if self.bytes <= self.most_bytes:
+                    return
+                self.cut.made(held.accepted)
+            self.drop(target)
+
+    def drop(self, target: tuple[str, int]) -> None:
+        self.bytes -= len(self.purges.pop(target).encoded)
+
+    def clear(self) -> None:
+        """Forget all: a list of a later generation takes their place, whose numbers tell nothing of these."""
+        self.purges.clear()
+        self.bytes = 0
+
+    def kept(self, now: int) -> tuple[KeptPurge, ...]:
+        """All purges that matter with their ages, in the order in which they came."""
+        self.expire(now)
+        those = [held for held in self.purges.values() if self.matters(now, held.accepted)]
+        return tuple(KeptPurge(now - held.accepted, held.encoded) for held in those)
+
+    def values(self) -> Iterator[dict]:
+        """The events' JSON objects, in the order in which they came."""
+        return (decode(held.encoded).told for held in self.purges.values())
+
+    def cut_short(self, now: int) -> bool:
+        """Whether the bound in bytes made it forget a purge of which copies may be left."""
+        return self.cut.lasts(now)
+
+
+def target_of(told: dict) -> tuple[str, int]:
+    """What an event purges: one object however its number was written, or a bucket."""
+    purge = told["invalidate"]
+    if "object" in purge:
+        return "object", object_value(purge["object"])
+    return "bucket", purge["bucket"]
+
+
+def bytes_needed(events_a_second: float, span: int, bytes_an_event: int) -> int:
+    """What a window or the purges of so long a span take, to be held against their bound."""
+    return int(events_a_second * span / 1e6 * bytes_an_event)
