A whole list in pages with digests: a front far behind is told only what differs

A purge's age comes along. window.KeptPurge tells the purge's number as well. Not used by the relays yet.

--- /dev/null
+++ b/limepath/listing/catch_up.py
@@ -0,0 +1,192 @@
+"""A whole list from another front in datagrams: `Snapshot` at the one that has it, `CatchUp` at the one that
+wants it.
+
+The one that wants it asks for the index, then for the pages that differ from its own list, chunk by chunk.
+A snapshot stands still while the list goes on, so that one serves all that ask within some seconds; what came
+after it is told by events. Its place (generation and number) and its mark stand in each chunk: what belongs
+to another snapshot is refused. Nothing counts before all pages are there. Free of I/O.
+"""
+
+from collections.abc import Iterator
+from hashlib import blake2b
+from typing import NamedTuple
+
+from limepath.listing.integers import CodingError
+from limepath.listing.interface import Place
+from limepath.listing.page_bytes import LONGEST_PAGE, packed_index, packed_page, unpacked_index, unpacked_page
+from limepath.listing.pages import Contents, Digests, PageContents, apply, differing, digests, spread
+
+INDEX = -1  # the page that holds the digests
+CHUNK_BYTES = 1000  # of a page in one datagram
+MOST_CHUNKS = 512  # of one page
+
+
+class PageError(Exception):
+    """What can't be taken or told; the text says why. Nothing of it was taken."""
+
+
+class NoSuchChunk(PageError):
+    """It was asked for what this snapshot has not."""
+
+
+class OtherSnapshot(PageError):
+    """A chunk of another generation, number or snapshot than the first one that came."""
+
+
+class DamagedPage(PageError):
+    """A page or an index that is not what it was told to be; it is to be asked for again."""
+
+
+class Incomplete(PageError):
+    """Pages are missing yet."""
+
+
+class ChunkName(NamedTuple):
+    """Chunk number `chunk` of a page, which is INDEX or counts from 0."""
+
+    page: int
+    chunk: int
+
+
+class Chunk(NamedTuple):
+    """`count` is how many chunks the page has, `mark` tells the snapshot from others at the same place."""
+
+    place: Place
+    mark: int
+    page: int
+    chunk: int
+    count: int
+    data: bytes
+
+
+def chunk_count(data: bytes, limit: int) -> int:
+    return max(1, -(-len(data) // limit))
+
+
+class Snapshot:
+    """A list that stands still, to be told to others in chunks of at most `limit` bytes; raise Oversized
+    where it can't be told.
+    """
+
+    def __init__(self, contents: Contents, limit: int = CHUNK_BYTES):
+        self.contents, self.limit = contents, limit
+        self.digests = digests(contents)
+        self.pages = spread(contents, self.digests.layout)
+        self.packed = {INDEX: packed_index(self.digests)}
+        self.mark = mark_of(self.packed[INDEX])
+
+    @property
+    def place(self) -> Place:
+        return self.contents.place
+
+    def bytes_of(self, page: int) -> bytes:
+        if page not in self.packed:
+            if not 0 <= page < len(self.pages):
+                raise NoSuchChunk(f"page {page} of {len(self.pages)}")
+            self.packed[page] = packed_page(self.pages[page])
+        return self.packed[page]
+
+    def chunk(self, name: ChunkName) -> Chunk:
+        """The chunk of that name; raise NoSuchChunk."""
+        data = self.bytes_of(name.page)
+        count = chunk_count(data, self.limit)
+        if not 0 <= name.chunk < count:
+            raise NoSuchChunk(f"chunk {name.chunk} of {count}")
+        at = name.chunk * self.limit
+        return Chunk(self.place, self.mark, *name, count, data[at : at + self.limit])
+
+    def chunks(self, page: int) -> tuple[Chunk, ...]:
+        """All chunks of a page; raise NoSuchChunk."""
+        count = chunk_count(self.bytes_of(page), self.limit)
+        return tuple(self.chunk(ChunkName(page, chunk)) for chunk in range(count))
+
+
+class PageParts:
+    """The chunks of one page that have come."""
+
+    def __init__(self):
+        self.count, self.data = None, {}
+
+    def missing(self) -> range | list[int]:
+        if self.count is None:
+            return range(1)
+        return [chunk for chunk in range(self.count) if chunk not in self.data]
+
+    def whole(self) -> bytes:
+        return b"".join(self.data[chunk] for chunk in range(self.count))
+
+
+class CatchUp:
+    """The list of another front on its way here; `mine` is the list that this front has, as it stood."""
+
+    def __init__(self, mine: Contents):
+        self.mine = mine
+        self.place: Place | None = (
+            None  # where the other's snapshot stands, and its mark, once they are known
+        )
+        self.mark: int | None = None
+        self.theirs: Digests | None = None
+        self.parts = {INDEX: PageParts()}  # of the pages that are missing
+        self.pages: dict[int, PageContents] = {}
+
+    def wanted(self) -> Iterator[ChunkName]:
+        """What is missing, the index first; of a page whose size is not known its first chunk."""
+        for page, parts in self.parts.items():
+            for chunk in parts.missing():
+                yield ChunkName(page, chunk)
+
+    @property
+    def complete(self) -> bool:
+        return self.theirs is not None and not self.parts
+
+    def take(self, chunk: Chunk) -> bool:
+        """Take a chunk in and tell whether it was missing; raise OtherSnapshot or DamagedPage."""
+        if self.place is not None and (chunk.place, chunk.mark) != (self.place, self.mark):
+            raise OtherSnapshot(f"one at {tuple(chunk.place)}, not that at {tuple(self.place)}")
+        parts = self.parts.get(chunk.page)
+        if parts is None or chunk.chunk in parts.data:
+            return False
+        self.check(chunk, parts)
+        self.place, self.mark = chunk.place, chunk.mark
+        parts.count = chunk.count
+        parts.data[chunk.chunk] = chunk.data
+        if not parts.missing():
+            self.finish(chunk.page, parts)
+        return True
+
+    def check(self, chunk: Chunk, parts: PageParts) -> None:
+        """Raise DamagedPage where a chunk can't be."""
+        if not 0 <= chunk.chunk < chunk.count <= MOST_CHUNKS or parts.count not in (None, chunk.count):
+            raise DamagedPage(f"chunk {chunk.chunk} of {chunk.count} of page {chunk.page}")
+        if sum(map(len, parts.data.values())) + len(chunk.data) > LONGEST_PAGE:
+            raise DamagedPage(f"page {chunk.page} over {LONGEST_PAGE} bytes")
+
+    def finish(self, page: int, parts: PageParts) -> None:
+        """Open a page that is there whole."""
+        self.parts[page] = PageParts()
+        try:
+            if page == INDEX:
+                self.open_index(parts.whole())
+            else:
+                self.pages[page] = unpacked_page(parts.whole(), page, self.theirs)
+        except CodingError as error:
+            raise DamagedPage(f"page {page}: {error}") from None
+        del self.parts[page]
+
+    def open_index(self, data: bytes) -> None:
+        theirs = unpacked_index(data)
+        if theirs.place != self.place or mark_of(data) != self.mark:
+            raise CodingError("an index of another snapshot")
+        self.theirs = theirs
+        self.parts |= {at: PageParts() for at in differing(self.mine, theirs)}
+
+    def contents(self) -> Contents:
+        """The other's list; raise Incomplete until all of it is there."""
+        if not self.complete:
+            raise Incomplete(f"{len(self.parts)} pages are missing")
+        return apply(self.mine, self.theirs, self.pages)
+
+
+def mark_of(index: bytes) -> int:
+    """64 bits that tell a snapshot, of the bytes of its index."""
+    return int.from_bytes(blake2b(index, digest_size=8).digest())
--- a/limepath/listing/coding.py
+++ b/limepath/listing/coding.py
@@ -215,11 +215,12 @@
 
 def text_event(kind: Kind, data: bytes) -> Event:
     """The event of a JSON text, checked as one that the service tells itself."""
-    plain = inflated(data) if kind == Kind.DEFLATED else data
-    if len(plain) > LONGEST_TEXT:
+    if kind == Kind.DEFLATED:
+        data = inflated(data, LONGEST_TEXT)
+    elif len(data) > LONGEST_TEXT:
         raise Oversized(f"an event over {LONGEST_TEXT} bytes")
     try:
-        text = plain.decode()
+        text = data.decode()
         return Event(parsed(text), text)
     except UnicodeDecodeError:
         raise Damaged("no UTF-8") from None
@@ -227,14 +228,16 @@
         raise Damaged(str(error)) from None
 
 
-def inflated(data: bytes) -> bytes:
-    """The bytes that zlib made `data` of; no more than a byte beyond LONGEST_TEXT is unpacked."""
+def inflated(data: bytes, longest: int) -> bytes:
+    """The bytes that zlib made `data` of, at most `longest`; no more is unpacked. Raise CodingError."""
     opening = zlib.decompressobj()
     try:
-        plain = opening.decompress(data, LONGEST_TEXT + 1)
+        plain = opening.decompress(data, longest + 1)
     except zlib.error:
         raise Damaged("no zlib data") from None
-    if len(plain) <= LONGEST_TEXT and (not opening.eof or opening.unused_data):
+    if len(plain) > longest:
+        raise Oversized(f"over {longest} bytes")
+    if not opening.eof or opening.unused_data:
         raise Damaged("cut, or more than one text")
     return plain
 
--- a/limepath/listing/window.py
+++ b/limepath/listing/window.py
@@ -119,8 +119,9 @@
 
 
 class KeptPurge(NamedTuple):
-    """`age` is how long ago the first front that is known to have accepted it did."""
+    """`number` is its event's, `age` how long ago the first front that is known to have accepted it did."""
 
+    number: int
     age: int
     encoded: bytes
 
@@ -162,8 +163,8 @@
     def add_kept(self, now: int, kept: KeptPurge) -> None:
         """Take in a purge as another front keeps it; raise CodingError."""
         told = decode(kept.encoded).told
-        if "invalidate" not in told:
-            raise CodingError(f"event {told['seq']} is no purge")
+        if "invalidate" not in told or told["seq"] != kept.number:
+            raise CodingError(f"event {told['seq']} is not purge {kept.number}")
         self.hold(now, now - kept.age, told, kept.encoded)
 
     def hold(self, now: int, accepted: int, told: dict, encoded: bytes) -> None:
@@ -201,7 +202,7 @@
         """All purges that matter with their ages, in the order in which they came."""
         self.expire(now)
         those = [held for held in self.purges.values() if self.matters(now, held.accepted)]
-        return tuple(KeptPurge(now - held.accepted, held.encoded) for held in those)
+        return tuple(KeptPurge(held.number, now - held.accepted, held.encoded) for held in those)
 
     def values(self) -> Iterator[dict]:
         """The events' JSON objects, in the order in which they came."""
--- a/tests/test_event_window.py
+++ b/tests/test_event_window.py
@@ -258,7 +258,7 @@
 def test_a_purge_is_kept_to_the_microsecond():
     purges = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
     add_purge(purges, 0, purge(1))
-    assert purges.kept(GONE_EVERYWHERE + SPAN) == (KeptPurge(GONE_EVERYWHERE + SPAN, encoded(purge(1))),)
+    assert purges.kept(GONE_EVERYWHERE + SPAN) == (KeptPurge(1, GONE_EVERYWHERE + SPAN, encoded(purge(1))),)
     assert purges.kept(GONE_EVERYWHERE + SPAN + 1) == () and purges.bytes == 0
 
 
@@ -292,9 +292,9 @@
 
 def test_a_purge_that_comes_too_old_is_not_taken_in():
     purges = RecentPurges(10, 100, MOST_BYTES)
-    purges.add_kept(0, KeptPurge(111, encoded(purge(1))))
+    purges.add_kept(0, KeptPurge(1, 111, encoded(purge(1))))
     assert not purges and purges.bytes == 0
-    purges.add_kept(0, KeptPurge(110, encoded(purge(1))))
+    purges.add_kept(0, KeptPurge(1, 110, encoded(purge(1))))
     assert numbers_of(purges) == [1]
 
 
@@ -310,7 +310,7 @@
         if age <= 110:
             latest[bucket] = now - age, seq
     expected = sorted(seq for accepted, seq in latest.values() if now - accepted <= 110)
-    assert sorted(decode(kept.encoded).told["seq"] for kept in purges.kept(now)) == expected
+    assert sorted(kept.number for kept in purges.kept(now)) == expected
     assert all(kept.age <= 110 for kept in purges.kept(now))
 
 
@@ -336,9 +336,10 @@
 
 def test_what_is_no_purge_or_no_event_is_refused():
     purges = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
-    for data in (b"", b"\xff", encoded({"seq": 1, "fleet": {"members": []}}), encoded({"seq": 1})):
+    other = encoded(purge(2))
+    for data in (b"", b"\xff", encoded({"seq": 1, "fleet": {"members": []}}), encoded({"seq": 1}), other):
         with pytest.raises(CodingError):
-            purges.add_kept(0, KeptPurge(0, data))
+            purges.add_kept(0, KeptPurge(1, 0, data))
     assert not purges
 
 
