--- a/limepath/listing/window.py
+++ b/limepath/listing/window.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from limepath.listing.coding import decode, encode
-from limepath.listing.integers import CodingError
+from limepath.listing.integers import CodingError, Damaged, Reader, integer, unzigzag, zigzag
 from limepath.listing.purge_fields import object_value
 
 
@@ -127,9 +127,14 @@
 
 
 class HeldPurge(NamedTuple):
+    """`record` is the purge as it is saved: the time when it was accepted, the length of what was encoded,
+    and that. It is made once, for there are thousands in a list that is saved every second.
+    """
+
     accepted: int
     number: int
     encoded: bytes
+    record: bytes
 
 
 class RecentPurges:
@@ -172,7 +177,8 @@
             target = target_of(told)
             if target in self.purges:
                 self.drop(target)
-            self.purges[target] = HeldPurge(accepted, told["seq"], encoded)
+            record = integer(zigzag(accepted)) + integer(len(encoded)) + encoded
+            self.purges[target] = HeldPurge(accepted, told["seq"], encoded, record)
             self.bytes += len(encoded)
         self.expire(now)
 
@@ -204,6 +210,27 @@
         those = [held for held in self.purges.values() if self.matters(now, held.accepted)]
         return tuple(KeptPurge(held.number, now - held.accepted, held.encoded) for held in those)
 
+    def image(self, now: int) -> bytes:
+        """All purges to be saved: the time now, and a record of each."""
+        self.expire(now)
+        return integer(zigzag(now)) + b"".join(held.record for held in self.purges.values())
+
+    def load(self, now: int, image: bytes) -> None:
+        """Take in what another life of this front saved; raise CodingError, and then nothing of it. The time
+        between the lives counts for nothing, so that they are kept for longer than they have to be.
+        """
+        reader, found = Reader(image), []
+        saved = unzigzag(reader.integer())
+        while reader.left():
+            accepted = unzigzag(reader.integer())
+            encoded = reader.take(reader.integer())
+            told = decode(encoded).told
+            if accepted > saved or "invalidate" not in told:
+                raise Damaged(f"event {told['seq']} among the saved purges")
+            found.append((saved - accepted, told, encoded))
+        for age, told, encoded in found:
+            self.hold(now, now - age, told, encoded)
+
     def values(self) -> Iterator[dict]:
         """The events' JSON objects, in the order in which they came."""
         return (decode(held.encoded).told for held in self.purges.values())
--- a/tests/test_event_window.py
+++ b/tests/test_event_window.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from limepath.listing.coding import decode, encode
-from limepath.listing.integers import CodingError
+from limepath.listing.integers import CodingError, integer, zigzag
 from limepath.listing.state import summary
 from limepath.listing.window import (
     KeptPurge,
@@ -352,6 +352,56 @@
     assert numbers_of(purges) == [3]
 
 
+@repeatable
+@given(
+    st.lists(st.tuples(st.integers(0, 99), st.integers(0, 150)), max_size=20),
+    st.integers(-99, 99),
+    st.integers(0, 99),
+)
+def test_saved_purges_come_back_with_their_ages_in_another_life(comings, start, later):
+    purges, now = RecentPurges(10, 100, MOST_BYTES), start
+    for seq, (since, age) in enumerate(comings):
+        now += since // 10
+        add_purge(purges, now, purge(seq), age)
+    image = purges.image(now)
+    again = RecentPurges(10, 100, MOST_BYTES)
+    again.load(later, image)  # its clock begins anew
+    assert again.kept(later) == purges.kept(now)
+
+
+def test_saved_purges_that_are_damaged_are_not_taken_in():
+    purges = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
+    for number in range(1, 5):
+        add_purge(purges, at_rate(number), purge(number))
+    image = purges.image(at_rate(4))
+    fleet = encoded({"seq": 5, "fleet": {"members": []}})
+    whole = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
+    whole.load(0, image)
+    assert numbers_of(whole) == [1, 2, 3, 4]
+    record = purges.purges[target_of(purge(4))].record
+    for spoilt in (
+        b"",
+        image[:-1],
+        image + b"\0",
+        image + integer(0) + integer(len(fleet)) + fleet,
+        integer(zigzag(at_rate(4) - 1)) + record,  # accepted after it was saved
+    ):
+        other = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
+        with pytest.raises(CodingError):
+            other.load(0, spoilt)
+        assert not other
+
+
+@repeatable
+@given(st.binary(max_size=80))
+def test_any_saved_bytes_are_purges_or_a_typed_error(data):
+    purges = RecentPurges(GONE_EVERYWHERE, SPAN, MOST_BYTES)
+    try:
+        purges.load(0, data)
+    except CodingError:
+        assert not purges
+
+
 def test_an_object_is_the_same_however_its_number_is_written():
     names = ("ff", "FF", "0x00ff", "00000000000000ff")
     assert len({target_of(purge(1, object=name)) for name in names}) == 1
