A front whose list is late gives nothing to a cache

The host of the list now tells the module (contract.Stale), and Gate.barred bars every member but the origin until the list is in time again; what the origin may not bear is shed at once.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -31,6 +31,7 @@
     Roster,
     Scope,
     Shed,
+    Stale,
     Standing,
     Streaming,
     Subscribe,
@@ -297,7 +298,7 @@
     def __init__(self, loop, door, allowance, warmups, grace):
         super().__init__(loop)
         self.door, self.allowance, self.warmups, self.grace = door, allowance, warmups, grace
-        self.members, self.purges, self.starts = {}, {}, {}
+        self.members, self.purges, self.starts, self.stale = {}, {}, {}, False
 
     def listed(self, member, sharing, lanes, upper):
         old = self.members.get(member.cache)
@@ -362,12 +363,17 @@
             if get.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect", cache
         for actor in dict.fromkeys((cache, source)):
+            if self.stale and actor is not self.door.origin:  # a drain or purge may not be known here
+                return "stale", actor
             if actor.id not in self.members or self.members[actor.id][0].standing != Standing.READY:
                 return "drain", actor  # the grace is not used: the list is late enough as it is
             if not self.spared(actor.id, get.work):
                 return "cold", actor
         return None
 
+    def lateness(self, note):
+        self.stale = note.late
+
     def forward(self, get, cache, source):
         if barred := self.barred(get, cache, source):
             return self.loop.put(self.door, "barred", get, *barred)
@@ -595,6 +601,7 @@
             Roster: (self, "roster"),
             ProbeReport: (self, "probed"),
             Room: (self, "room"),
+            Stale: (self.gate, "lateness"),
             Learnt: (self.shelf, "learnt"),
             AskCounts: (self.shelf, "tell"),
         }
--- a/limepath/contract.py
+++ b/limepath/contract.py
@@ -230,6 +230,14 @@
     way: bool
 
 
+class Stale(NamedTuple):
+    """Whether the list of members and purges is late: drains and purges may be missing from it. It is not
+    until that is told.
+    """
+
+    late: bool
+
+
 class Learnt(NamedTuple):
     """What another front has counted: (object, part, count). It weighs as this front's own GETs, of objects
     that it has not counted itself.
