--- a/limepath/listing/bounds.py
+++ b/limepath/listing/bounds.py
@@ -9,12 +9,23 @@
 from typing import NamedTuple
 
 from limepath.listing.calls import PART, Budget
+from limepath.listing.topology import longest_path
+from limepath.peers.guard import LARGEST
 
+SECOND = 1_000_000
+HEADER = 190  # bytes of a datagram beside events: sender, seal, positions, digests
+EVENT = 16  # of a purge in a batch, at the most
+SUBSCRIBED, WATCHED = 6, 40  # heartbeats, subscriptions and scopes a second, to each child and in all
+REJOIN = 20_000_000  # for scopes to be learnt and the whole list to come in pieces
+DATA_BYTES = 900  # of events in a full datagram, at the least
+OTHER_BYTES = 12_000  # a second, of scopes
 COMMENT = 1_000_000  # the service says that it is alive so often
 WAY = 100_000  # for a call to come up and be answered, and for a push
 QUIET = 500_000  # without an event, until a stream has told all that it had
 BATCH = 20_000  # in which events are gathered before they are pushed
 TURN = 5_000_000  # for which a relay may call in vain until the next by hash tries beside it
+SLOW = 30_000_000  # for which a parent that does not bring what another has is passed over
+FURTHER = 4  # datagrams in a tick to those behind, beside one to each child
 HELPERS = 1  # times the relays, that may call beside them while they call in vain
 
 
@@ -31,9 +42,28 @@
     streams: int
 
 
-def fresh(terms):
-    """How old the service's last word may be in a list that counts as up to date."""
-    return terms.silence + terms.patience
+def fresh(terms, hops=0):
+    """How old the service's last word may be in a list that counts as up to date, so many hops below a root;
+    each hop tells it on with the next heartbeat.
+    """
+    return terms.silence + terms.patience + hops * (terms.beat + WAY)
+
+
+def brought(terms, hops):
+    """Until an event is at every front of a tree, nothing failing."""
+    return hops * (terms.gather + WAY)
+
+
+def children_at_most(terms):
+    """Subscribers that a front sends events to, whatever their views."""
+    return 2 * terms.fan_out
+
+
+def watchers_at_most(terms):
+    """Subscribers that a front sends heartbeats to: of the second tree, those that passed over it, and at a
+    root the other roots and those next by hash.
+    """
+    return 4 * terms.fan_out + (1 + HELPERS + 1) * terms.relays
 
 
 def bounds(terms, fronts, zones=1):
@@ -60,3 +90,60 @@
         calls=2 * PART * terms.rate,
         streams=terms.relays * (2 + HELPERS),
     )  # relays that are back, those that stood in for them, helpers
+
+
+class TreeBounds(NamedTuple):
+    """The same of trees, in microseconds; `most_bytes` and `calm_bytes(rate)` are a second, `children` those
+    that any front sends events to.
+    """
+
+    hops: int
+    event: int  # until an event is at every front, nothing failing; each lost datagram in a row adds a beat
+    inner_gone: int  # the same where a front with children is killed, stopped or slow in that moment
+    root_gone: int  # the same where a root is
+    known_late: int  # until a front knows that its list is late
+    rejoined: (
+        int  # from its start until a front that knows nothing has all, an empty list of its zone taken in
+    )
+    reconnected: int  # from the end of a cut from the service until a root's stream has told all
+    gather: int
+    children: int
+    most_bytes: int
+    batches: float  # a second, to each child
+
+    def calm_bytes(self, rate):
+        """Bytes a second that a front sends at most while nothing fails, so many events a second told."""
+        events = self.children * (self.batches * HEADER + rate * EVENT)
+        return int(events + (self.children * SUBSCRIBED + WATCHED) * HEADER)
+
+    def whole_again(self, rate, cut):
+        """From the end of a cut that the window bridges until its events, so many a second, are everywhere:
+        each child is sent one datagram in a tick at the least.
+        """
+        datagrams = int(rate * cut / SECOND * EVENT / DATA_BYTES) + 1
+        return self.reconnected + 2 * datagrams * self.gather + 2 * self.event
+
+
+def tree_bounds(terms, fronts, zones, sites):
+    """Give the TreeBounds of a fleet whose fronts and sites are spread evenly over its zones."""
+    members, places = -(-fronts // zones), -(-sites // zones)
+    hops = longest_path(members, places, terms.relays, terms.fan_out)
+    event = brought(terms, hops)
+    passed = terms.patience + 2 * terms.beat + WAY  # a silent parent's place is taken by the next candidate
+    call = int(1.5 * Budget(terms, lambda: 1.0).span_of(terms.relays * zones)) + WAY + QUIET
+    ticks = SECOND / terms.gather
+    per_beat = SECOND / terms.beat * (children_at_most(terms) + watchers_at_most(terms) + 4)
+    most = (children_at_most(terms) + FURTHER) * LARGEST * ticks + per_beat * HEADER
+    return TreeBounds(
+        hops=hops,
+        event=event,
+        inner_gone=passed + 2 * event,
+        root_gone=passed + 2 * event,
+        known_late=fresh(terms, hops),
+        rejoined=REJOIN + passed + 2 * event,
+        reconnected=call + 2 * terms.silence + terms.beat,
+        gather=terms.gather,
+        children=children_at_most(terms),
+        most_bytes=int(most + OTHER_BYTES),
+        batches=ticks,
+    )
--- a/limepath/listing/component.py
+++ b/limepath/listing/component.py
@@ -7,7 +7,7 @@
     def __init__(self, listing):
         self.listing = listing
         self.me, self.terms, self.live = listing.me, listing.terms, listing.live
-        self.agenda, self.counts, self.zones = listing.agenda, listing.counts, listing.zones
+        self.agenda, self.counts = listing.agenda, listing.counts
 
     @property
     def held(self):
@@ -36,3 +36,15 @@
     @property
     def snapshot(self):
         return self.listing.snapshot
+
+    @property
+    def scopes(self):
+        return self.listing.scopes
+
+    @property
+    def tree(self):
+        return self.listing.tree
+
+    @property
+    def children(self):
+        return self.listing.children
--- a/limepath/listing/followers.py
+++ b/limepath/listing/followers.py
@@ -1,11 +1,12 @@
-"""Those that follow this front: where its list stands and the events that each lacks.
+"""Those that follow this front as in the star: where its list stands and the events that each lacks.
 
 Free of I/O.
 """
 
+from limepath.listing.coding import decode
 from limepath.listing.component import Component
-from limepath.listing.held import KEPT
-from limepath.listing.interface import Beat, Events, Reach
+from limepath.listing.interface import Beat, Events, Reach, Reads
+from limepath.listing.window import NotHeld
 
 CARRIED = 1000  # bytes of events in one datagram
 WINDOW = 4  # datagrams of events in answer to one Follow
@@ -20,14 +21,26 @@
         self.known, self.to_push = {}, []
 
     def my_beat(self):
-        now, place = self.agenda.now, self.held.list.place
-        age = -1 if self.held.confirmed_at is None else now - self.held.confirmed_at
-        tries = (
-            0
-            if self.roles.tries_since is None or self.stream.caught_up and self.stream.state
-            else max(1, now - self.roles.tries_since)
+        now, place, held = self.agenda.now, self.held.list.place, self.held
+        age = -1 if held.confirmed_at is None else now - held.confirmed_at
+        return Beat(
+            self.terms.zone,
+            *place,
+            held.list.digest,
+            age,
+            self.tries(),
+            len(self.known) + len(self.children.known),
+            site=self.terms.site,
+            reaches=held.reaches(),
         )
-        return Beat(self.terms.zone, *place, self.held.list.digest, age, tries, len(self.known))
+
+    def tries(self):
+        """How long this front, or the one that it hears the list from, has been calling in vain."""
+        roles, stream = self.roles, self.stream
+        if roles.tries_since is not None and not (stream.caught_up and stream.state):
+            return max(1, self.agenda.now - roles.tries_since)
+        source = self.upstream.sources.get(self.tree.parent)
+        return source.beat.tries if source and source.beat and self.held.late() else 0
 
     def tell(self):
         for token in self.known:
@@ -43,32 +56,37 @@
                     self.agenda.order(Reach(token, message))
 
     def events_from(self, first):
-        """Messages that carry all events from this number on; none where one of them is not kept or does not
+        """The first WINDOW messages of the events from this number on; none where one is not kept or does not
         fit.
         """
         out, texts, size, at = [], [], 0, first
-        for number in range(first, self.held.list.place.number + 1):
-            if number not in self.held.log or len(self.held.log[number][0]) > CARRIED:
+        try:
+            coded = self.held.window.since(first - 1, WINDOW * CARRIED)
+        except NotHeld:
+            return []
+        for number, text in enumerate((decode(data).text for data in coded), first):
+            if len(text) > CARRIED:
                 return []
-            text = self.held.log[number][0]
             if texts and size + len(text) > CARRIED:
                 out.append((at, tuple(texts)))
                 texts, size, at = [], 0, number
             texts.append(text)
             size += len(text)
-        age = -1 if self.held.confirmed_at is None else self.agenda.now - self.held.confirmed_at
-        return [
-            Events(self.held.list.place.generation, at, texts, age)
-            for at, texts in [*out, (at, tuple(texts))]
-            if texts
-        ]
+        out.append((at, tuple(texts)))
+        return [self.events(at, texts) for at, texts in out[:WINDOW] if texts]
+
+    def events(self, first, texts):
+        held = self.held
+        age = -1 if held.confirmed_at is None else self.agenda.now - held.confirmed_at
+        return Events(held.list.place.generation, first, texts, age)
 
     def subscribed(self, token, message):
         place = self.held.list.place
-        self.zones[token] = message.zone
+        self.scopes.learn(token, message.zone, message.site)
+        if self.tree.on and message.reads != Reads.TEXTS:
+            return self.children.subscribed(token, message)
         self.known[token] = self.agenda.now + LEASE * self.terms.beat
         self.agenda.order(Reach(token, self.my_beat()))
-        behind = place.number - message.number
-        if message.generation == place.generation and 0 < behind <= KEPT:
-            for one in self.events_from(message.number + 1)[:WINDOW]:
+        if message.generation == place.generation and message.number < place.number:
+            for one in self.events_from(message.number + 1):
                 self.agenda.order(Reach(token, one))
--- a/limepath/listing/heard.py
+++ b/limepath/listing/heard.py
@@ -3,13 +3,17 @@
 Free of I/O.
 """
 
+from limepath.listing.coding import CodingError, events_of
 from limepath.listing.component import Component
-from limepath.listing.held import KEPT
-from limepath.listing.interface import Place, Say
-from limepath.listing.state import BadList, parsed, summary
+from limepath.listing.interface import Place, Reach, Reads, Say
+from limepath.listing.state import BadList, parsed
 from limepath.listing.upstream import BAD
 
-IN_FLIGHT = 5_000  # microseconds added to an age for the way, which nobody measures
+IN_FLIGHT = 5_000  # microseconds added to an age for the way, where no stamp measures it
+KEPT = 512  # events that one keeps at the least who does not tell how far it reaches
+REORDERED = 50_000  # until a batch that another has overtaken counts as lost
+EARLY = 16  # batches kept meanwhile
+STAMP_KEPT = 60_000_000  # for which an answer to a Follow counts as one
 
 
 class Heard(Component):
@@ -18,26 +22,27 @@
     def __init__(self, listing):
         super().__init__(listing)
         self.behind_since = None
+        self.early, self.waits = {}, False  # batches that came before those before them, by first event
 
     def beat(self, token, message):
         now, place = self.agenda.now, self.held.list.place
-        self.zones[token] = message.zone
+        self.scopes.learn(token, message.zone, message.site)
         source = self.upstream.sources.get(token)
         if source is None:
             return
         source.beat, source.at, source.owes = message, now, None
         theirs = Place(message.generation, message.number)
+        if message.refused:
+            return self.tree.turned_away(token)
         if theirs > place:
             source.behind = None
-            few = (
-                theirs.generation == place.generation
-                and place.number
-                and theirs.number - place.number <= KEPT
-            )
+            few = self.can_tell(message, theirs)
+            if few:
+                self.tree.heard_of(theirs.number)
             if (
                 message.age >= 0
                 and not self.snapshot.fetch
-                and (not few or self.behind_for(theirs) > 2 * self.terms.beat)
+                and (not few or self.behind_for(theirs) > 2 * self.terms.beat + self.tree.patience())
             ):
                 self.snapshot.begin(token, message.followers)
         elif theirs == place:
@@ -45,12 +50,32 @@
             if message.digest != self.held.list.digest:
                 self.contradicted(token, f"another list at {place.number}")
             elif message.age >= 0 and place.number:
-                self.held.confirm(now - message.age - IN_FLIGHT)
+                self.held.confirm(self.vouched(message.age, message.stamp))
+        elif self.tree.on and message.age + IN_FLIGHT >= (self.held.age() or 0) - self.tree.patience():
+            source.behind = None  # it told this before the last events came
         elif 0 <= message.age < (self.held.age() or 0) and not self.held.late():
             source.behind = source.behind or now  # it says that it is up to date, and is not
             if now - source.behind > self.terms.patience:
                 self.contradicted(token, f"up to date at {theirs.number}, others are at {place.number}")
 
+    def can_tell(self, message, theirs):
+        """Whether the sender of a Beat holds all events that we lack."""
+        place = self.held.list.place
+        if theirs.generation != place.generation or not place.number:
+            return False
+        if message.reaches < 0:
+            return theirs.number - place.number <= KEPT
+        return place.number + 1 >= message.reaches
+
+    def vouched(self, age, stamp, since=0):
+        """When the service stood where a message says: `age` before it was sent, which was `since` after our
+        Follow of that stamp had come, so not before that.
+        """
+        now = self.agenda.now
+        if 0 < stamp and 0 <= now - stamp - since < STAMP_KEPT:
+            return stamp + since - age
+        return now - age - IN_FLIGHT
+
     def behind_for(self, theirs):
         """How long we have lacked what another has."""
         if self.behind_since is None or self.behind_since[0] != self.held.list.place:
@@ -92,7 +117,55 @@
                 return self.nonsense(token, flaw)
             if at == self.held.list.place.number + 1:
                 self.held.advance(told, text)
-            elif at in self.held.log and self.held.log[at][1] != summary(told):
+            elif self.held.contradicts(told):
                 return self.contradicted(token, f"another event {at}")
         if message.first + len(message.texts) - 1 == self.held.list.place.number and message.age >= 0:
             self.held.confirm(self.agenda.now - message.age - IN_FLIGHT)
+
+    def batch(self, token, message):
+        """Events from the parent, or from the backup that was asked for them."""
+        held = self.held
+        if (
+            token not in self.upstream.sources
+            or message.generation != held.list.place.generation
+            or not held.list.place.number
+        ):
+            return
+        try:
+            events = events_of(message.data)
+        except CodingError as error:
+            return self.nonsense(token, error)
+        first, last = events[0].told["seq"], events[-1].told["seq"]
+        if first != message.first:
+            return self.nonsense(token, f"events from {first} told as {message.first}")
+        self.tree.heard_of(last)
+        if first > held.list.place.number + 1:
+            return self.came_early(token, message)
+        self.counts["doubled"] += sum(event.told["seq"] <= held.list.place.number for event in events)
+        for told, text in events:
+            if told["seq"] == held.list.place.number + 1:
+                held.advance(told, text)
+            elif held.contradicts(told):
+                return self.contradicted(token, f"another event {told['seq']}")
+        if last == held.list.place.number and message.age >= 0:
+            held.confirm(self.vouched(message.age, message.stamp, message.since))
+        if (following := self.early.pop(held.list.place.number + 1, None)) is not None:
+            self.batch(*following)
+
+    def came_early(self, token, message):
+        """Keep a batch that another has overtaken, for a while; or that one was lost."""
+        if len(self.early) < EARLY:
+            self.early[message.first] = token, message
+        if not self.waits:
+            self.waits = True
+            self.agenda.at(self.agenda.now + REORDERED, self.ask_again, token)
+
+    def ask_again(self, token):
+        """Unless what was overtaken has come, it was lost: ask for it."""
+        self.waits = False
+        number = self.held.list.place.number
+        self.early = {first: kept for first, kept in self.early.items() if first > number + 1}
+        if self.early:
+            self.counts["gaps"] += 1
+            self.early.clear()
+            self.agenda.order(Reach(token, self.roles.subscription(Reads.BATCHES, lacks=True)))
--- a/limepath/listing/held.py
+++ b/limepath/listing/held.py
@@ -3,24 +3,27 @@
 A saved list is not used before a relay or the service has confirmed where it stands. Free of I/O.
 """
 
-from collections import OrderedDict
-
 from limepath.listing import bounds
 from limepath.listing.bounds import BATCH
+from limepath.listing.coding import BATCH_LIMIT, CodingError, encode
 from limepath.listing.component import Component
-from limepath.listing.interface import Confirmed, Ready, Save, Say, Take
+from limepath.listing.interface import Confirmed, Ready, Save, Say, Stale, Take
 from limepath.listing.state import BadList, List, summary, unpacked
+from limepath.listing.window import Window
 
-KEPT = 512  # events that are kept for followers
+SAVES_IN_WINDOW = 10  # of a list that changes all the time
+BATCH_HEAD = 32  # bytes of a batch beside its events, at the most
 
 
 class Held(Component):
-    """`log` maps the numbers of the last events to their text and digest; `given`: the front has the list."""
+    """`window` keeps the last events for those behind; `given`: the front has the list; `stale`: it was told
+    that the list is late.
+    """
 
     def __init__(self, listing):
         super().__init__(listing)
-        self.list, self.log = List(), OrderedDict()
-        self.given, self.confirmed_at, self.saving = False, None, False
+        self.list, self.window = List(), Window(self.terms.window, self.terms.window_bytes)
+        self.given, self.confirmed_at, self.saving, self.stale = False, None, False, False
 
     def read(self, saved):
         """Take a saved list up: where it stands is told to relays, so that they tell what is new; it goes
@@ -28,13 +31,17 @@
         """
         try:
             self.list = unpacked(saved, self.terms.longest)
+            self.window.restart(self.list.place.number)
         except BadList as flaw:
             self.agenda.order(Say("saved-list", {"flaw": f"{flaw}; begins without"}))
 
     def save_soon(self):
         if not self.saving:
             self.saving = True
-            self.agenda.at(self.agenda.now + self.terms.save, self.save)
+            wait = self.terms.save
+            if self.tree.on:  # events never cease; a restarted front is told those since by the window
+                wait = max(wait, self.terms.window // SAVES_IN_WINDOW)
+            self.agenda.at(self.agenda.now + wait, self.save)
 
     def save(self):
         self.saving = False
@@ -45,16 +52,30 @@
         return None if self.confirmed_at is None else self.agenda.now - self.confirmed_at
 
     def late(self):
-        return self.confirmed_at is None or self.agenda.now - self.confirmed_at > bounds.fresh(self.terms)
+        return self.confirmed_at is None or self.agenda.now - self.confirmed_at > self.fresh()
+
+    def fresh(self):
+        """How old the last confirmation may be."""
+        return bounds.fresh(self.terms, self.tree.hops)
+
+    def watch(self):
+        """Tell the front when its list becomes late."""
+        due = self.confirmed_at + self.fresh() + 1
+        if self.agenda.now < due:
+            self.agenda.at(due, self.watch)
+        else:
+            self.stale = True
+            self.agenda.order(Stale(True))
 
     def adopt(self, new):
         """Put another list in the place of ours."""
         self.list, self.given = new, False
-        self.log.clear()
+        self.window.restart(new.place.number)
         self.save_soon()
         if self.confirmed_at is not None:
             self.give()
         self.followers.tell()
+        self.children.tell()
 
     def give(self):
         """Hand the whole list to the front. How old its purges are only the clocks tell."""
@@ -67,16 +88,36 @@
         """The next event. It was not yet told when our list was last confirmed: so old it can be at most."""
         oldest = -1 if self.confirmed_at is None else self.agenda.now - self.confirmed_at
         self.list.take(told)
-        self.log[told["seq"]] = text, summary(told)
-        if len(self.log) > KEPT:
-            self.log.popitem(last=False)
+        self.keep(told, text)
         if self.given:
             self.agenda.order(Take(told, oldest))
         if not self.followers.to_push:
             self.agenda.at(self.agenda.now + BATCH, self.followers.push)
         self.followers.to_push.append(told["seq"])
+        self.children.tick_soon()
         self.save_soon()
 
+    def keep(self, told, text):
+        """Put an event into the window; one that fits no datagram is had with the whole list only."""
+        try:
+            coded = encode(told, text)
+        except CodingError:
+            coded = None
+        if coded is None or len(coded) > BATCH_LIMIT - BATCH_HEAD:
+            self.window.restart(told["seq"])
+        else:
+            self.window.add(self.agenda.now, told["seq"], coded, summary(told))
+
+    def reaches(self):
+        """The oldest event that can be sent to others."""
+        oldest = self.window.reaches
+        return self.list.place.number + 1 if oldest is None else oldest
+
+    def contradicts(self, told):
+        """Whether we hold another event of that number."""
+        digest = self.window.digest(told["seq"])
+        return digest is not None and digest != summary(told)
+
     def confirm(self, at):
         """The service stood where our list stands at that time."""
         first = self.confirmed_at is None
@@ -84,9 +125,15 @@
             self.confirmed_at = at
         if not self.given:
             self.give()
+        if self.stale and not self.late():
+            self.stale = False
+            self.agenda.order(Stale(False))
+            self.watch()
         if first:
+            self.watch()
             self.agenda.order(Confirmed(self.list.place, self.agenda.now - at))
             sharing = max(self.terms.fronts, len(self.live()) + 1)
             wait = int(self.agenda.chance() * sharing / self.terms.ready * 1e6) if self.terms.ready else 0
             self.agenda.at(self.agenda.now + wait, self.agenda.order, Ready())
             self.followers.tell()
+            self.children.tell()
--- a/limepath/listing/host.py
+++ b/limepath/listing/host.py
@@ -20,6 +20,7 @@
     Ready,
     Save,
     Say,
+    Stale,
     StreamEvent,
     StreamLost,
     StreamSays,
@@ -116,6 +117,9 @@
             elif isinstance(order, Ready):
                 if self.confirmed:
                     self.confirmed()
+            elif isinstance(order, Stale):
+                self.turn.gather(c.Stale(order.late))
+                self.log.say("list-late" if order.late else "list-in-time")
             elif isinstance(order, Say):
                 self.log.say(order.event, **order.fields)
         self.arm()
--- a/limepath/listing/interface.py
+++ b/limepath/listing/interface.py
@@ -35,6 +35,12 @@
     save: int = 1_000_000
     longest: int = 4_000_000  # bytes of a list, unpacked
     ready: float = 0.0  # fronts that become ready a second, of the whole fleet; 0: each at once
+    region: str = ""
+    site: str = ""  # empty: this front subscribes to the relays of its zone and stands in no tree
+    fan_out: int = 4  # children of a front in its own site's tree, and of a site's head in that of sites
+    gather: int = 250_000  # for which events are gathered before they go to children
+    window: int = 300_000_000  # events kept for those behind: so long, ...
+    window_bytes: int = 1_000_000  # ... and at most so many bytes of them, coded
 
 
 class Role(IntEnum):
@@ -43,27 +49,43 @@
     ALONE = 2  # hears of no relay that is up to date: calls for itself
 
 
+class Reads(IntEnum):
+    """What a subscriber wants of a front beside heartbeats."""
+
+    TEXTS = 0  # Events, as an older program reads them
+    BATCHES = 1
+    HEARTBEATS = 2  # nothing
+
+
 # Messages
 
 
 class Where(Message, tag="lw"):
-    """In which zone I am; `asks` for the same."""
+    """In which zone and site I am; `asks` for the same."""
 
     zone: str
     asks: bool = False
+    site: str = ""
 
 
 class Follow(Message, tag="lf"):
-    """Go on telling me, from where I am."""
+    """Go on telling me, from where I am, which acknowledges all up to there. `lacks`: what came next was
+    lost, so send it at once. `stamp` is the sender's clock; answers echo it, and so bound their own age.
+    """
 
     zone: str
     generation: int
     number: int
+    reads: int = Reads.TEXTS
+    site: str = ""
+    lacks: bool = False
+    stamp: int = 0
 
 
 class Beat(Message, tag="lb"):
     """Where my list stands, and how long ago the service itself last confirmed that (-1: never). `tries`: how
-    long I have been calling in vain. `followers` share me.
+    long I have been calling in vain. `followers` share me. `refused`: I have as many children as I take, ask
+    another. `reaches` is the oldest event that I can still send, -1 where that is not told.
     """
 
     zone: str
@@ -73,6 +95,10 @@
     age: int
     tries: int = 0
     followers: int = 0
+    refused: bool = False
+    site: str = ""
+    reaches: int = -1
+    stamp: int = 0  # of the Follow that this answers, 0 for none
 
 
 class Events(Message, tag="le"):
@@ -84,6 +110,37 @@
     age: int
 
 
+class Batch(Message, tag="lt"):
+    """Events coded by `coding.batches`; up to date as of `age` ago if it is the last. `stamp` is of the
+    receiver's last Follow, which had come `since` ago when this was sent.
+    """
+
+    generation: int
+    first: int
+    data: bytes
+    age: int
+    stamp: int = 0
+    since: int = 0
+
+
+class AskScopes(Message, tag="ls"):
+    """Whom do you know in this zone, with a token above `after`? Nothing, if your digest is the same."""
+
+    zone: str
+    site: str
+    digest: int
+    after: int = -1
+
+
+class Scopes(Message, tag="lr"):
+    """Fronts of a zone in the order of their tokens: (token, index in `sites`); `last`: there are no more."""
+
+    zone: str
+    sites: tuple[str, ...] = ()
+    fronts: tuple[tuple[int, int], ...] = ()
+    last: bool = True
+
+
 class AskPiece(Message, tag="lq"):
     """A piece of the whole list; from the one at that place, or, with number -1, from the newest."""
 
@@ -105,7 +162,7 @@
     data: bytes = b""
 
 
-MESSAGES = (Where, Follow, Beat, Events, AskPiece, Piece)
+MESSAGES = (Where, Follow, Beat, Events, AskPiece, Piece, Batch, AskScopes, Scopes)
 
 
 # Notes in
@@ -181,6 +238,12 @@
     """The list was confirmed, and this front's turn among all that start has come."""
 
 
+class Stale(NamedTuple):
+    """Whether the list is late: its last confirmation is older than the bound."""
+
+    late: bool
+
+
 class Say(NamedTuple):
     event: str
     fields: dict
--- a/limepath/listing/relay.py
+++ b/limepath/listing/relay.py
@@ -8,15 +8,20 @@
 stands still, or who contradicts is passed over, and the next by hash acts in its stead. Free of I/O.
 
 One part a job: `held` the list, `upstream` whom to follow, `roles` whether to relay, `stream` the service's
-stream, `heard` what others tell, `followers` those who follow, `snapshot` the whole list in pieces.
+stream, `heard` what others tell, `followers` those who follow, `snapshot` the whole list in pieces. With a
+site, `tree` tells whom to follow in the stead of the star, `children` serves those below, `scopes` knows the
+zone.
 """
 
 from limepath.agenda import Agenda
+from limepath.listing.children import Children
 from limepath.listing.followers import Followers
 from limepath.listing.heard import Heard
 from limepath.listing.held import Held
 from limepath.listing.interface import (
     AskPiece,
+    AskScopes,
+    Batch,
     Beat,
     Events,
     Follow,
@@ -24,6 +29,7 @@
     Moved,
     Piece,
     Reach,
+    Scopes,
     StreamEvent,
     StreamLost,
     StreamSays,
@@ -31,23 +37,38 @@
     Where,
 )
 from limepath.listing.roles import Roles
+from limepath.listing.scopes import KnownScopes
 from limepath.listing.snapshot import Snapshot
 from limepath.listing.stream import Stream
+from limepath.listing.tree import Tree
 from limepath.listing.upstream import Upstream
 
+COUNTED = (
+    "calls",
+    "pushed",
+    "fetched",
+    "passed over",
+    "contradictions",
+    "nonsense",
+    "refused",
+    "turned away",
+    "slow",
+    "gaps",
+    "sent again",
+    "doubled",
+)
+
 
 class Listing:
     """`me` is this instance's token, `live()` the others that live; `saved` what the store held, or None."""
 
     def __init__(self, me, terms, seed, live, saved=None):
         self.me, self.terms, self.live = me, terms, live
-        self.agenda, self.zones = Agenda(seed), {}
-        self.counts = dict.fromkeys(
-            ("calls", "pushed", "fetched", "passed over", "contradictions", "nonsense"), 0
-        )
+        self.agenda, self.counts = Agenda(seed), dict.fromkeys(COUNTED, 0)
+        self.scopes, self.tree = KnownScopes(self), Tree(self)
         self.held, self.upstream, self.roles = Held(self), Upstream(self), Roles(self)
         self.stream, self.heard = Stream(self), Heard(self)
-        self.followers, self.snapshot = Followers(self), Snapshot(self)
+        self.followers, self.children, self.snapshot = Followers(self), Children(self), Snapshot(self)
         self.desks = {
             StreamUp: self.stream.up,
             StreamSays: self.stream.says,
@@ -60,6 +81,9 @@
             Follow: self.followers.subscribed,
             Beat: self.heard.beat,
             Events: self.heard.events,
+            Batch: self.heard.batch,
+            AskScopes: self.scopes.asked_page,
+            Scopes: self.scopes.told_page,
             AskPiece: self.snapshot.asked,
             Piece: self.snapshot.arrived,
         }
@@ -86,9 +110,9 @@
         return self.agenda.next()
 
     def where(self, token, message):
-        self.zones[token] = message.zone
+        self.scopes.learn(token, message.zone, message.site)
         if message.asks:
-            self.agenda.order(Reach(token, Where(self.terms.zone)))
+            self.agenda.order(Reach(token, Where(self.terms.zone, site=self.terms.site)))
 
     def shown(self):
         """What `limepath listing show` prints, as plain values."""
@@ -103,7 +127,11 @@
             "role": self.roles.role.name.lower(),
             "stream": self.stream.state or "none",
             "zone": self.terms.zone,
-            "followers": len(self.followers.known),
+            "site": self.terms.site,
+            "followers": len(self.followers.known) + len(self.children.known),
+            "children": len(self.children.readers()),
+            "hops": self.tree.hops,
+            "reaches": held.reaches(),
             "follows": [
                 {
                     "token": f"{token:016x}",
--- a/limepath/listing/roles.py
+++ b/limepath/listing/roles.py
@@ -6,10 +6,10 @@
 from limepath.listing.bounds import TURN
 from limepath.listing.calls import Budget
 from limepath.listing.component import Component
-from limepath.listing.interface import Follow, Reach, Role, Say, Where
+from limepath.listing.interface import Follow, Reach, Role, Say
+from limepath.listing.scopes import ASKED
 from limepath.listing.upstream import Source
 
-ASKED = 8  # of unknown zone, in one beat
 HOLD = 2  # patiences for which a relay that is none any more keeps its stream
 
 
@@ -26,27 +26,40 @@
         """Every beat: who is to be followed, who is passed over, whether to call."""
         now, terms = self.agenda.now, self.terms
         live = set(self.live())
-        for known in (self.zones, self.upstream.sources, self.followers.known):
+        self.scopes.keep(live)
+        for known in (self.upstream.sources, self.followers.known):
             for token in [token for token in known if token not in live]:
                 del known[token]
         self.followers.known = {token: until for token, until in self.followers.known.items() if until > now}
+        self.children.keep(live, now)
         self.budget.view(now, len(live) + 1)
-        self.upstream.choose()
-        unknown = [
-            token for token in self.upstream.ranked(4 * ASKED) if token != self.me and token not in self.zones
-        ]
-        for token in unknown[:ASKED]:
-            self.agenda.order(Reach(token, Where(terms.zone, True)))
-        place = self.held.list.place
-        for token in dict.fromkeys([*self.upstream.chosen, *self.upstream.first]):
-            if token != self.me:
-                source = self.upstream.sources.setdefault(token, Source())
-                source.owes = source.owes or now
-                self.agenda.order(Reach(token, Follow(terms.zone, *place)))
+        wanted = self.upstream.subscriptions()
+        if self.tree.on:
+            self.scopes.ask(live)
+        else:
+            self.scopes.ask_in_turn(self.upstream.ranked(4 * ASKED))
+        self.subscribe(wanted)
         self.looking = now + terms.beat
         self.decide()
         self.agenda.at(self.looking, self.look)
 
+    def subscribe(self, wanted):
+        """Tell each that is followed where our list stands."""
+        now, sources = self.agenda.now, self.upstream.sources
+        for token, reads in wanted.items():
+            if token != self.me:
+                source = sources.setdefault(token, Source())
+                source.owes = source.owes or now
+                self.agenda.order(Reach(token, self.subscription(reads)))
+        if self.tree.on:
+            self.upstream.forget_but(wanted)
+
+    def subscription(self, reads, lacks=False):
+        terms, place = self.terms, self.held.list.place
+        if not self.tree.on:
+            return Follow(terms.zone, *place)
+        return Follow(terms.zone, *place, reads, terms.site, lacks, max(1, self.agenda.now))
+
     def decide(self):
         """Whether to hold a stream; all calls go out here."""
         now = self.agenda.now
@@ -79,7 +92,8 @@
             return
         self.tries_since = self.tries_since or now
         plausible = 2 * (len(self.live()) + 1) >= self.terms.fronts  # in a view that small, all may think so
-        zones = len({self.terms.zone, *self.zones.values()})
+        plausible &= not self.tree.on or self.scopes.settled()
+        zones = self.scopes.zones()
         if self.budget.may_call(now, len(self.upstream.chosen) * zones if relay and plausible else 0):
             self.stream.call()
         elif self.budget.due < self.looking:
--- /dev/null
+++ b/limepath/listing/scopes.py
@@ -0,0 +1,134 @@
+"""In which zone and at which site the live fronts stand, as far as this front has learnt it.
+
+Without a site (the star) each beat asks the first few of unknown zone, by hash. With one, only the own zone
+must be known whole: a front asks a few of unknown scope, drawn so that a newcomer is asked by a few of the
+fleet and not by all, and compares digests with one known front of its zone, which sends pages where they
+differ. Free of I/O.
+"""
+
+from limepath.agenda import mixed
+from limepath.listing.component import Component
+from limepath.listing.interface import AskScopes, Reach, Scopes, Where
+from limepath.listing.topology import Scope, salt
+
+ASKED = 8  # of unknown scope, in one beat; with a site, of the whole fleet at one newcomer
+PAGE_BYTES = 1000  # of entries in one datagram
+ENTRY_BYTES = 11  # a token and an index, coded, at the most
+SITE_BYTES = 3  # beside a site's name
+SERVED = 8  # pages sent in one beat
+COMPARED = 4  # beats between two comparisons, once digests were the same
+SETTLED = 2_000_000  # for which no front of the zone must have been learnt or lost
+
+
+class KnownScopes(Component):
+    """`version` grows with each change in the own zone; `changed_at` is when that was."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.mine = Scope(self.terms.zone, self.terms.site)
+        self.known, self.shared = {}, {}  # by token; one Scope for all fronts of a site
+        self.mates, self.digest = {self.me: self.mine}, digest_of(self.me, self.mine)
+        self.version, self.changed_at = 0, 0
+        self.after, self.same, self.beats, self.served = -1, False, 0, 0
+
+    def learn(self, token, zone, site=""):
+        """A front has told its scope, or another did."""
+        scope = self.shared.setdefault((zone, site), Scope(zone, site))
+        old = self.known.get(token)
+        if old == scope or token == self.me:
+            return
+        if old is not None:
+            self.forget(token)
+        self.known[token] = scope
+        if zone == self.terms.zone:
+            self.mates[token] = scope
+            self.change(token, scope)
+
+    def forget(self, token):
+        scope = self.known.pop(token)
+        if self.mates.pop(token, None):
+            self.change(token, scope)
+
+    def change(self, token, scope):
+        self.version += 1
+        self.changed_at = self.agenda.now
+        self.digest ^= digest_of(token, scope)
+
+    def keep(self, live):
+        """Forget all that do not live."""
+        for token in [token for token in self.known if token not in live]:
+            self.forget(token)
+
+    def settled(self):
+        return self.agenda.now - self.changed_at >= SETTLED
+
+    def zones(self):
+        """How many zones are known of."""
+        return len({self.terms.zone, *(scope.zone for scope in self.shared.values())})
+
+    # Asking
+
+    def ask_in_turn(self, ranked):
+        """The star: ask the first few of those `ranked` whose zone is not known."""
+        unknown = [token for token in ranked if token != self.me and token not in self.known]
+        for token in unknown[:ASKED]:
+            self.agenda.order(Reach(token, Where(self.terms.zone, True)))
+
+    def ask(self, live):
+        """The tree, every beat: a few of unknown scope, and one of the zone for what differs."""
+        self.beats, self.served = self.beats + 1, 0
+        unknown = [token for token in live if token not in self.known]
+        for token in self.agenda.some(unknown, self.how_many(len(unknown), len(live))):
+            self.agenda.order(Reach(token, Where(self.terms.zone, True, self.terms.site)))
+        if self.same and self.beats % COMPARED:
+            return
+        mates = [token for token, scope in self.mates.items() if scope.site and token != self.me]
+        for token in self.agenda.some(mates, 1):
+            self.ask_page(token)
+
+    def how_many(self, unknown, live):
+        """As many fronts ask one newcomer in a beat as one front asks newcomers at a cold start."""
+        wanted = unknown * ASKED / live if live else 0.0
+        if self.settled() and unknown < live:
+            wanted /= ASKED  # the zone is known; the others are of use to the budget of calls only
+        return min(unknown, int(wanted + self.agenda.chance()))
+
+    def ask_page(self, token):
+        self.agenda.order(Reach(token, AskScopes(*self.mine, self.digest, self.after)))
+
+    def asked_page(self, token, message):
+        self.learn(token, message.zone, message.site)
+        if message.zone != self.terms.zone or not self.terms.site or self.served >= SERVED:
+            return
+        self.served += 1
+        if message.digest == self.digest:
+            return self.agenda.order(Reach(token, Scopes(message.zone)))
+        self.agenda.order(Reach(token, self.page(message.after)))
+
+    def page(self, after):
+        """The next of the zone's fronts that go into one datagram."""
+        sites, fronts, size = {}, [], 0
+        for token in sorted(token for token in self.mates if token > after):
+            site = self.mates[token].site
+            size += ENTRY_BYTES + (0 if site in sites else SITE_BYTES + len(site.encode()))
+            if size > PAGE_BYTES:
+                return Scopes(self.terms.zone, tuple(sites), tuple(fronts), False)
+            fronts.append((token, sites.setdefault(site, len(sites))))
+        return Scopes(self.terms.zone, tuple(sites), tuple(fronts), True)
+
+    def told_page(self, token, message):
+        """Take in whom another knows; go on with the next page at once."""
+        if message.zone != self.terms.zone or token not in self.mates:
+            return
+        live = set(self.live())
+        for front, index in message.fronts:
+            if front in live and front not in self.known and 0 <= index < len(message.sites):
+                self.learn(front, message.zone, message.sites[index])
+        self.same = message.last and not message.fronts
+        self.after = -1 if message.last or not message.fronts else message.fronts[-1][0]
+        if not message.last:
+            self.ask_page(token)
+
+
+def digest_of(token, scope):
+    return mixed(token ^ salt(f"{scope.zone}\n{scope.site}"))
--- a/limepath/listing/snapshot.py
+++ b/limepath/listing/snapshot.py
@@ -11,6 +11,7 @@
 from limepath.listing.state import DATA, BadList, mark_of, packed_size, unpacked
 
 WINDOW, RETRY, STALLS = 4, 250_000, 8  # pieces asked for at once; until asked for again; and until given up
+PACK_KEPT = 5_000_000  # for which a packed list is told, with the events since
 SPREAD = 2_000  # microseconds of a follower's turn to ask for the whole list, times the followers
 
 
@@ -27,19 +28,32 @@
 
     def __init__(self, listing):
         super().__init__(listing)
-        self.packs, self.fetch = OrderedDict(), None
+        self.packs, self.packed_at, self.fetch = OrderedDict(), 0, None
 
     def pack(self, place):
         """The packed list at a place, if it is held; `place` with number -1 is the newest."""
         if place.number < 0 and self.held.list.place.number and self.held.confirmed_at is not None:
-            place = self.held.list.place
+            place = self.recent() or self.held.list.place
             if place not in self.packs:
-                self.packs[place] = self.held.list.packed()
+                self.packs[place], self.packed_at = self.held.list.packed(), self.agenda.now
                 while len(self.packs) > 2:
                     self.packs.popitem(last=False)
         return place, self.packs.get(place)
 
+    def recent(self):
+        """The place of the last packed list, if it is young and all events since are held; with a site only,
+        where lists change faster than they are told.
+        """
+        if not self.tree.on or not self.packs:
+            return None
+        place = next(reversed(self.packs))
+        young = self.agenda.now - self.packed_at <= PACK_KEPT
+        same = place.generation == self.held.list.place.generation
+        return place if young and same and self.held.window.covers(place.number) else None
+
     def asked(self, token, message):
+        if self.tree.on and not self.children.may_serve_piece():
+            return  # asked again later
         place, data = self.pack(Place(message.generation, message.number))
         of = packed_size(data) if data else 0
         if 0 <= message.piece < of:
--- a/limepath/listing/stream.py
+++ b/limepath/listing/stream.py
@@ -8,9 +8,11 @@
 from limepath.listing.bounds import QUIET
 from limepath.listing.component import Component
 from limepath.listing.interface import Call, HangUp, Place, Role, Say
+from limepath.listing.replay import EventTimes
 from limepath.listing.state import BadList, List, parsed, summary
 
 CALLING, UP = "calling", "up"
+LIVE = 1_000_000  # for which events come as they happen, until a stream has told all that it had
 
 
 class Stream(Component):
@@ -20,7 +22,8 @@
         super().__init__(listing)
         self.state, self.heard_at, self.event_at, self.serial = None, 0, 0, 0
         self.incoming, self.caught_up, self.overlapped = None, False, False
-        self.whole, self.doubted = True, None
+        self.whole, self.doubted, self.times = True, None, EventTimes()
+        self.meets, self.tail = False, []  # the events told anew lead through our list; those beyond it
 
     def call(self):
         self.roles.budget.called()
@@ -33,12 +36,14 @@
             False,
         )
         number = self.held.list.place.number
-        self.whole |= number not in self.held.log
+        self.whole |= number not in self.held.window
         self.incoming, self.overlapped = List() if self.whole else None, False
         self.agenda.order(
             Call(0 if self.whole else number - 1)
         )  # one that we hold: a service restored from an older
         # state, which would say nothing until its numbers pass ours, does not tell it again
+        self.times.clear()
+        self.meets, self.tail = False, []
         self.agenda.at(self.agenda.now + self.terms.silence, self.still_silent, self.serial)
 
     def still_silent(self, serial):
@@ -89,8 +94,9 @@
             return
         try:
             told = parsed(note.text)
+            self.times.add(now, told)
             if self.incoming is not None:
-                self.replayed(told)
+                self.replayed(told, note.text)
             else:
                 self.continued(told, note.text)
             self.doubted = None
@@ -106,7 +112,7 @@
         else:
             self.agenda.at(now + QUIET, self.told_all, self.serial)
 
-    def replayed(self, told):
+    def replayed(self, told, text):
         """Of a stream that tells all from the start: the first event holds the whole list, no number is left
         out.
         """
@@ -119,10 +125,15 @@
         elif number != incoming.place.number + 1 and self.doubted is None:
             raise BadList(f"{number} comes after {incoming.place.number}")
         incoming.take(told)
+        held = self.held.list
+        if self.meets and number > held.place.number:
+            self.tail.append((told, text))
+        elif number == held.place.number and self.tree.on:
+            self.meets = incoming.digest == held.digest
 
     def continued(self, told, text):
-        number, known = told["seq"], self.held.list.place.number
-        if number == known and number in self.held.log and self.held.log[number][1] == summary(told):
+        number, known, window = told["seq"], self.held.list.place.number, self.held.window
+        if number == known and window.digest(number) == summary(told):
             self.overlapped = True
         elif number == known + 1:
             self.overlapped = True
@@ -130,7 +141,7 @@
         elif number > known:
             self.whole = True
             raise BadList(f"{number} comes after {known}")
-        elif number not in self.held.log or self.held.log[number][1] != summary(told):
+        elif window.digest(number) != summary(told):
             self.whole = True  # told before, but not so: the service's numbers ran backwards
             self.counts["contradictions"] += 1
             self.hang_up(f"event {number} is told anew, and otherwise")
@@ -146,7 +157,7 @@
         if not self.caught_up:
             behind = incoming is not None and incoming.place.number < self.held.list.place.number
             due = self.event_at + (self.terms.silence if behind else QUIET)
-            if now < due:
+            if now < due and not self.times.live(now, self.terms.silence if behind else LIVE):
                 return self.agenda.at(due, self.told_all, serial)
         if self.incoming is not None:
             incoming, self.incoming = self.incoming, None
@@ -165,6 +176,8 @@
     def replaced(self, incoming):
         """A whole list from the service itself: where its numbers are behind ours, they ran backwards."""
         place, old = incoming.place, self.held.list.place
+        if self.meets and place.number >= old.number:
+            return self.caught(place.number)
         generation = old.generation
         if (
             place.number < old.number
@@ -178,3 +191,10 @@
         incoming.place = Place(generation, place.number)
         if incoming.place != old or incoming.digest != self.held.list.digest:
             self.held.adopt(incoming)
+
+    def caught(self, number):
+        """What was told anew goes through our list: its last events alone are new, to those below as well."""
+        tail, self.tail = self.tail, []
+        for told, text in tail:
+            if told["seq"] == self.held.list.place.number + 1:
+                self.held.advance(told, text)
--- a/limepath/listing/upstream.py
+++ b/limepath/listing/upstream.py
@@ -10,8 +10,10 @@
 from limepath.listing import bounds
 from limepath.listing.bounds import TURN
 from limepath.listing.component import Component
+from limepath.listing.interface import Reads
 
 BAD = 30_000_000  # for which one that told nonsense is passed over
+UNASKED = 10_000_000  # for which one that is not asked any more counts as silent still
 
 
 class Source:
@@ -34,11 +36,29 @@
 
     def ranked(self, count):
         """The first of this zone by hash, as far as zones are known; this front among them."""
-        zones, mine = self.zones, self.terms.zone
-        those = [token for token in self.live() if zones.get(token, mine) == mine]
-        those.append(self.me)
+        if self.tree.on:
+            those = self.scopes.mates
+        else:
+            known, mine = self.scopes.known, self.scopes.mine
+            those = [token for token in self.live() if known.get(token, mine).zone == mine.zone]
+            those.append(self.me)
         return nsmallest(count, those, key=lambda token: mixed(token ^ self.salt))
 
+    def subscriptions(self):
+        """Whom to follow this beat, and what for: {token: Reads}."""
+        if not self.tree.on:
+            self.choose()
+            return dict.fromkeys([*self.chosen, *self.first], Reads.TEXTS)
+        self.tree.place()
+        if self.tree.watches():
+            self.choose()
+        else:
+            self.first, self.helps = self.tree.first, 0
+        wanted = self.tree.subscriptions()
+        if not self.tree.watches():
+            self.chosen = [token for token in (self.tree.parent, self.tree.backup) if token is not None]
+        return wanted
+
     def choose(self):
         """The first relays that are not passed over. Those that call in vain get helpers, as many at most."""
         wanted, helpers = self.terms.relays, 0
@@ -59,6 +79,14 @@
         if not self.chosen:
             self.chosen = [self.me]
 
+    def forget_but(self, wanted):
+        """Drop those that are not followed any more, once their flaw is of no use."""
+        now = self.agenda.now
+        for token, source in list(self.sources.items()):
+            asked = source.owes or source.at or 0
+            if token not in wanted and source.bad_until <= now and now - asked > UNASKED:
+                del self.sources[token]
+
     def in_vain(self):
         return self.roles.tries_since is not None and self.agenda.now - self.roles.tries_since > TURN
 
@@ -80,7 +108,7 @@
             return "silent"
         if source.beat:
             age = now - source.at + source.beat.age
-            if source.beat.tries > TURN or source.beat.age >= 0 and age > bounds.fresh(terms) + TURN:
+            if source.beat.tries > TURN or source.beat.age >= 0 and age > self.held.fresh() + TURN:
                 return "in vain"
         return None
 
@@ -95,7 +123,7 @@
                 and now - source.at <= 2 * terms.patience + terms.beat
                 and source.bad_until <= now
             ):
-                if source.beat.tries or 0 <= source.beat.age <= bounds.fresh(terms):
+                if source.beat.tries or 0 <= source.beat.age <= self.held.fresh():
                     return True
             elif source and not source.beat and source.owes and now - source.owes <= terms.patience:
                 return True  # it was asked just now
--- a/limepath/opening/peers.py
+++ b/limepath/opening/peers.py
@@ -55,6 +55,12 @@
             "patience": span(1500 * MS, 150 * MS, 60 * SECOND),
             "silence": span(2500 * MS, 500 * MS, 60 * SECOND),
             "save": span(SECOND, 100 * MS, 60 * SECOND),
+            "region": Key(ini.word, ""),
+            "site": Key(ini.word, ""),
+            "fan-out": Key(ini.whole, 4, 2, 16),
+            "gather": span(250 * MS, 10 * MS, 5 * SECOND),
+            "window": span(300 * SECOND, 10 * SECOND, 3600 * SECOND),
+            "window-bytes": Key(ini.whole, 1_000_000, 10_000, 100_000_000),
         }
     ),
     "caches": Section(
@@ -122,11 +128,19 @@
             f"{file}: [listing] patience: at least twice beat is wanted, or one lost datagram passes for a "
             "silent relay"
         )
+    if listing and listing["site"] and listing["gather"] > listing["beat"]:
+        raise BadSetting(f"{file}: [listing] gather: at most beat is wanted, or heartbeats outrun events")
     terms = listing and Terms(
         "",
         listing["fronts"],
         float(listing["calls"]),
         *(listing[name] for name in ("relays", "beat", "patience", "silence", "save")),
+        region=listing["region"],
+        site=listing["site"],
+        fan_out=listing["fan-out"],
+        gather=listing["gather"],
+        window=listing["window"],
+        window_bytes=listing["window-bytes"],
     )
     caches = told["caches"]
     if caches and not terms:
--- /dev/null
+++ b/tests/test_event_tree.py
@@ -0,0 +1,467 @@
+"""Events to a fleet in trees: the logic by itself, in virtual time under faults, beside the older program."""
+
+import json
+
+import pytest
+
+from limepath import contract as c
+from limepath.listing.bounds import children_at_most, fresh, tree_bounds
+from limepath.listing.coding import batches, encode
+from limepath.listing.interface import (
+    AskScopes,
+    Batch,
+    Beat,
+    Follow,
+    FromPeer,
+    Reach,
+    Reads,
+    Scopes,
+    Stale,
+    StreamEvent,
+    StreamSays,
+    StreamUp,
+    Take,
+    Terms,
+    Where,
+)
+from limepath.listing.replay import EventTimes
+from limepath.listing.simulate_tree import Plan, run_tree
+from limepath.listing.topology import Scope, Zone
+from limepath.opening import peers as peers_opening
+from limepath.opening.ini import BadSetting
+from limepath.verdicts import hold
+from tests.fake_host import FakeHost
+from tests.test_listing import PEERS, Fronting, event, held, of, whole
+
+SECOND, MS = 1_000_000, 1000
+TERMS = Terms(zone="sur", fronts=30, site="a", fan_out=2)
+SCOPE = Scope("sur", "a")
+
+
+def broken(found):
+    return [row for row in found.rows if not row.holds]
+
+
+def small(**changes):
+    return Plan(fronts=48, regions=2, zones=2, sites=8, span=5 * SECOND, caches=10)._replace(**changes)
+
+
+def batch(first, last, age=0, generation=0, stamp=0):
+    texts = [event(number) for number in range(first, last + 1)]
+    data = batches([encode(json.loads(text), text) for text in texts])
+    assert len(data) == 1
+    return Batch(generation, first, data[0], age, stamp)
+
+
+class Member(Fronting):
+    """A front below the roots of a zone of twelve fronts at one site, whose parent and backup are known."""
+
+    def __init__(self, saved=None, terms=TERMS, fronts=12):
+        tokens = range(1, fronts + 1)
+        zone = Zone("sur", dict.fromkeys(tokens, SCOPE), terms.relays, terms.fan_out)
+        below = [token for token in tokens if token not in zone.roots]
+        me = max(below, key=lambda token: len(zone.position(token).candidates))
+        super().__init__([token for token in tokens if token != me], saved, terms, me)
+        self.position = zone.position(me)
+        self.parent, self.backup = self.position.candidates[0], self.position.backups[0]
+        self.run(200 * MS)
+        self.hear(*(FromPeer(token, Where("sur", False, "a")) for token in self.others))
+        self.run(SECOND)
+
+    def asked(self, token):
+        """What this front last asked of another."""
+        asked = [order.message for order in self.said(Reach) if order.token == token]
+        return [message for message in asked if isinstance(message, Follow)]
+
+    def told(self, token, message):
+        return self.hear(FromPeer(token, message))
+
+    def keep_alive(self, span, *tokens, number=None, age=0):
+        """Let these tell where they stand every beat."""
+        for _ in range(span // self.logic.terms.beat):
+            for token in tokens:
+                place, digest = self.logic.held.list.place, self.logic.held.list.digest
+                at = place.number if number is None else number
+                self.told(token, Beat("sur", 0, at, digest, age, site="a", reaches=2))
+            self.run(self.logic.terms.beat)
+
+
+# Whom a front subscribes to
+
+
+def test_a_front_asks_its_parent_for_events_and_its_backup_for_heartbeats():
+    front = Member(held(3).packed())
+    assert front.asked(front.parent)[-1].reads == Reads.BATCHES
+    assert front.asked(front.backup)[-1].reads == Reads.HEARTBEATS
+    others = set(front.others) - {front.parent, front.backup}
+    front.out.clear()
+    front.keep_alive(2 * SECOND, front.parent, front.backup)
+    assert not [token for token in others if front.asked(token)]
+
+
+def test_a_silent_parent_is_passed_over_and_taken_again_once_it_answers():
+    front = Member(held(3).packed())
+    grandparent = front.position.candidates[1]
+    front.keep_alive(3 * SECOND, front.backup, grandparent)
+    assert front.asked(grandparent)[-1].reads == Reads.BATCHES
+    assert front.asked(front.parent)[-1].reads == Reads.HEARTBEATS
+    front.keep_alive(SECOND, front.parent, front.backup, grandparent)
+    assert front.asked(front.parent)[-1].reads == Reads.BATCHES
+
+
+def test_one_that_refuses_is_passed_over():
+    front = Member(held(3).packed())
+    front.told(front.parent, Beat("sur", 0, 3, 0, 0, refused=True, site="a"))
+    front.run(front.logic.terms.beat)
+    assert front.asked(front.position.candidates[1])[-1].reads == Reads.BATCHES
+    assert front.asked(front.parent)[-1].reads == Reads.HEARTBEATS
+
+
+def test_no_more_children_are_taken_than_the_bound_whoever_asks():
+    front = Member(held(3).packed(), fronts=40)
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", reaches=2))
+    for token in front.others:
+        front.told(token, Follow("sur", 0, 3, Reads.BATCHES, "a", False, 5))
+    beats = {order.token: order.message for order in front.said(Reach) if isinstance(order.message, Beat)}
+    refused = [token for token, beat in beats.items() if beat.refused]
+    assert len(beats) - len(refused) == children_at_most(TERMS) == len(front.logic.children.readers())
+    front.out.clear()
+    front.told(front.parent, batch(4, 5))
+    front.run(TERMS.gather)
+    sent = {order.token for order in front.said(Reach) if isinstance(order.message, Batch)}
+    assert len(sent) == children_at_most(TERMS) and not sent & set(refused)
+
+
+@pytest.mark.parametrize(
+    "nonsense",
+    [
+        Batch(0, 4, b"", 0),
+        Batch(0, 4, b"\x10abc", 0),  # a kind of a later program
+        Batch(0, 5, batch(4, 5).data, 0),
+        Batch(0, 4, batch(4, 5).data[:-3], 0),
+    ],
+)
+def test_a_parents_nonsense_is_named_nothing_of_it_taken_and_the_parent_passed_over(nonsense):
+    front = Member(held(3).packed())
+    front.told(front.parent, nonsense)
+    front.run(front.logic.terms.beat)
+    assert front.logic.held.list.place.number == 3 and front.logic.counts["nonsense"] == 1
+    assert front.asked(front.position.candidates[1])[-1].reads == Reads.BATCHES
+
+
+def test_an_older_generation_is_not_taken():
+    front = Member(held(3, generation=1).packed())
+    front.told(front.parent, batch(4, 5, generation=0))
+    assert front.logic.held.list.place == (1, 3)
+
+
+def test_an_event_told_otherwise_than_it_is_held_has_its_teller_passed_over():
+    front = Member(held(3).packed())
+    front.told(front.parent, batch(4, 5))
+    other = json.dumps({"seq": 5, "invalidate": {"bucket": 77, "time": 5}})
+    front.told(front.parent, Batch(0, 5, batches([encode(json.loads(other), other)])[0], 0))
+    assert front.logic.upstream.flaw_of(front.logic.upstream.sources[front.parent]) == "bad"
+    assert front.logic.held.list.place.number == 5
+
+
+# Events
+
+
+def test_events_go_to_a_child_in_one_datagram_a_tick_and_again_if_it_did_not_get_them():
+    front = Member(held(3).packed())
+    child = front.others[0]
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", reaches=2))
+    front.told(child, Follow("sur", 0, 3, Reads.BATCHES, "a", False, 77))
+    front.told(front.parent, batch(4, 6))
+    front.told(front.parent, batch(7, 9))
+    front.out.clear()
+    front.run(TERMS.gather)
+    (only,) = [order.message for order in front.said(Reach) if isinstance(order.message, Batch)]
+    assert (only.first, only.stamp) == (4, 77) and only.data == batch(4, 9).data
+    front.out.clear()
+    front.run(2 * TERMS.gather)
+    assert not [order for order in front.said(Reach) if isinstance(order.message, Batch)]
+    front.told(child, Follow("sur", 0, 3, Reads.BATCHES, "a", False, 78))  # it was lost
+    front.run(TERMS.gather)
+    (again,) = [order.message for order in front.said(Reach) if isinstance(order.message, Batch)]
+    assert again.first == 4
+
+
+def test_a_gap_is_asked_for_at_once_but_not_where_one_batch_overtook_another():
+    front = Member(held(3).packed())
+    front.told(front.parent, batch(6, 7))
+    front.told(front.parent, batch(4, 5))
+    assert front.logic.held.list.place.number == 7 and not front.logic.counts["gaps"]
+    front.out.clear()
+    front.told(front.parent, batch(9, 9))
+    front.run(60 * MS)
+    (ask,) = front.asked(front.parent)[-1:]
+    assert ask.lacks and ask.number == 7 and front.logic.counts["gaps"] == 1
+
+
+def test_one_behind_does_not_have_a_front_send_more_than_a_set_number_in_a_tick():
+    front = Member(held(3).packed(), terms=TERMS._replace(window_bytes=10**6))
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", reaches=2))
+    for first in range(4, 4004, 50):
+        front.told(front.parent, batch(first, first + 49))
+    for token in front.others[:4]:
+        front.told(token, Follow("sur", 0, 3, Reads.BATCHES, "a", False, 5))
+    for _ in range(6):
+        front.out.clear()
+        front.run(TERMS.gather)
+        sent = [order for order in front.said(Reach) if isinstance(order.message, Batch)]
+        assert len({order.token for order in sent}) == 4 and len(sent) <= 4 + 4
+
+
+def test_the_backup_is_asked_for_what_the_parent_does_not_bring():
+    front = Member(held(3).packed())
+    limit = (front.logic.tree.hops * (TERMS.gather + 100 * MS)) + 2 * TERMS.beat
+    for _ in range(limit // TERMS.beat + 1):
+        front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 50 * MS, site="a", reaches=2))
+        front.told(front.backup, Beat("sur", 0, 9, 1, 50 * MS, site="a", reaches=2))
+        front.run(TERMS.beat)
+    assert Reads.BATCHES in [ask.reads for ask in front.asked(front.backup)]
+
+
+def test_a_whole_list_is_asked_for_where_the_window_of_the_others_does_not_reach():
+    front = Member(held(3).packed())
+    front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS, site="a", reaches=4))
+    assert not front.logic.snapshot.fetch
+    front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS, site="a", reaches=5))
+    assert front.logic.snapshot.fetch
+
+
+# Lateness
+
+
+def test_what_lay_in_the_network_does_not_make_a_list_younger():
+    front = Member(held(3).packed())
+    stamp = front.asked(front.parent)[-1].stamp
+    asked_at = front.now
+    front.run(3 * SECOND)
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", stamp=stamp))
+    assert front.logic.held.age() >= 3 * SECOND and stamp <= asked_at
+
+
+def test_a_front_is_told_when_its_list_is_late_and_when_it_is_not_any_more():
+    front = Member(held(3).packed())
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", stamp=front.now))
+    bound = fresh(TERMS, front.logic.tree.hops)
+    front.run(bound)
+    assert not front.said(Stale)
+    front.run(1)
+    assert front.said(Stale) == [Stale(True)]
+    front.told(front.parent, Beat("sur", 0, 3, held(3).digest, 0, site="a", stamp=front.now))
+    assert front.said(Stale) == [Stale(True), Stale(False)]
+
+
+def test_a_front_whose_list_is_late_gives_nothing_to_a_cache():
+    host = FakeHost()
+    (look,) = host.get(5)
+    assert look.cache != 21
+    host.end(look, c.Verdict.RETURNED, closed=True)
+    host.hear(c.Stale(True))
+    asked = [order for obj in range(50) for order in host.get(obj) if isinstance(order, c.Forward)]
+    assert {order.cache for order in asked} <= {21} and {order.source for order in asked} <= {21}
+    host.hear(c.Stale(False))
+    assert host.get(99)[0].cache != 21
+
+
+def test_a_fill_that_is_due_while_the_list_is_late_is_not_sent():
+    host = FakeHost()
+    (look,) = host.get(5)
+    host.hear(c.Stale(True))
+    later = host.end(look, c.Verdict.MISS)
+    assert not [order for order in later if isinstance(order, c.Forward) and order.cache != 21]
+
+
+# A stream on which events never cease
+
+
+def test_a_stream_has_told_all_though_events_never_cease():
+    front = Fronting(terms=TERMS._replace(site="", fronts=1))
+    front.streams(whole())
+    front.logic.stream.caught_up = False
+    number, base = 1, 50_000
+    for step in range(80):
+        number += 1
+        told = {"seq": number, "invalidate": {"bucket": 1, "time": base + step * 28}}
+        front.hear(StreamEvent(json.dumps(told)))
+        front.run(28 * MS)
+    assert front.logic.stream.caught_up
+
+
+def test_a_replay_is_told_from_events_as_they_happen_by_their_own_times():
+    live, fast, slow = EventTimes(), EventTimes(), EventTimes()
+    for step in range(60):
+        for times, rate in ((live, 1), (fast, 20), (slow, 0.2)):
+            told = {"invalidate": {"time": int(step * 30 * rate)}}
+            times.add(step * 30 * MS, told)
+    now = 59 * 30 * MS
+    assert live.live(now, SECOND) and not fast.live(now, SECOND) and not slow.live(now, SECOND)
+
+
+def test_a_stream_opened_anew_that_leads_through_our_list_adds_its_last_events_only():
+    front = Member(held(3).packed())
+    front.logic.roles.suspicious = True
+    while front.logic.stream.state is None:
+        front.run(100 * MS)
+    front.hear(StreamUp(), *(StreamEvent(text) for text in [whole(), *map(event, range(2, 7))]))
+    front.run(500 * MS)
+    front.hear(StreamSays())
+    assert front.logic.held.list.place == (0, 6) and front.logic.held.window.reaches == 4
+    assert [order.told["seq"] for order in front.said(Take)][-3:] == [4, 5, 6]
+
+
+# Scopes
+
+
+def test_a_newcomer_is_asked_by_a_few_of_a_large_fleet():
+    asked = 0
+    for index in range(60):
+        front = Fronting(range(1000, 1600), terms=TERMS, me=index + 1)
+        front.hear(*(FromPeer(token, Where("norte", False, "b")) for token in range(1001, 1600)))
+        front.run(3 * SECOND)
+        front.out.clear()
+        front.run(TERMS.beat)
+        asked += sum(isinstance(order.message, Where) for order in front.said(Reach))
+    assert asked <= 8  # of 60 fronts in one beat; all of them before
+
+
+def test_the_fronts_of_a_zone_are_learnt_by_pages_from_one_that_knows_them():
+    tokens = list(range(10**18, 10**18 + 300))
+    knowing = Fronting(tokens, terms=TERMS, me=7)
+    knowing.hear(*(FromPeer(token, Where("sur", False, f"s{token % 5}")) for token in tokens))
+    learning = Fronting([7, *tokens], terms=TERMS, me=8)
+    learning.hear(FromPeer(7, Where("sur", False, "a")))
+    learning.logic.scopes.ask_page(7)
+    asks = [order.message for order in learning.logic.agenda.taken()]
+    for _ in range(10):
+        if not asks:
+            break
+        (page,) = [order.message for order in of(knowing.hear(FromPeer(8, asks.pop())), Reach)]
+        assert isinstance(page, Scopes) and len(page.fronts) <= 100
+        asks = [order.message for order in of(learning.hear(FromPeer(7, page)), Reach)]
+        asks = [message for message in asks if isinstance(message, AskScopes)]
+    assert set(tokens) <= set(learning.logic.scopes.mates)
+
+
+# In virtual time
+
+
+def test_events_reach_all_within_the_bound_and_the_busiest_front_sends_little():
+    found = run_tree(small(), 1)
+    assert not broken(found), broken(found)
+
+
+@pytest.mark.parametrize(
+    "kind", ["inner-killed", "inner-stopped", "inner-slow", "root-killed", "site-killed"]
+)
+def test_a_fault_at_an_inner_front_delays_events_by_the_bound_at_most(kind):
+    found = run_tree(small(faults=(kind,)), 2)
+    assert not broken(found), broken(found)
+
+
+def test_the_same_where_datagrams_are_lost():
+    found = run_tree(small(loss=0.05, faults=("inner-killed",)), 3)
+    assert not broken(found), broken(found)
+
+
+def test_after_a_cut_of_three_minutes_the_window_brings_all_and_no_whole_list_is_fetched():
+    found = run_tree(small(fronts=32, faults=("region-cut",)), 4)
+    assert not broken(found), broken(found)
+
+
+def test_beyond_the_window_the_list_is_whole_again_all_the_same():
+    found = run_tree(small(fronts=32, faults=("region-cut",), cut=60 * SECOND, broken="window"), 4)
+    assert "region-cut: whole lists fetched there" in {row.what for row in broken(found)}
+    newest = len(found.world.service.events)
+    assert min(front.front for front in found.world.running()) > newest - 40
+
+
+def test_a_fan_out_without_bound_breaks_the_bounds():
+    found = run_tree(small(sites=2, broken="fan-out"), 1)
+    assert "most children of any front, ever" in {row.what for row in broken(found)}
+
+
+def hide(world):
+    """Each front takes a fifth of the others for dead."""
+    for front in world.fronts:
+        hidden = world.chance.sample(world.fronts, len(world.fronts) // 5)
+        world.hidden[front.index] = {other.token for other in hidden}
+
+
+def test_no_front_has_more_children_than_the_bound_where_views_differ():
+    found = run_tree(small(), 5, prepare=hide)
+    assert max(front.readers_seen for front in found.world.fronts) <= tree_bounds(Terms(), 48, 2, 8).children
+    behind = [front for front in found.world.running() if front.front < len(found.world.service.events) - 200]
+    assert not behind
+
+
+def older(which):
+    def prepare(world):
+        for zone in {front.zone for front in world.fronts}:
+            those = [front for front in world.fronts if front.zone == zone]
+            scopes = {front.token: Scope(zone, front.site) for front in those}
+            roots = Zone(zone, scopes, world.terms.relays, world.terms.fan_out).roots
+            for front in those:
+                front.older = which(front, front.token in roots)
+
+    return prepare
+
+
+@pytest.mark.parametrize(
+    "which",
+    [lambda front, root: root, lambda front, root: not root, lambda front, root: front.index % 2 == 0],
+    ids=["older-roots", "newer-roots", "half"],
+)
+def test_old_and_new_programs_stand_side_by_side(which):
+    found = run_tree(small(fronts=24), 6, prepare=older(which))
+    rows = {row.what: row for row in found.rows}
+    assert rows["the same, all, s"].holds and rows["events that a front never had"].measured == 0
+    assert not any(front.logic.counts["contradictions"] for front in found.world.running())
+
+
+def test_the_same_seed_gives_the_same_run():
+    one, two = (run_tree(small(fronts=24, loss=0.02), 7).rows for _ in range(2))
+    assert one == two
+
+
+def test_the_bounds_follow_from_the_settings_and_the_fleet():
+    one = tree_bounds(Terms(), 100, 4, 16)
+    assert tree_bounds(Terms(), 5200, 20, 240).event > one.event
+    assert tree_bounds(Terms(gather=SECOND), 100, 4, 16).event > one.event
+    assert tree_bounds(Terms(), 5200, 20, 240).children == one.children == 8
+    assert tree_bounds(Terms(fan_out=8), 100, 4, 16).most_bytes > one.most_bytes
+
+
+# Settings
+
+
+@pytest.mark.parametrize(
+    "lines, says",
+    [
+        ("site = a b", "a name of up to 32"),
+        ("fan-out = 1", "at least 2"),
+        ("site = a\ngather = 2s", "gather: at most beat"),
+        ("window = 1s", "at least"),
+        ("window-bytes = 5", "at least"),
+    ],
+)
+def test_settings_of_the_tree_that_cannot_be_used_are_named(tmp_path, lines, says):
+    file = tmp_path / "peers.ini"
+    file.write_text(f"{PEERS}[listing]\nfronts = 5\n{lines}\n")
+    with pytest.raises(BadSetting, match=r"\[listing\]") as error:
+        peers_opening.read(file)
+    assert says in str(error.value)
+
+
+def test_the_settings_of_the_tree_reach_the_logic(tmp_path):
+    file = tmp_path / "peers.ini"
+    file.write_text(f"{PEERS}[listing]\nfronts = 5\nsite = a\nregion = r\nfan-out = 3\nwindow = 2m\n")
+    terms = peers_opening.read(file).listing
+    assert (terms.site, terms.region, terms.fan_out, terms.window) == ("a", "r", 3, 120 * SECOND)
+
+
+def test_the_runs_hold_what_they_state():
+    assert hold([row for row in run_tree(small(fronts=16), 8).rows if row.bound is not None])
