Purges kept by time, several real processes in trees, commands for both

The list kept the last 4,096 purges: 114 s at 36 a second, less than a cut between regions. It keeps each now for the time until its copies are gone everywhere (gone-everywhere of the settings, 60 s where they tell none) and the window; ages come along with the whole list and the saved one, which older programs read as before.

--- a/limepath/cli/coldstart.py
+++ b/limepath/cli/coldstart.py
@@ -25,19 +25,23 @@
     show_default=True,
     help="For which the list service refuses at first.",
 )
+@click.option(
+    "--sites", type=click.IntRange(0, 400), default=0, help="Of the fronts, which stand in trees then."
+)
 @seed_option
 @json_option
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep settings and logs in this folder.")
-def drill(fronts, kinds, alone, down, seed, as_json, keep):
+def drill(fronts, kinds, alone, down, sites, seed, as_json, keep):
     """Start real fronts on loopback while the list service is away, cause faults, look at calls, streams and
     who knows what.
     """
-    from limepath.testbed.coldstart import KINDS, drilled
+    from limepath.testbed.coldstart import KINDS, TREE_KINDS, drilled
 
+    known = (*KINDS, *TREE_KINDS) if sites else KINDS
     if kinds == "help":
-        return click.echo(", ".join(KINDS))
-    chosen = () if kinds == "none" else named_kinds(kinds, KINDS, "--faults")
-    found = drilled(fronts, seed, chosen, alone, down, keep=keep)
+        return click.echo(", ".join(known))
+    chosen = () if kinds == "none" else named_kinds(kinds, known, "--faults")
+    found = drilled(fronts, seed, chosen, alone, down, keep=keep, sites=sites)
     conclude(found.rows, as_json, found.said, seed=seed, alone=alone)
 
 
@@ -72,6 +76,37 @@
     conclude(found.rows, as_json, found.said, seed=seed, alone=alone, loss=loss)
 
 
+@command.command("tree")
+@click.option("--fronts", type=click.IntRange(2, 5200), default=100, show_default=True)
+@click.option("--regions", type=click.IntRange(2, 50), default=2, show_default=True)
+@click.option("--zones", type=click.IntRange(1, 100), default=4, show_default=True)
+@click.option("--sites", type=click.IntRange(1, 1000), default=16, show_default=True)
+@click.option("--purges", type=click.FloatRange(0.1, 200), default=36.0, show_default=True, help="A second.")
+@click.option("--span", type=Span(), default="20s", show_default=True, help="Of the calm that is measured.")
+@click.option("--loss", type=Share(), default="0", help="Share of datagrams that is lost.")
+@click.option("--cut", type=Span(), default="3m", show_default=True, help="For which region-cut lasts.")
+@click.option(
+    "--faults", "kinds", help="Kinds with commas, or 'none'; --faults help lists them. All otherwise."
+)
+@click.option(
+    "--broken", type=click.Choice(("fan-out", "window")), help="Break a bound on purpose: status 1 then."
+)
+@seed_option
+@json_option
+def tree(fronts, regions, zones, sites, purges, span, loss, cut, kinds, broken, seed, as_json):
+    """Events to a fleet in trees, in virtual time: what the busiest front sends, how late an event is, under
+    faults.
+    """
+    from limepath.listing.simulate_tree import FAULTS, Plan, run_tree
+
+    if kinds == "help":
+        return click.echo(", ".join(FAULTS))
+    chosen = () if kinds == "none" else named_kinds(kinds, FAULTS, "--faults")
+    plan = Plan(fronts, regions, zones, sites, purges, span, loss, tuple(chosen), cut, broken or "")
+    found = run_tree(plan, seed)
+    conclude(found.rows, as_json, found.said, seed=seed, loss=loss)
+
+
 @command.command("measure")
 @click.option("--out", type=click.Path(file_okay=False), default="docs/measurements", show_default=True)
 @click.option(
--- a/limepath/cli/listing.py
+++ b/limepath/cli/listing.py
@@ -31,15 +31,16 @@
 @command.command("bounds")
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--fronts", type=click.IntRange(1, 10_000), help="That live; what the file tells otherwise.")
-@click.option("--zones", type=click.IntRange(1, 50), default=1, show_default=True)
+@click.option("--zones", type=click.IntRange(1, 100), default=1, show_default=True)
+@click.option("--sites", type=click.IntRange(1, 1000), default=1, show_default=True)
 @json_option
-def bounds(file, fronts, zones, as_json):
+def bounds(file, fronts, zones, sites, as_json):
     """What the settings in FILE promise: how late an event may be at any front, calls, streams."""
     from limepath.listing.bounds import bounds as computed
     from limepath.verdicts import Row, seconds
 
     terms = opened(file).listing
-    told = computed(terms, fronts or terms.fronts, zones)
+    told = computed(terms, fronts or terms.fronts, zones, sites)
     said = {
         "event": "an event at every front, s",
         "repaired": "the same, its push lost, s",
@@ -56,9 +57,27 @@
         Row(said[name], value if name in ("calls", "streams") else seconds(value))
         for name, value in told._asdict().items()
     ]
+    if terms.site:
+        rows += tree_rows(terms, fronts or terms.fronts, zones, sites)
     conclude(rows, as_json, fronts=fronts or terms.fronts, zones=zones)
 
 
+def tree_rows(terms, fronts, zones, sites):
+    """What the settings promise of the tree that the front stands in."""
+    from limepath.listing.bounds import tree_bounds
+    from limepath.verdicts import Row, seconds
+
+    told = tree_bounds(terms, fronts, zones, sites)
+    return [
+        Row("hops from a root to a front, at the most", told.hops),
+        Row("fronts that one sends events to, at the most", told.children),
+        Row(
+            "an event at every front, a front with children gone in that moment, s", seconds(told.inner_gone)
+        ),
+        Row("bytes a second sent by any front, whatever others lack", told.most_bytes),
+    ]
+
+
 @command.command("show")
 @click.argument("where", type=click.Path())
 @click.option("--json", "as_json", is_flag=True, help="Print all as JSON.")
--- a/limepath/listing/bounds.py
+++ b/limepath/listing/bounds.py
@@ -66,26 +66,37 @@
     return 4 * terms.fan_out + (1 + HELPERS + 1) * terms.relays
 
 
-def bounds(terms, fronts, zones=1):
-    """Give the Bounds."""
+def hops_of(terms, fronts, zones, sites):
+    """The most hops from a root to a front where fronts and sites are spread evenly over zones; 0 in the
+    star.
+    """
+    if not terms.site:
+        return 0
+    return longest_path(-(-fronts // zones), max(1, -(-sites // zones)), terms.relays, terms.fan_out)
+
+
+def bounds(terms, fronts, zones=1, sites=1):
+    """Give the Bounds; `sites` counts with a site in the settings only."""
+    hops = hops_of(terms, fronts, zones, sites)
     budget = Budget(terms._replace(fronts=max(fronts, terms.fronts)), lambda: 1.0)
     relay_call = int(1.5 * budget.span_of(terms.relays * zones)) + terms.silence + WAY + QUIET
     whole = 2 * terms.beat + WAY + fronts * 2_000
-    event = BATCH + WAY
+    event = brought(terms, hops) if hops else BATCH + WAY
+    late = fresh(terms, hops)
     return Bounds(
         event=event,
         repaired=event + terms.beat,
-        relays_gone=fresh(terms) + terms.beat + relay_call + terms.beat + event,
+        relays_gone=late + terms.beat + relay_call + terms.beat + event,
         stream_still=terms.silence + relay_call + event,
         restored=2 * relay_call + terms.silence + 2 * terms.beat + whole + event,
-        alone=fresh(terms)
+        alone=late
         + TURN
         + 2 * terms.beat
         + int(1.5 * budget.span_of(max(fronts, terms.fronts)))
         + terms.silence
         + WAY
         + QUIET,
-        known_late=fresh(terms),
+        known_late=late,
         ready=relay_call + whole + (int(max(fronts, terms.fronts) / terms.ready * 1e6) if terms.ready else 0),
         calls=2 * PART * terms.rate,
         streams=terms.relays * (2 + HELPERS),
@@ -126,8 +137,7 @@
 
 def tree_bounds(terms, fronts, zones, sites):
     """Give the TreeBounds of a fleet whose fronts and sites are spread evenly over its zones."""
-    members, places = -(-fronts // zones), -(-sites // zones)
-    hops = longest_path(members, places, terms.relays, terms.fan_out)
+    hops = hops_of(terms if terms.site else terms._replace(site="any"), fronts, zones, sites)
     event = brought(terms, hops)
     passed = terms.patience + 2 * terms.beat + WAY  # a silent parent's place is taken by the next candidate
     call = int(1.5 * Budget(terms, lambda: 1.0).span_of(terms.relays * zones)) + WAY + QUIET
--- a/limepath/listing/heard.py
+++ b/limepath/listing/heard.py
@@ -5,8 +5,8 @@
 
 from limepath.listing.coding import CodingError, events_of
 from limepath.listing.component import Component
+from limepath.listing.events import BadList, parsed
 from limepath.listing.interface import Place, Reach, Reads, Say
-from limepath.listing.state import BadList, parsed
 from limepath.listing.upstream import BAD
 
 IN_FLIGHT = 5_000  # microseconds added to an age for the way, where no stamp measures it
--- a/limepath/listing/held.py
+++ b/limepath/listing/held.py
@@ -7,8 +7,9 @@
 from limepath.listing.bounds import BATCH
 from limepath.listing.coding import BATCH_LIMIT, CodingError, encode
 from limepath.listing.component import Component
+from limepath.listing.events import BadList, summary
 from limepath.listing.interface import Confirmed, Ready, Save, Say, Stale, Take
-from limepath.listing.state import BadList, List, summary, unpacked
+from limepath.listing.state import List, unpacked
 from limepath.listing.window import Window
 
 SAVES_IN_WINDOW = 10  # of a list that changes all the time
@@ -22,19 +23,26 @@
 
     def __init__(self, listing):
         super().__init__(listing)
-        self.list, self.window = List(), Window(self.terms.window, self.terms.window_bytes)
+        self.list, self.window = self.empty(), Window(self.terms.window, self.terms.window_bytes)
         self.given, self.confirmed_at, self.saving, self.stale = False, None, False, False
 
+    def empty(self):
+        return List(self.terms.gone + self.terms.window)
+
     def read(self, saved):
         """Take a saved list up: where it stands is told to relays, so that they tell what is new; it goes
         nowhere else.
         """
         try:
-            self.list = unpacked(saved, self.terms.longest)
+            self.list = self.unpacked(saved)
             self.window.restart(self.list.place.number)
         except BadList as flaw:
             self.agenda.order(Say("saved-list", {"flaw": f"{flaw}; begins without"}))
 
+    def unpacked(self, data):
+        """The list of packed bytes; raise BadList."""
+        return unpacked(data, self.terms.longest, self.agenda.now, self.terms.gone + self.terms.window)
+
     def save_soon(self):
         if not self.saving:
             self.saving = True
@@ -45,7 +53,7 @@
 
     def save(self):
         self.saving = False
-        self.agenda.order(Save(self.list.packed()))
+        self.agenda.order(Save(self.list.packed(self.agenda.now)))
 
     def age(self):
         """How long ago the service confirmed this list, or None."""
@@ -87,7 +95,7 @@
     def advance(self, told, text):
         """The next event. It was not yet told when our list was last confirmed: so old it can be at most."""
         oldest = -1 if self.confirmed_at is None else self.agenda.now - self.confirmed_at
-        self.list.take(told)
+        self.list.take(told, self.agenda.now)
         self.keep(told, text)
         if self.given:
             self.agenda.order(Take(told, oldest))
--- a/limepath/listing/host.py
+++ b/limepath/listing/host.py
@@ -192,8 +192,10 @@
     the list.
     """
     zone = front.settings["areas"][front.settings["az"]]
+    gone = int(front.settings.get("family-info", {}).get("gone-everywhere", 0)) // 1000  # told in nanoseconds
+    terms = terms._replace(zone=zone, gone=gone or terms.gone)
     changes = GuidedChangeLog(
-        reactor, turn, caches, limits, log, front.settings, front.seed, cooperation, terms._replace(zone=zone)
+        reactor, turn, caches, limits, log, front.settings, front.seed, cooperation, terms
     )
     cooperation.guests.append(changes)
     changes.tallies = Tallies(reactor, turn, cooperation, front.seed ^ 0x7A11)
--- a/limepath/listing/interface.py
+++ b/limepath/listing/interface.py
@@ -41,6 +41,7 @@
     gather: int = 250_000  # for which events are gathered before they go to children
     window: int = 300_000_000  # events kept for those behind: so long, ...
     window_bytes: int = 1_000_000  # ... and at most so many bytes of them, coded
+    gone: int = 60_000_000  # after a purge, until its copies are gone everywhere
 
 
 class Role(IntEnum):
--- a/limepath/listing/page_bytes.py
+++ b/limepath/listing/page_bytes.py
@@ -8,6 +8,7 @@
 import zlib
 
 from limepath.listing.coding import Oversized, batches, encode, events_of, inflated
+from limepath.listing.events import BadList, check_member
 from limepath.listing.integers import Damaged, Reader, integer, unzigzag, zigzag
 from limepath.listing.interface import Place
 from limepath.listing.pages import (
@@ -20,7 +21,6 @@
     name_of,
 )
 from limepath.listing.purge_fields import fits
-from limepath.listing.state import BadList, check_member
 from limepath.listing.window import KeptPurge
 
 LONGEST_PAGE = 262_144  # bytes, unpacked
--- a/limepath/listing/pages.py
+++ b/limepath/listing/pages.py
@@ -19,9 +19,9 @@
 from typing import NamedTuple
 
 from limepath.listing.coding import TEXT_KINDS, decode
+from limepath.listing.events import summary
 from limepath.listing.integers import Damaged
 from limepath.listing.interface import Place
-from limepath.listing.state import summary
 from limepath.listing.window import KeptPurge
 
 MEMBERS_A_PAGE = 32  # in the mean
--- a/limepath/listing/simulate.py
+++ b/limepath/listing/simulate.py
@@ -385,7 +385,8 @@
 
 def _save_lists(world, share):
     """Some fronts hold lists of another day, at different numbers."""
-    from limepath.listing.state import List, parsed
+    from limepath.listing.events import parsed
+    from limepath.listing.state import List
 
     for _ in range(8):
         world.service.add({"fleet": {"revision": 2, "members": [member(f"s-{world.chance.randrange(40)}")]}})
--- a/limepath/listing/snapshot.py
+++ b/limepath/listing/snapshot.py
@@ -6,9 +6,10 @@
 from collections import OrderedDict
 
 from limepath.listing.component import Component
+from limepath.listing.events import BadList
 from limepath.listing.heard import IN_FLIGHT
 from limepath.listing.interface import AskPiece, Piece, Place, Reach
-from limepath.listing.state import DATA, BadList, mark_of, packed_size, unpacked
+from limepath.listing.state import DATA, mark_of, packed_size
 
 WINDOW, RETRY, STALLS = 4, 250_000, 8  # pieces asked for at once; until asked for again; and until given up
 PACK_KEPT = 5_000_000  # for which a packed list is told, with the events since
@@ -35,7 +36,7 @@
         if place.number < 0 and self.held.list.place.number and self.held.confirmed_at is not None:
             place = self.recent() or self.held.list.place
             if place not in self.packs:
-                self.packs[place], self.packed_at = self.held.list.packed(), self.agenda.now
+                self.packs[place], self.packed_at = self.held.list.packed(self.agenda.now), self.agenda.now
                 while len(self.packs) > 2:
                     self.packs.popitem(last=False)
         return place, self.packs.get(place)
@@ -114,7 +115,7 @@
         try:
             if mark_of(data) != fetch.mark:
                 raise BadList("does not fit its digest")
-            new = unpacked(data, self.terms.longest)
+            new = self.held.unpacked(data)
             if new.place != fetch.place:
                 raise BadList("another place than told")
         except BadList as flaw:
--- a/limepath/listing/state.py
+++ b/limepath/listing/state.py
@@ -1,109 +1,37 @@
 """A list as it stands: members, number, the purges that still matter; checked before it is changed, packed to
 be saved or sent.
 
-Free of I/O. An event is the service's JSON object: `seq` with `fleet` (members, `complete` for a whole list)
-or `invalidate`.
+Purges are kept by time and bounded in bytes (`window.RecentPurges`), never by a count. Free of I/O.
 """
 
 import json
 import zlib
-from collections import OrderedDict
 from hashlib import blake2b
 
 from limepath.agenda import MIX
+from limepath.listing.coding import decode
+from limepath.listing.events import BadList, parsed, summary
+from limepath.listing.integers import CodingError
 from limepath.listing.interface import Place
+from limepath.listing.window import RecentPurges
 
 FORM = b"LPL1"
-PHASES = ("in_service", "terminating", "terminated")
-KEPT_PURGES = 4096
+PURGES_KEPT = 600_000_000  # microseconds for which a purge is kept, where nothing else is told
+PURGE_BYTES = 4_000_000  # of them, coded
 DATA = 1000  # bytes of a packed list in one datagram
 
 
-class BadList(Exception):
-    """What cannot be used; the text says why. Nothing of it was taken."""
-
-
-def summary(told):
-    """64 bits of one event or member, the same at every front."""
-    return int.from_bytes(blake2b(json.dumps(told, sort_keys=True).encode(), digest_size=8).digest(), "big")
-
-
-def parsed(text):
-    """Give the event of a text; raise BadList.
-
-    >>> parsed('{"seq": 3, "invalidate": {"bucket": 17, "time": 5}}')["seq"]
-    3
-    >>> for text in ("{", "[]", '{"seq": "x"}', '{"seq": 2, "fleet": {"members": [{"id": ""}]}}',
-    ...              '{"seq": 2, "invalidate": {"time": 5}}',
-    ...              '{"seq": 2, "invalidate": {"object": "xyz", "time": 5}}'):
-    ...     try:
-    ...         parsed(text)
-    ...     except BadList as flaw:
-    ...         print(flaw)
-    no JSON
-    no numbered event
-    no numbered event
-    member '': no id
-    purge without object and bucket
-    purge of 'xyz'
-    """
-    try:
-        told = json.loads(text)
-    except (ValueError, RecursionError):
-        raise BadList("no JSON") from None
-    if not isinstance(told, dict) or type(told.get("seq")) is not int or told["seq"] < 0:
-        raise BadList("no numbered event")
-    if "fleet" in told:
-        fleet = told["fleet"]
-        if not isinstance(fleet, dict) or not isinstance(fleet.get("members"), list):
-            raise BadList("fleet without members")
-        for member in fleet["members"]:
-            check_member(member)
-    elif "invalidate" in told:
-        check_purge(told["invalidate"])
-    return told
-
-
-def check_member(member):
-    if not isinstance(member, dict):
-        raise BadList("a member that is no object")
-    name = member.get("id")
-    if not isinstance(name, str) or not 0 < len(name) <= 64:
-        raise BadList(f"member {str(name)[:20]!r}: no id")
-    host, _, port = str(member.get("host_port", "")).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise BadList(f"member {name!r}: no address with a port")
-    if member.get("phase") not in PHASES:
-        raise BadList(f"member {name!r}: phase {str(member.get('phase'))[:20]!r}")
-    for key in ("locality", "flavor"):
-        if not isinstance(member.get(key), str):
-            raise BadList(f"member {name!r}: no {key}")
-    for key in ("up_since_ms", "cell", "size"):
-        if not isinstance(member.get(key, 0), (int, float)) or not 0 <= member.get(key, 0) < 1 << 53:
-            raise BadList(f"member {name!r}: {key}")
-
-
-def check_purge(purge):
-    if not isinstance(purge, dict) or type(purge.get("time")) is not int:
-        raise BadList("purge without its time")
-    if "object" in purge:
-        try:
-            int(purge["object"], 16)
-        except (ValueError, TypeError):
-            raise BadList(f"purge of {str(purge['object'])[:20]!r}") from None
-    elif type(purge.get("bucket")) is not int:
-        raise BadList("purge without object and bucket")
-
-
 class List:
-    """`place` is (generation, number); (0, 0) until something was taken."""
+    """`place` is (generation, number); (0, 0) until something was taken. Purges are kept for `kept_for`."""
 
-    def __init__(self):
+    def __init__(self, kept_for=PURGES_KEPT):
         self.place, self.members, self.revision, self.digest = Place(), {}, 0, 0
-        self.purges = OrderedDict()  # what was purged to the latest event
+        self.purges = RecentPurges(kept_for, 0, PURGE_BYTES)
 
-    def take(self, told):
-        """Take the event that follows; its form was checked."""
+    def take(self, told, now=0, age=0):
+        """Take the event that follows, at `now`; its form was checked. A purge was accepted `age` ago by the
+        first front that is known to have.
+        """
         if "fleet" in told:
             fleet = told["fleet"]
             if fleet.get("complete"):
@@ -112,12 +40,10 @@
                 self.put(member)
             self.revision = fleet.get("revision", 0) if isinstance(fleet.get("revision", 0), int) else 0
         elif "invalidate" in told:
-            purge = told["invalidate"]
-            name = "object" in purge, purge.get("object", purge.get("bucket"))
-            self.purges.pop(name, None)
-            self.purges[name] = told
-            if len(self.purges) > KEPT_PURGES:
-                self.purges.popitem(last=False)
+            try:
+                self.purges.add(now, told, json.dumps(told), age)
+            except CodingError as error:
+                raise BadList(f"purge {told['seq']}: {error}") from None
         self.place = Place(self.place.generation, told["seq"])
 
     def put(self, member):
@@ -135,8 +61,8 @@
             "fleet": {"revision": self.revision, "complete": True, "members": list(self.members.values())},
         }
 
-    def packed(self):
-        """Bytes to save or send.
+    def packed(self, now=0):
+        """Bytes to save or send at `now`; each purge with its age.
 
         >>> one = List()
         >>> one.take(parsed('{"seq": 7, "fleet": {"complete": true, "revision": 2, "members": [{"id": "s-1", '
@@ -144,8 +70,8 @@
         ...                 '"flavor": "box", "phase": "in_service"}]}}'))
         >>> one.take(parsed('{"seq": 8, "invalidate": {"bucket": 17, "time": 5}}'))
         >>> two = unpacked(one.packed(), 10_000)
-        >>> two.place, two.digest == one.digest, list(two.purges), two.whole() == one.whole()
-        (Place(generation=0, number=8), True, [(False, 17)], True)
+        >>> two.place, two.digest == one.digest, len(two.purges), two.whole() == one.whole()
+        (Place(generation=0, number=8), True, 1, True)
         >>> image = one.packed()
         >>> for spoilt in (b"", image[:-3], b"LPL1" + zlib.compress(b"[1]"), image[:60] + b"x" + image[60:]):
         ...     try:
@@ -158,14 +84,18 @@
         cut or damaged
         >>> unpacked(one.packed(), 100)
         Traceback (most recent call last):
-        limepath.listing.state.BadList: over 100 bytes
+        limepath.listing.events.BadList: over 100 bytes
         """
-        told = {"place": self.place, "whole": self.whole(), "purges": list(self.purges.values())}
+        kept = self.purges.kept(now)
+        purges, ages = [decode(one.encoded).told for one in kept], [one.age for one in kept]
+        told = {"place": self.place, "whole": self.whole(), "purges": purges, "ages": ages}
         return FORM + zlib.compress(json.dumps(told, separators=(",", ":")).encode(), 6)
 
 
-def unpacked(data, longest):
-    """The List of packed bytes, at most `longest` unpacked; raise BadList."""
+def unpacked(data, longest, now=0, kept_for=PURGES_KEPT):
+    """The List of packed bytes at `now`, at most `longest` unpacked; raise BadList. What an older program
+    packed tells no ages: its purges count as new.
+    """
     if data[: len(FORM)] != FORM:
         raise BadList("not a list of this program")
     try:
@@ -181,9 +111,11 @@
         told = json.loads(text)
         generation, number = told["place"]
         whole, purges = told["whole"], told["purges"]
-        one = List()
-        for event in [whole, *purges]:
-            one.take(parsed(json.dumps(event)))
+        ages = told.get("ages") or [0] * len(purges)
+        one = List(kept_for)
+        one.take(parsed(json.dumps(whole)), now)
+        for event, age in zip(purges, ages, strict=True):
+            one.take(parsed(json.dumps(event)), now, max(0, int(age)))
         if min(generation, number) < 0 or type(generation) is not int or type(number) is not int:
             raise BadList("no place")
     except (ValueError, KeyError, TypeError, AttributeError) as flaw:
--- a/limepath/listing/stream.py
+++ b/limepath/listing/stream.py
@@ -7,9 +7,9 @@
 
 from limepath.listing.bounds import QUIET
 from limepath.listing.component import Component
+from limepath.listing.events import BadList, parsed, summary
 from limepath.listing.interface import Call, HangUp, Place, Role, Say
 from limepath.listing.replay import EventTimes
-from limepath.listing.state import BadList, List, parsed, summary
 
 CALLING, UP = "calling", "up"
 LIVE = 1_000_000  # for which events come as they happen, until a stream has told all that it had
@@ -37,7 +37,7 @@
         )
         number = self.held.list.place.number
         self.whole |= number not in self.held.window
-        self.incoming, self.overlapped = List() if self.whole else None, False
+        self.incoming, self.overlapped = self.held.empty() if self.whole else None, False
         self.agenda.order(
             Call(0 if self.whole else number - 1)
         )  # one that we hold: a service restored from an older
@@ -124,7 +124,7 @@
             return
         elif number != incoming.place.number + 1 and self.doubted is None:
             raise BadList(f"{number} comes after {incoming.place.number}")
-        incoming.take(told)
+        incoming.take(told, self.agenda.now)
         held = self.held.list
         if self.meets and number > held.place.number:
             self.tail.append((told, text))
--- a/limepath/testbed/coldstart.py
+++ b/limepath/testbed/coldstart.py
@@ -22,7 +22,7 @@
 from twisted.internet.task import LoopingCall
 
 from limepath.limits.connections import rush
-from limepath.listing.bounds import bounds
+from limepath.listing.bounds import bounds, tree_bounds
 from limepath.listing.interface import Terms
 from limepath.listing.simulate import most_in
 from limepath.listing.state import List
@@ -54,9 +54,11 @@
     "half-killed",
     "stores-cut",
 )
+TREE_KINDS = ("inner-killed", "inner-stopped", "inner-held")  # with sites only
 LASTING = ("relay-held", "cut-from-service", "cut-from-peers", "one-way", "loss")
 ZONES = ("sur", "norte")
 CONNECTIONS, READY = 100, 100  # a second, of the whole fleet: new ones at one cache, fronts that become ready
+FAN_OUT = 2  # of the tree: small, so that few fronts make one of several levels
 OBJECTS, WAVE = 10, 10  # that everybody wants; GETs at each front once it is ready
 SLACK = 2 * SECOND  # for a machine that is busy with so many processes at once
 START = 90  # seconds that all may take
@@ -98,6 +100,7 @@
 [listing]
 fronts = {drill.count}
 calls = {drill.terms.rate:g}
+{drill.tree_lines(who)}
 [caches]
 connections = {CONNECTIONS}
 ready = {READY}
@@ -161,7 +164,7 @@
 
 
 class Drill:
-    def __init__(self, reactor, folder, fronts, seed, alone, down, caches):
+    def __init__(self, reactor, folder, fronts, seed, alone, down, caches, sites=0):
         self.reactor, self.folder, self.count, self.seed, self.alone, self.down = (
             reactor,
             folder,
@@ -170,7 +173,8 @@
             alone,
             down,
         )
-        self.chance, self.terms = Random(seed), Terms(fronts=fronts, ready=float(READY))
+        self.chance, self.sites = Random(seed), sites
+        self.terms = Terms(fronts=fronts, ready=float(READY), site="any" if sites else "", fan_out=FAN_OUT)
         self.zero = time.monotonic_ns() // 1000
         self.listens, self.fronts = (
             free_ports(socket.SOCK_DGRAM, fronts),
@@ -310,7 +314,19 @@
         yield self.pause(2 * SECOND)
 
     def bound(self):
-        return bounds(self.terms, self.count, len(ZONES))
+        return bounds(self.terms, self.count, len(ZONES), self.sites)
+
+    def tree_lines(self, who):
+        """Settings of the front that stand for its place in the tree, if there is one."""
+        if not self.sites:
+            return ""
+        return f"site = site{who % self.sites}\nfan-out = {FAN_OUT}"
+
+    def busiest_inner(self):
+        """The front with the most children among those that hold no stream."""
+        relays = {stream.who for stream in self.service.streams}
+        shown = [(node.shown(), node) for node in self.nodes if node.running() and node.who not in relays]
+        return max((told["children"], -node.who, node) for told, node in shown if told)[2]
 
     @inlineCallbacks
     def wait(self, so, span):
@@ -397,6 +413,17 @@
         elif kind == "loss":
             self.upon.begin(Way(name, Kind.LOSE, everyone, everyone, 0.3))
             ends.append(lambda: self.ways.end(name))
+        elif kind in TREE_KINDS:
+            one = self.busiest_inner()
+            relays = [one]
+            limit = tree_bounds(self.terms, self.count, len(ZONES), self.sites).inner_gone
+            if kind == "inner-held":
+                self.upon.begin(Way(name, Kind.HOLD, frozenset((one.who,)), everyone - {one.who}))
+                ends.append(lambda: self.ways.end(name))
+            else:
+                one.signal(signal.SIGKILL if kind == "inner-killed" else signal.SIGSTOP)
+                back = one.start if kind == "inner-killed" else lambda: one.signal(signal.SIGCONT)
+                ends.append(back)
         elif kind in ("silent", "slow", "breaking", "still"):
             if kind != "still":  # these are of a service that is called
                 service.turn("refusing")
@@ -449,14 +476,16 @@
             cache.close()
 
 
-def drilled(fronts, seed=1, kinds=KINDS, alone=False, down=12 * SECOND, caches=24, keep=None):
-    """Run a drill in this process's reactor, once; give what was Found."""
+def drilled(fronts, seed=1, kinds=KINDS, alone=False, down=12 * SECOND, caches=24, keep=None, sites=0):
+    """Run a drill in this process's reactor, once; give what was Found. With `sites` the fronts stand in
+    trees.
+    """
     from twisted.internet import reactor
 
     raise_descriptors()
     flaws = []
     with tempfile.TemporaryDirectory(prefix="limepath-cold-") as scratch:
-        drill = Drill(reactor, keep or scratch, fronts, seed, alone, down, caches)
+        drill = Drill(reactor, keep or scratch, fronts, seed, alone, down, caches, sites)
         beat = LoopingCall(drill.service.beat)
         beat.start(1.0)
 
--- a/tests/test_event_coding.py
+++ b/tests/test_event_coding.py
@@ -22,8 +22,8 @@
     encode,
     events_of,
 )
+from limepath.listing.events import parsed, summary
 from limepath.listing.integers import CodingError, Damaged, Reader, integer, unzigzag, zigzag
-from limepath.listing.state import parsed, summary
 from limepath.peers.guard import HEAD, LARGEST, SEAL
 from limepath.peers.interface import News
 
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -31,7 +31,7 @@
 from limepath.opening.ini import BadSetting
 from limepath.verdicts import hold
 from tests.fake_host import FakeHost
-from tests.test_listing import PEERS, Fronting, event, held, of, whole
+from tests.test_listing import PEERS, Fronting, command, drill, event, held, of, whole
 
 SECOND, MS = 1_000_000, 1000
 TERMS = Terms(zone="sur", fronts=30, site="a", fan_out=2)
@@ -465,3 +465,60 @@
 
 def test_the_runs_hold_what_they_state():
     assert hold([row for row in run_tree(small(fronts=16), 8).rows if row.bound is not None])
+
+
+def test_a_purge_is_kept_until_its_copies_are_gone_everywhere_at_a_front_that_was_behind_by_a_whole_window():
+    terms = TERMS._replace(window=20 * SECOND, gone=7 * SECOND)
+    front = Member(held(3).packed(), terms=terms)
+    count = 0
+    for first in range(4, 5004, 50):  # more than any count that was kept before
+        front.told(front.parent, batch(first, first + 49))
+        front.run(10 * MS)
+        count += 50
+    kept = front.logic.held.list.purges
+    assert len(kept) == 5000 + 2
+    front.run(terms.window + terms.gone - 3 * SECOND)
+    again = Member(front.logic.held.list.packed(front.now), terms=terms)
+    assert len(again.logic.held.list.purges) == 5002  # a front that reads the whole list now has them too
+    again.told(again.parent, batch(5004, 5004))
+    again.run(3 * SECOND)
+    again.told(again.parent, batch(5005, 5005))
+    assert len(again.logic.held.list.purges) == 2  # their ages came along, and no copy is left
+
+
+def test_a_list_saved_by_the_older_program_is_read():
+    import zlib
+
+    told = json.loads(zlib.decompress(held(9).packed()[4:]))
+    del told["ages"]
+    older = b"LPL1" + zlib.compress(json.dumps(told).encode())
+    assert len(Fronting([2], older).logic.held.list.purges) == 8
+
+
+# Several real processes
+
+
+def test_real_fronts_in_trees_know_all_while_a_front_with_children_dies_stops_and_is_heard_late():
+    kinds = "inner-killed,inner-stopped,inner-held"
+    status, rows = drill("--fronts", "10", "--sites", "4", "--faults", kinds, "--seed", "2")
+    known = {what: row for what, row in rows.items() if ": a drain and a purge" in what}
+    assert len(known) == 3 and all(row["measured"] < row["bound"] + 25 for row in known.values()), known
+    assert rows["faults of the ways that took no effect"]["holds"]
+    assert rows["most streams of one zone, those of stopped processes aside"]["holds"]
+    assert rows["GETs answered before any list was confirmed"]["measured"] == 0
+
+
+def test_a_run_says_so_when_its_bound_is_broken_and_refuses_a_fault_that_it_does_not_know():
+    words = ("coldstart", "tree", "--fronts", "40", "--sites", "2", "--zones", "2", "--faults", "none")
+    done = command(*words, "--span", "2s", "--broken", "fan-out")
+    assert done.returncode == 1 and "BROKEN" in done.stdout
+    done = command("coldstart", "tree", "--faults", "earthquake")
+    assert done.returncode == 2 and "earthquake" in done.stderr and not done.stdout
+
+
+def test_the_bounds_of_the_tree_are_shown_with_a_site(tmp_path):
+    file = tmp_path / "peers.ini"
+    file.write_text(PEERS + "[listing]\nfronts = 5200\nsite = a\n")
+    done = command("listing", "bounds", str(file), "--zones", "20", "--sites", "240", "--json")
+    rows = {row["what"]: row["measured"] for row in json.loads(done.stdout)["rows"]}
+    assert rows["fronts that one sends events to, at the most"] == 8
--- a/tests/test_event_window.py
+++ b/tests/test_event_window.py
@@ -9,8 +9,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from limepath.listing.coding import decode, encode
+from limepath.listing.events import summary
 from limepath.listing.integers import CodingError, integer, zigzag
-from limepath.listing.state import summary
 from limepath.listing.window import (
     KeptPurge,
     NotHeld,
