Beyond the window a front of a tree asks for the pages that differ, not for the whole list

Pages with digests (pages.py, catch_up.py) go from a parent to whoever its window does not reach, in chunks that share the further datagrams of a tick, so that one front never sends more than a set number. One that tells no site, an older program among them, is asked for pieces as before.

Of 1,400 members and 1,000 purges, one member and all purges unknown to the asker, one page of 44 of members is told (tests/test_event_tree.py).

--- a/limepath/listing/component.py
+++ b/limepath/listing/component.py
@@ -37,6 +37,10 @@
     def snapshot(self):
         return self.listing.snapshot
 
+    @property
+    def pages(self):
+        return self.listing.pages
+
     @property
     def scopes(self):
         return self.listing.scopes
--- a/limepath/listing/heard.py
+++ b/limepath/listing/heard.py
@@ -42,9 +42,10 @@
             if (
                 message.age >= 0
                 and not self.snapshot.fetch
+                and not self.pages.transfer
                 and (not few or self.behind_for(theirs) > 2 * self.terms.beat + self.tree.patience())
             ):
-                self.snapshot.begin(token, message.followers)
+                self.fetch(token, message)
         elif theirs == place:
             source.behind = None
             if message.digest != self.held.list.digest:
@@ -58,6 +59,13 @@
             if now - source.behind > self.terms.patience:
                 self.contradicted(token, f"up to date at {theirs.number}, others are at {place.number}")
 
+    def fetch(self, token, message):
+        """Ask for the whole list, or for what differs of it where the other can tell that."""
+        if self.tree.on and message.site:
+            self.pages.begin(token)
+        else:
+            self.snapshot.begin(token, message.followers)
+
     def can_tell(self, message, theirs):
         """Whether the sender of a Beat holds all events that we lack."""
         place = self.held.list.place
--- a/limepath/listing/interface.py
+++ b/limepath/listing/interface.py
@@ -142,6 +142,28 @@
     last: bool = True
 
 
+class AskChunk(Message, tag="lc"):
+    """A chunk of a page of the snapshot at that place with that mark; with number -1, of the newest."""
+
+    generation: int
+    number: int
+    mark: int
+    page: int
+    chunk: int
+
+
+class PageChunk(Message, tag="ld"):
+    """`count` is how many chunks the page has, 0 where that snapshot is not held any more."""
+
+    generation: int
+    number: int
+    mark: int
+    page: int
+    chunk: int
+    count: int
+    data: bytes = b""
+
+
 class AskPiece(Message, tag="lq"):
     """A piece of the whole list; from the one at that place, or, with number -1, from the newest."""
 
@@ -163,7 +185,7 @@
     data: bytes = b""
 
 
-MESSAGES = (Where, Follow, Beat, Events, AskPiece, Piece, Batch, AskScopes, Scopes)
+MESSAGES = (Where, Follow, Beat, Events, AskPiece, Piece, Batch, AskScopes, Scopes, AskChunk, PageChunk)
 
 
 # Notes in
--- /dev/null
+++ b/limepath/listing/page_transfer.py
@@ -0,0 +1,144 @@
+"""What differs of the whole list, on its way between two fronts of a tree: pages with digests, in chunks.
+
+A snapshot stands still for SNAPSHOT_KEPT, so that all that lack the list meanwhile ask for the same; what
+came since is in the window. Chunks share the further datagrams of `children`, so that one front never sends
+more than a set number, whoever asks. Free of I/O.
+"""
+
+from limepath.listing.catch_up import CatchUp, Chunk, ChunkName, DamagedPage, NoSuchChunk, OtherSnapshot
+from limepath.listing.catch_up import Snapshot as Standing
+from limepath.listing.component import Component
+from limepath.listing.integers import CodingError
+from limepath.listing.interface import AskChunk, PageChunk, Place, Reach
+from limepath.listing.pages import Contents
+
+AT_ONCE, RETRY, STALLS = 4, 250_000, 16  # chunks asked for at once; until asked again; and until given up
+SNAPSHOT_KEPT = 5_000_000  # for which a snapshot is told, with the events since
+SNAPSHOTS = 2  # kept, for those that have begun with the one before
+
+
+class Transfer:
+    """A list on its way here from one front."""
+
+    def __init__(self, token, mine):
+        self.token, self.catch_up, self.asked, self.stalls = token, CatchUp(mine), set(), 0
+
+
+class Pages(Component):
+    """`snapshots` are those told to others by place and mark, `transfer` what this front asks for."""
+
+    def __init__(self, listing):
+        super().__init__(listing)
+        self.snapshots, self.made_at, self.transfer = {}, 0, None
+
+    def contents(self):
+        """The list as it stands."""
+        held = self.held.list
+        purges = held.purges.kept(self.agenda.now)
+        return Contents(held.place, held.revision, dict(held.members), purges)
+
+    # At the one that has it
+
+    def newest(self):
+        """A snapshot from which events lead to the list, made anew where the last one is old; or None."""
+        held = self.held
+        if held.confirmed_at is None or not held.list.place.number:
+            return None
+        last = next(reversed(self.snapshots.values()), None)
+        young = self.agenda.now - self.made_at <= SNAPSHOT_KEPT
+        if last and young and last.place.generation == held.list.place.generation:
+            if held.window.covers(last.place.number):
+                return last
+        made = Standing(self.contents())
+        self.snapshots[made.place, made.mark], self.made_at = made, self.agenda.now
+        while len(self.snapshots) > SNAPSHOTS:
+            del self.snapshots[next(iter(self.snapshots))]
+        return made
+
+    def asked(self, token, message):
+        """Answer one that asks for a chunk; not at all where enough went out in this tick."""
+        if not self.tree.on or not self.children.may_serve_piece():
+            return
+        place = Place(message.generation, message.number)
+        snapshot = self.newest() if place.number < 0 else self.snapshots.get((place, message.mark))
+        try:
+            if snapshot is None:
+                raise NoSuchChunk("not held any more")
+            chunk = snapshot.chunk(ChunkName(message.page, message.chunk))
+            answer = PageChunk(*chunk.place, *chunk[1:])
+        except NoSuchChunk:
+            answer = PageChunk(*place, message.mark, message.page, message.chunk, 0)
+        self.agenda.order(Reach(token, answer))
+
+    # At the one that wants it
+
+    def begin(self, token):
+        """Ask one that is followed for what differs of its list."""
+        self.transfer = Transfer(token, self.contents())
+        self.proceed(self.transfer)
+
+    def proceed(self, transfer):
+        """Ask for what is missing, again after RETRY; give up after STALLS without a chunk."""
+        if transfer is not self.transfer:
+            return
+        transfer.stalls += 1
+        if transfer.stalls > STALLS:
+            self.transfer = None
+            return self.heard.nonsense(transfer.token, "pages of the list never came")
+        transfer.asked = set()
+        self.ask(transfer)
+        self.agenda.at(self.agenda.now + RETRY, self.proceed, transfer)
+
+    def ask(self, transfer):
+        place, mark = transfer.catch_up.place or Place(0, -1), transfer.catch_up.mark or 0
+        for name in transfer.catch_up.wanted():
+            if len(transfer.asked) >= AT_ONCE:
+                return
+            if name not in transfer.asked:
+                transfer.asked.add(name)
+                self.agenda.order(Reach(transfer.token, AskChunk(*place, mark, *name)))
+
+    def arrived(self, token, message):
+        transfer = self.transfer
+        if transfer is None or token != transfer.token:
+            return
+        if not message.count:  # it has a newer one by now, or none: the next heartbeat tells
+            self.transfer = None
+            return
+        place = Place(message.generation, message.number)
+        chunk = Chunk(place, message.mark, message.page, message.chunk, message.count, message.data)
+        try:
+            transfer.catch_up.take(chunk)
+        except OtherSnapshot:
+            return
+        except DamagedPage as error:
+            self.transfer = None
+            return self.heard.nonsense(token, error)
+        transfer.stalls = 0
+        transfer.asked.discard(ChunkName(message.page, message.chunk))
+        if transfer.catch_up.complete:
+            self.transfer = None
+            return self.take(token, transfer.catch_up)
+        self.ask(transfer)
+
+    def take(self, token, catch_up):
+        """Put the other's list in the place of ours, if it is later."""
+        try:
+            new = self.list_of(catch_up.contents())
+        except CodingError as error:
+            return self.heard.nonsense(token, error)
+        self.counts["fetched"] += 1
+        self.counts["pages"] += len(catch_up.pages)
+        if new.place > self.held.list.place:
+            self.held.adopt(new)
+            self.snapshot.confirm_from(token, new.place)
+
+    def list_of(self, contents):
+        """The List of contents whose digests were compared."""
+        new = self.held.empty()
+        for member in contents.members.values():
+            new.put(member)
+        for kept in contents.purges:
+            new.purges.add_kept(self.agenda.now, kept)
+        new.place, new.revision = contents.place, contents.revision
+        return new
--- a/limepath/listing/relay.py
+++ b/limepath/listing/relay.py
@@ -19,6 +19,7 @@
 from limepath.listing.heard import Heard
 from limepath.listing.held import Held
 from limepath.listing.interface import (
+    AskChunk,
     AskPiece,
     AskScopes,
     Batch,
@@ -27,6 +28,7 @@
     Follow,
     FromPeer,
     Moved,
+    PageChunk,
     Piece,
     Reach,
     Scopes,
@@ -36,6 +38,7 @@
     StreamUp,
     Where,
 )
+from limepath.listing.page_transfer import Pages
 from limepath.listing.roles import Roles
 from limepath.listing.scopes import KnownScopes
 from limepath.listing.snapshot import Snapshot
@@ -47,6 +50,7 @@
     "calls",
     "pushed",
     "fetched",
+    "pages",
     "passed over",
     "contradictions",
     "nonsense",
@@ -68,6 +72,7 @@
         self.scopes, self.tree = KnownScopes(self), Tree(self)
         self.held, self.upstream, self.roles = Held(self), Upstream(self), Roles(self)
         self.stream, self.heard = Stream(self), Heard(self)
+        self.pages = Pages(self)
         self.followers, self.children, self.snapshot = Followers(self), Children(self), Snapshot(self)
         self.desks = {
             StreamUp: self.stream.up,
@@ -86,6 +91,8 @@
             Scopes: self.scopes.told_page,
             AskPiece: self.snapshot.asked,
             Piece: self.snapshot.arrived,
+            AskChunk: self.pages.asked,
+            PageChunk: self.pages.arrived,
         }
         if saved is not None:
             self.held.read(saved)
--- a/limepath/listing/simulate_tree.py
+++ b/limepath/listing/simulate_tree.py
@@ -17,6 +17,7 @@
 from limepath.duties.world import Network
 from limepath.listing.bounds import tree_bounds
 from limepath.listing.interface import (
+    AskChunk,
     AskScopes,
     Batch,
     Beat,
@@ -24,6 +25,7 @@
     Follow,
     FromPeer,
     HangUp,
+    PageChunk,
     Reach,
     Scopes,
     Stale,
@@ -71,7 +73,7 @@
 
 
 OLDER_FIELDS = {Where: 2, Follow: 3, Beat: 7}  # of messages that an older program knows, where fewer
-NEWER = (Batch, AskScopes, Scopes)  # that it does not know
+NEWER = (Batch, AskScopes, Scopes, AskChunk, PageChunk)  # that it does not know
 
 
 def as_older(message):
--- a/limepath/listing/snapshot.py
+++ b/limepath/listing/snapshot.py
@@ -123,11 +123,12 @@
         self.counts["fetched"] += 1
         if new.place > self.held.list.place:
             self.held.adopt(new)
-            source = self.upstream.sources.get(token)
-            if (
-                source
-                and source.beat
-                and source.beat.age >= 0
-                and (source.beat.generation, source.beat.number) <= new.place
-            ):
-                self.held.confirm(source.at - source.beat.age - IN_FLIGHT)
+            self.confirm_from(token, new.place)
+
+    def confirm_from(self, token, place):
+        """The list has come to `place`: as young as what its teller said last, if that was no further on."""
+        source = self.upstream.sources.get(token)
+        if not source or not source.beat or source.beat.age < 0:
+            return
+        if (source.beat.generation, source.beat.number) <= place:
+            self.held.confirm(source.at - source.beat.age - IN_FLIGHT)
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -2,12 +2,14 @@
 
 import json
 
+import msgspec
 import pytest
 
 from limepath import contract as c
 from limepath.listing.bounds import children_at_most, fresh, tree_bounds
 from limepath.listing.coding import batches, encode
 from limepath.listing.interface import (
+    AskChunk,
     AskScopes,
     Batch,
     Beat,
@@ -25,7 +27,9 @@
     Where,
 )
 from limepath.listing.replay import EventTimes
+from limepath.listing.simulate import member
 from limepath.listing.simulate_tree import Plan, run_tree
+from limepath.listing.state import List
 from limepath.listing.topology import Scope, Zone
 from limepath.opening import peers as peers_opening
 from limepath.opening.ini import BadSetting
@@ -226,9 +230,75 @@
 def test_a_whole_list_is_asked_for_where_the_window_of_the_others_does_not_reach():
     front = Member(held(3).packed())
     front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS, site="a", reaches=4))
-    assert not front.logic.snapshot.fetch
+    assert not front.logic.pages.transfer
     front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS, site="a", reaches=5))
-    assert front.logic.snapshot.fetch
+    assert front.logic.pages.transfer
+
+
+# Beyond the window
+
+
+def large(count, purged):
+    """A packed list of so many members and purges."""
+    one = List()
+    one.take(json.loads(whole(1, count)))
+    for number in range(2, purged + 2):
+        one.take(json.loads(event(number)))
+    return one
+
+
+def pages_brought(mine, theirs, spoil=lambda chunk: chunk):
+    """A front with the list `mine` is told by its parent of `theirs`; give both and the chunks that came."""
+    front = Member(mine.packed())
+    serving = Fronting([front.logic.me], theirs.packed(), TERMS, front.parent)
+    serving.logic.held.confirm(0)
+    front.told(
+        front.parent, Beat("sur", *theirs.place, theirs.digest, 0, site="a", reaches=theirs.place.number)
+    )
+    brought, done = [], 0
+    for _ in range(400):
+        front.run(50 * MS)
+        serving.run(50 * MS)
+        asks = [
+            o.message for o in front.out[done:] if isinstance(o, Reach) and isinstance(o.message, AskChunk)
+        ]
+        done = len(front.out)
+        for ask in asks:
+            answers = of(serving.hear(FromPeer(front.logic.me, ask)), Reach)
+            brought += [order.message for order in answers]
+        for chunk in brought[len(brought) - len(asks) :] if asks else ():
+            front.told(front.parent, spoil(chunk))
+        if not front.logic.pages.transfer:
+            break
+    return front, brought
+
+
+def test_beyond_the_window_only_the_pages_that_differ_are_told():
+    mine, theirs = large(1400, 40), large(1400, 40)
+    for number in range(42, 1042):
+        theirs.take(json.loads(event(number)))
+    theirs.take(json.loads(event(1042, fleet={"members": [member("s-7", "terminating")]})))
+    front, brought = pages_brought(mine, theirs)
+    assert front.logic.held.list.place == theirs.place and front.logic.held.list.digest == theirs.digest
+    assert len(front.logic.held.list.purges) == len(theirs.purges)
+    told = {chunk.page for chunk in brought}
+    assert len([page for page in told if 0 <= page < 44]) == 1  # of 44 pages of members
+    assert sum(len(chunk.data) for chunk in brought) < 1000 * 20 + 20_000  # purges, and what is beside
+
+
+def test_a_page_that_does_not_fit_its_digest_is_refused_and_its_teller_passed_over():
+    def spoil(chunk):
+        return chunk if chunk.page < 0 else msgspec.structs.replace(chunk, data=chunk.data[:-1] + b"x")
+
+    front, _ = pages_brought(large(10, 5), large(90, 300), spoil)
+    assert front.logic.held.list.place.number == 6 and front.logic.counts["nonsense"] >= 1
+    assert front.logic.upstream.flaw_of(front.logic.upstream.sources[front.parent]) == "bad"
+
+
+def test_one_of_the_older_program_is_asked_for_pieces():
+    front = Member(held(3).packed())
+    front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS))
+    assert front.logic.snapshot.fetch and not front.logic.pages.transfer
 
 
 # Lateness
