--- a/limepath/listing/page_transfer.py
+++ b/limepath/listing/page_transfer.py
@@ -1,7 +1,7 @@
 """What differs of the whole list, on its way between two fronts of a tree: pages with digests, in chunks.
 
-A snapshot stands still for SNAPSHOT_KEPT, so that all that lack the list meanwhile ask for the same; what
-came since is in the window. Chunks share the further datagrams of `children`, so that one front never sends
+A snapshot stands still, so that all that begin within SNAPSHOT_KEPT ask for the same; it is kept while it is
+asked for, and what came since is in the window. Chunks share the further datagrams of `children`, so that one front never sends
 more than a set number, whoever asks. Free of I/O.
 """
 
@@ -13,8 +13,9 @@
 from limepath.listing.pages import Contents
 
 AT_ONCE, RETRY, STALLS = 4, 250_000, 16  # chunks asked for at once; until asked again; and until given up
-SNAPSHOT_KEPT = 5_000_000  # for which a snapshot is told, with the events since
-SNAPSHOTS = 2  # kept, for those that have begun with the one before
+SNAPSHOT_KEPT = 5_000_000  # for which a snapshot is told to those that begin, with the events since
+UNASKED = 10_000_000  # after which one that nobody asks for is dropped
+SNAPSHOTS = 4  # kept at the most, for those that have begun with them
 
 
 class Transfer:
@@ -29,7 +30,7 @@
 
     def __init__(self, listing):
         super().__init__(listing)
-        self.snapshots, self.made_at, self.transfer = {}, 0, None
+        self.snapshots, self.asked_at, self.made_at, self.transfer = {}, {}, 0, None
 
     def contents(self):
         """The list as it stands."""
@@ -49,12 +50,20 @@
         if last and young and last.place.generation == held.list.place.generation:
             if held.window.covers(last.place.number):
                 return last
+        self.drop()
         made = Standing(self.contents())
         self.snapshots[made.place, made.mark], self.made_at = made, self.agenda.now
-        while len(self.snapshots) > SNAPSHOTS:
-            del self.snapshots[next(iter(self.snapshots))]
         return made
 
+    def drop(self):
+        """Forget snapshots that nobody asks for any more, and more of them to have room for another."""
+        now = self.agenda.now
+        unasked = [key for key in self.snapshots if now - self.asked_at.get(key, 0) > UNASKED]
+        longest = sorted(set(self.snapshots) - set(unasked), key=lambda key: self.asked_at.get(key, 0))
+        for key in unasked + longest[: max(0, len(longest) - SNAPSHOTS + 1)]:
+            del self.snapshots[key]
+            self.asked_at.pop(key, None)
+
     def asked(self, token, message):
         """Answer one that asks for a chunk; not at all where enough went out in this tick."""
         if not self.tree.on or not self.children.may_serve_piece():
@@ -65,6 +74,7 @@
             if snapshot is None:
                 raise NoSuchChunk("not held any more")
             chunk = snapshot.chunk(ChunkName(message.page, message.chunk))
+            self.asked_at[snapshot.place, snapshot.mark] = self.agenda.now
             answer = PageChunk(*chunk.place, *chunk[1:])
         except NoSuchChunk:
             answer = PageChunk(*place, message.mark, message.page, message.chunk, 0)
