--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -32,6 +32,7 @@
     Scope,
     Shed,
     ShuttingDown,
+    Stale,
     Standing,
     Streaming,
     Subscribe,
@@ -299,7 +300,7 @@
     def __init__(self, loop, door, allowance, warmups, grace):
         super().__init__(loop)
         self.door, self.allowance, self.warmups, self.grace = door, allowance, warmups, grace
-        self.members, self.purges, self.starts = {}, {}, {}
+        self.members, self.purges, self.starts, self.stale = {}, {}, {}, False
 
     def listed(self, member, sharing, lanes, upper):
         old = self.members.get(member.cache)
@@ -382,12 +383,17 @@
             if get.repeats == Repeats.NON_IDEMPOTENT or not group or now - get.ran_at >= ds.window:
                 return "effect", cache
         for actor in dict.fromkeys((cache, source)):
+            if self.stale and actor is not self.door.origin:  # a drain or purge may not be known here
+                return "stale", actor
             if actor.id not in self.members or self.members[actor.id][0].standing != Standing.READY:
                 return "drain", actor  # the grace is not used: the list is late enough as it is
             if not self.spared(actor.id, self.door.work[get.dsi]):
                 return "cold", actor
         return None
 
+    def lateness(self, note):
+        self.stale = note.late
+
     def forward(self, get, cache, source):
         if barred := self.barred(get, cache, source):
             return self.loop.put(self.door, "barred", get, *barred)
@@ -622,6 +628,7 @@
             Roster: (self, "roster"),
             ProbeReport: (self, "probed"),
             Room: (self, "room"),
+            Stale: (self.gate, "lateness"),
             Learnt: (self.shelf, "learnt"),
             AskCounts: (self.shelf, "tell"),
         }
--- a/limepath/listing/host.py
+++ b/limepath/listing/host.py
@@ -20,6 +20,7 @@
     Ready,
     Save,
     Say,
+    Stale,
     StreamEvent,
     StreamLost,
     StreamSays,
@@ -108,6 +109,9 @@
         elif isinstance(order, Ready):
             if self.confirmed:
                 self.confirmed()
+        elif isinstance(order, Stale):
+            self.turn.gather(c.Stale(order.late))
+            self.log.say("list-late" if order.late else "list-in-time")
         elif isinstance(order, Say):
             self.log.say(order.event, **order.fields)
 
@@ -170,8 +174,10 @@
     the list.
     """
     zone = front.settings["areas"][front.settings["az"]]
+    gone = int(front.settings.get("family-info", {}).get("gone-everywhere", 0)) // 1000  # told in nanoseconds
+    terms = terms._replace(zone=zone, gone=gone or terms.gone)
     changes = GuidedChangeLog(
-        reactor, turn, caches, limits, log, front.settings, front.seed, cooperation, terms._replace(zone=zone)
+        reactor, turn, caches, limits, log, front.settings, front.seed, cooperation, terms
     )
     cooperation.guests.append(changes)
     changes.tallies = Tallies(reactor, turn, cooperation, front.seed ^ 0x7A11)
