Descriptors kept back stay free, however idle clients and caches' connections come

Twisted accepts up to 20 more at once with each full pass, so that the places kept back for the cache list could go too. For each new connection to a cache an idle one retires, a pass later: many in one pass exceeded the plan without bound. Of the system's own limit of descriptors the front knew nothing. Who found no room for a connection to a cache looked again only when one to that same cache ended.

Change: room is made once a pass, for those that are closing nothing more; 16 are accepted at once; 16 connections to caches may cross closes, the rest waits and is woken when one ends or falls idle; the plan is made from the lesser of settings and RLIMIT_NOFILE. `descriptors-by-use` tells who holds them once clients' are taken.

--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -13,6 +13,7 @@
 
 from limepath import contract as c
 from limepath.front.turn import clock, unix_clock
+from limepath.opening.limits import CROSSING_CLOSES
 from limepath.opening_values import LOAD_NAMES
 
 VERDICTS = {
@@ -313,6 +314,8 @@
         self.peer.caches.ended(flight, VERDICTS[word], word, fields, body)
         if self.peer.waiting:
             self.peer.send_waiting()
+        if self.peer.caches.crowded and not self.out:
+            self.peer.caches.freed()
         self.close_if_done()
 
     def connectionLost(self, reason):
@@ -468,6 +471,8 @@
             )
         if self.waiting:
             self.connect()
+        if self.caches.crowded:
+            self.caches.freed()
 
 
 class Caches:
@@ -476,6 +481,7 @@
     def __init__(self, reactor, turn, clients, limits, log, probe_word):
         self.reactor, self.turn, self.clients, self.limits, self.log = reactor, turn, clients, limits, log
         self.probe_word, self.peers, self.names, self.tags, self.held = probe_word, {}, {}, count(1), 0
+        self.crowded = False  # somebody found no room for a connection
         self.secured = None  # TLS, where the front is told of it
         self.paced = None  # a pace of new connections, where fronts keep one together
 
@@ -487,8 +493,20 @@
             flight.timer.cancel()
 
     def spare(self):
-        """Whether there is a descriptor for one more connection, or an idle one that can make room."""
-        return self.held < self.limits.all_cache_connections or bool(self.idle())
+        """Whether there is a descriptor for one more connection, or an idle one that can make room: it ends a
+        pass later, so that for so long there is one more than planned, and few are kept back for that.
+        """
+        over = self.held - self.limits.all_cache_connections
+        room = over < 0 or over < CROSSING_CLOSES and bool(self.idle())
+        self.crowded |= not room
+        return room
+
+    def freed(self):
+        """A connection has ended or become idle: those that found no room look again."""
+        self.crowded = False
+        for peer in self.peers.values():
+            if peer.waiting:
+                peer.connect()
 
     def idle(self):
         return [one for peer in self.peers.values() for one in peer.idle if one.state is State.OPEN]
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -1,7 +1,9 @@
 """Clients: their GETs in, one final answer to each out."""
 
 from enum import Enum
+from heapq import nsmallest
 from itertools import count
+from operator import itemgetter
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
@@ -10,7 +12,9 @@
 
 from limepath import contract as c
 from limepath.front.departures import Departures, has_ended, since_last_packet
+from limepath.front.descriptors import descriptor_use
 from limepath.front.turn import clock
+from limepath.opening.limits import ACCEPTED_AT_ONCE
 
 REASONS = {
     200: b"OK",
@@ -28,6 +32,7 @@
     504: b"Gateway Timeout",
     505: b"HTTP Version Not Supported",
 }
+YOUNG = 4  # place in line for a close of a connection that has just come
 PATH = b"/invoke/"
 HEALTH = b"/_health"
 READ = frozenset(
@@ -280,10 +285,12 @@
         just come, and last those that still take an answer.
         """
         young = now - self.moved < self.clients.limits.young
-        if self.state is State.LINGERING:
+        if self.stuck:
+            place = 5
+        elif self.state is State.LINGERING:
             place = 0 if self.flushed else 5
         elif young and (self.buffer or not self.asked):
-            place = 4
+            place = YOUNG
         else:
             place = 2 if self.buffer else 3 if self.asked else 1
         return place, self.moved
@@ -351,6 +358,7 @@
     def connectionLost(self, reason):
         self.state = State.CLOSED
         self.clients.connections.discard(self)
+        self.clients.closing.discard(self)
         self.client_left()
         self.clients.counted()
         self.clients.leave_if_done()
@@ -364,6 +372,7 @@
         self.connections, self.open, self.ids, self.txns = set(), {}, count(1), set()
         self.leaving, self.full, self.port, self.gone = False, False, None, Deferred()
         self.departures = Departures(log)
+        self.closing, self.making_room = set(), False  # connections that end to make room
         self.unready = False  # the list is not known yet
         self.last_call, self.done, self.accepted = None, [], 0
 
@@ -377,20 +386,43 @@
         return ClientConnection(self)
 
     def listening(self, port):
-        self.port = port
+        """Take the port, and bound how many it accepts at once: it learns of too many after the last only."""
+        self.port, accept = port, port.doRead
+
+        def accept_some():
+            port.numberAccepts = min(port.numberAccepts, ACCEPTED_AT_ONCE)
+            accept()
+
+        port.doRead = accept_some
 
     def counted(self):
         """Accept no more connections than planned; at the limit close what has been idle longest."""
-        over = len(self.connections) - self.limits.viewers
-        if over > 0:
-            idle = [one for one in self.connections if one.get is None]
-            self.log.say("descriptors", clients=len(self.connections), idle=len(idle))
-            now = clock()
-            for one in sorted(idle, key=lambda one: one.standing(now))[:over]:
-                one.close(abort=one.state is State.LINGERING)
-        if self.port and (over > 0) != self.full:
-            self.full = over > 0
-            self.port.stopReading() if self.full else self.port.startReading()
+        over = len(self.connections) > self.limits.viewers
+        if self.port and over != self.full:
+            self.full = over
+            self.port.stopReading() if over else self.port.startReading()
+        if over and not self.making_room:  # once for all that this pass of the reactor brings
+            self.making_room = True
+            self.reactor.callLater(0, self.make_room)
+
+    def make_room(self):
+        """Close as many idle connections as there are too many, less those that are closing already, and a
+        few more that no one will miss: to look at all of them for each that comes costs too much.
+        """
+        self.making_room = False
+        over = len(self.connections) - self.limits.viewers - len(self.closing)
+        if over <= 0:
+            return
+        idle = [one for one in self.connections if one.get is None and one not in self.closing]
+        self.log.say("descriptors", clients=len(self.connections), idle=len(idle))
+        now = clock()
+        first = nsmallest(
+            over + self.limits.viewers // 64, ((one.standing(now), one) for one in idle), key=itemgetter(0)
+        )
+        for number, ((place, _), one) in enumerate(first):
+            if number < over or place < YOUNG:
+                one.close(abort=one.stuck or one.state is State.LINGERING)
+                self.closing.add(one)
 
     def one_more_stuck(self):
         """Answers that clients do not take must not fill the memory: the longest untaken is given up."""
@@ -479,7 +511,10 @@
             caches.withdraw(flight)
 
     def sweep(self):
-        """Close what is idle, half sent or not taken for long."""
+        """Close what is idle, half sent or not taken for long; tell who holds the descriptors once they are
+        taken."""
+        if len(self.connections) >= self.limits.viewers:
+            self.log.say("descriptors-by-use", **descriptor_use(self, self.caches, self.limits)._asdict())
         now = clock()
         for one in list(self.connections):
             if one.get is None and now - one.moved > self.patience(one):
--- a/limepath/opening/limits.py
+++ b/limepath/opening/limits.py
@@ -1,9 +1,12 @@
 """Limits of the network code: sizes, counts and times, filled once at start and handed down."""
 
+import resource
 from typing import NamedTuple
 
 FOOTING = 40  # megabytes that the program takes by itself, with room
-KEPT_BACK = 64  # descriptors for the reactor, the log, the change log, the listener and what is just closing
+KEPT_BACK = 64  # descriptors for the reactor, the log, the cache list, the listener, shared state and:
+ACCEPTED_AT_ONCE = 16  # clients' connections over the limit, until as many idle ones have closed
+CROSSING_CLOSES = 16  # new connections to caches while as many idle ones are closing for them
 
 
 class Limits(NamedTuple):
@@ -49,6 +52,14 @@
     log_span: int = 10_000_000
 
 
+def available(sockets):
+    """Descriptors that the front may count on: those that its settings tell, and no more than the system
+    gives the process.
+    """
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sockets if soft == resource.RLIM_INFINITY else min(sockets, soft)
+
+
 def planned(sockets, memory_mb, streams, **told):
     """Share the descriptors out: clients four tenths (the usual ones hold a third at most), the rest among
     the members. Half of the memory beside the program's own may be answers that clients do not take."""
--- a/limepath/opening/platform.py
+++ b/limepath/opening/platform.py
@@ -6,7 +6,7 @@
 
 from limepath import opening_values
 from limepath.opening.addresses import address_of
-from limepath.opening.limits import Limits, planned
+from limepath.opening.limits import Limits, available, planned
 from limepath.opening_values import LATERAL, REPEATS, SCOPES
 
 NAME, LISTEN, CONFIGURATION = "ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_CONFIG"
@@ -241,7 +241,7 @@
     except (TypeError, ValueError, AttributeError, IndexError) as flaw:
         raise BadConfiguration(f"settings: {flaw}") from None
     machine = part(told, "limits", dict, {})
-    sockets = int(part(machine, "sockets", COUNT, 1024, "limits."))
+    sockets = available(int(part(machine, "sockets", COUNT, 1024, "limits.")))
     memory_mb = int(part(machine, "memory_mb", COUNT, 192, "limits."))
     leaving = int(part(machine, "leaving_ms", Number(whole=True), 1200, "limits.")) * 1000
     allowed = settings.get("limits", {})
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -205,11 +205,20 @@
 # A late pass, driven by hand
 
 
+class OrderingAt(Ordering):
+    """Forwards each request to the member that is set."""
+
+    member = 1
+
+    def handle(self, now, notes):
+        return [order._replace(cache=self.member, source=self.member) for order in super().handle(now, notes)]
+
+
 class DrivenFront:
     """The front's parts on a reactor of the test's own, which passes when it is told to; one cache."""
 
     def __init__(self, **limits):
-        self.front, self.reactor = Ordering(), EPollReactor()
+        self.front, self.reactor, self.ready = OrderingAt(), EPollReactor(), c.Standing.READY
         _, self.clients, self.caches, _ = parts(self.front, self.reactor, **limits)
         self.clients.services[b"tarea"] = (1, True, 5_000_000)
         self.listener = socket.socket()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -226,7 +226,7 @@
 
 def parts(front, reactor=None, **limits):
     """The front's parts on a reactor of the test's own, and a way to send one GET in."""
-    reactor, limits = reactor or MemoryReactorClock(), planned(1024, 192, 32, open_gets=9, **limits)
+    reactor, limits = reactor or MemoryReactorClock(), planned(1024, 192, 32, **{"open_gets": 9} | limits)
     log = Log("n1", 5, 1)
     turn = Turn(reactor, front, limits, log)
     clients = Clients(reactor, turn, limits, log, {b"video": (0, False, 5_000_000)})
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -656,7 +656,9 @@
             address=None,
             since=0,
             answered_probe=lambda: None,
-            caches=SimpleNamespace(ended=lambda *told, heard=heard: heard.append((told[2], told[4]))),
+            caches=SimpleNamespace(
+                ended=lambda *told, heard=heard: heard.append((told[2], told[4])), crowded=False
+            ),
         )
         connection = CacheConnection(told)
         flight = SimpleNamespace(
