--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -1,11 +1,25 @@
 """A cold member under the sum of what a fleet sends: it falls beyond N + 2 x root of N + 2 in a window."""
 
+import socket
+import threading
+import time
+
 import pytest
 
 from limepath import contract as c
-from limepath.choice import mixed
+from limepath.choice import LANES, mixed
+from limepath.testbed.process import free_ports
 from tests.cold_ramp import CASES, TWO, OfferedFront, Ramp, sent_in, spent_at_most, worst
 from tests.fake_host import SECOND, FakeHost, member, service
+from tests.stand_ins import (
+    SETTINGS,
+    StandInCache,
+    Viewer,
+    address,
+    configuration,
+    listening,
+    started,
+)
 
 SIZES = (2, 20, 30, 200)
 DRAWS = 1000
@@ -99,3 +113,55 @@
     host.roster(member(1, started=host.now))
     orders = [order for obj in range(40) for order in host.get(obj)]
     assert not any(order.cache == 1 for order in orders if isinstance(order, c.Forward))
+
+
+def test_twenty_processes_with_requests_for_a_cold_cache_keep_its_budget_together():
+    """On sockets: the requests that the cache gets are counted, by any second, as they come."""
+    processes, cold_for = 20, 1000 * SECOND * 1000  # it stays at its least capacity
+    safety = SETTINGS["safety"] | {"cold": cold_for, "overload-factor": 6}
+    settings = SETTINGS | {"replicas-of-me": processes, "safety": safety}
+    allowed = 6 * 0.2 * LANES * 1.0 / 0.6  # N: multiple x share x lanes x window / mean work
+    cache, parent, log = StandInCache("s-1", "box", "sur"), StandInCache("p-1", "parent", "hub"), listening()
+    began = int(time.time() * 1000)
+    members = [cache.entry(up_since_ms=began), parent.entry()]
+    known = {"seq": 1, "results": [{"seq": 1, "fleet": {"revision": 1, "members": members}}]}
+    came, fronts, viewers = [], [], []
+
+    def serve(member, times):
+        while True:
+            asked = member.asked.get()
+            times.append(time.monotonic())
+            asked.answer("DONE", "rev=4be0c1927d55a6f3,since=1764576000123", b"x")
+
+    for member_, times in ((cache, came), (parent, [])):
+        threading.Thread(target=serve, args=(member_, times), daemon=True).start()
+    try:
+        for number, port in enumerate(free_ports(socket.SOCK_STREAM, processes)):
+            where = f"127.0.0.1:{port}"
+            told = configuration(
+                where,
+                known=known,
+                changelog=address(log),
+                seed=f"{number + 1:x}",
+                settings=settings,
+            )
+            fronts.append((where, started(told)))
+        for _, process in fronts:
+            while "event=ready" not in process.stderr.readline():
+                assert process.poll() is None
+        for number in range(3):  # three at once at each front, for as many objects
+            for where, _ in fronts:
+                viewers.append(
+                    Viewer(where).send(f"/invoke/video/{number + 1:016x}", txn=f"{number + 1:016x}")
+                )
+        answers = [viewer.answer()[0] for viewer in viewers]
+    finally:
+        for _, process in fronts:
+            process.kill()
+            process.wait()
+            process.stderr.close()
+        for listener in (cache.listener, parent.listener, log):
+            listener.close()
+    most = max(sum(at <= one < at + 1 for one in came) for at in came)
+    assert answers.count(200) >= len(came) and set(answers) <= {200, 503}  # who is not in turn sheds here
+    assert 1 <= most <= allowed + 2 * allowed**0.5 + 2
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,6 +1,7 @@
 """A front's start: many at once on a list of the size to come, and what a list costs by its length."""
 
 import queue
+import socket
 import sys
 import threading
 import time
@@ -13,8 +14,9 @@
 from limepath.front.turn import Turn
 from limepath.log import Log
 from limepath.opening.platform import opening_of
+from limepath.testbed.process import free_ports
 from tests.fake_host import FakeHost
-from tests.stand_ins import BOUND, SETTINGS, StandInChangeLog, address, configuration, free_address, started
+from tests.stand_ins import BOUND, SETTINGS, StandInChangeLog, address, configuration, started
 
 MEMBERS, STARTS, READY_WITHIN = 1400, 12, 10  # seconds, for nine of ten that start at once
 
@@ -53,8 +55,8 @@
                 return
 
     try:
-        for _ in range(STARTS):
-            where = free_address()
+        for port in free_ports(socket.SOCK_STREAM, STARTS):
+            where = f"127.0.0.1:{port}"
             processes.append(started(configuration(where, known=told, changelog=address(log.listener))))
             arguments = (processes[-1], time.monotonic())
             threading.Thread(target=watch, args=arguments, daemon=True).start()
