--- a/limepath/cli/scale_run.py
+++ b/limepath/cli/scale_run.py
@@ -93,7 +93,7 @@
     from limepath.scale import report
     from limepath.scale.bounds import Budget
     from limepath.scale.processes import HollowFailed
-    from limepath.scale.run import played
+    from limepath.scale.run import Stopped, played
     from limepath.testbed.process import NotStarted
     from limepath.verdicts import hold
 
@@ -104,8 +104,8 @@
             os.makedirs(keep, exist_ok=True)
         folder = os.path.abspath(keep) if keep else scratch
         try:
-            run = played(layout, schedule, options, folder)
-        except (HollowFailed, NotStarted) as error:
+            run = played(layout, schedule, options, folder, lambda line: click.echo(line, err=True))
+        except (HollowFailed, NotStarted, Stopped) as error:
             print(f"limepath: {error}", file=sys.stderr)
             sys.exit(1)
         result = report.result_of(run, budget)
--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -5,11 +5,13 @@
 """
 
 import os
+import signal
 import socket
 from random import Random
 from typing import NamedTuple
 
 from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.python.failure import Failure
 
 from limepath.opening import peers as peers_opening
 from limepath.scale import settings
@@ -26,9 +28,14 @@
 SECOND = 1_000_000
 START, START_EACH = 60 * SECOND, SECOND // 8  # that all may take to be ready, and more by front
 SETTLE = 5 * SECOND  # after that, until streams that no relay needs any more are hung up
+PROGRESS = 5 * SECOND  # between lines that tell how far the run is
 CALM = "calm"  # the phase before any fault
 
 
+class Stopped(Exception):
+    """The run was told to end before it was over."""
+
+
 class Options(NamedTuple):
     seed: int = 1
     broken: str = ""
@@ -56,10 +63,10 @@
     came of it.
     """
 
-    def __init__(self, reactor, plan, schedule, options, folder):
+    def __init__(self, reactor, plan, schedule, options, folder, say):
         self.reactor, self.plan, self.schedule, self.options = reactor, plan, schedule, options
         self.folder, self.zero, self.said, self.roles = folder, None, [], {}
-        self.pace = Pace(options.stretch)
+        self.pace, self.say, self.told_at = Pace(options.stretch), say, None
         self.ready = self.settled = None
         self.fleet = self.around = self.doors = None
         self.load_before, self.load_after = os.getloadavg(), None
@@ -128,6 +135,13 @@
         self.seen.finish()
         self.load_after = os.getloadavg()
 
+    def progress(self, text):
+        """Tell how far the run is, now and then."""
+        now = self.pace.now()
+        if self.told_at is None or now - self.told_at >= PROGRESS:
+            self.told_at = now
+            self.say(f"at {(now - self.zero) / 1e6:.0f} s: {text}")
+
     @inlineCallbacks
     def until_whole(self, limit, also):
         """Sample until all lists and views are one and `also()` holds, at most for `limit`; the Standing."""
@@ -136,6 +150,7 @@
             yield self.fleet.sample()
             lists, views = self.fleet.whole(self.around.number())
             standing = Standing(self.pace.now() - began, lists, views, len(self.plan.fronts))
+            self.progress(f"{lists} whole lists, {views} whole views of {len(self.plan.fronts)}")
             if standing.whole and also() or standing.took > limit:
                 return standing
             yield self.pause(SAMPLE // 2)
@@ -153,6 +168,7 @@
             until = min(steps[0][0] if steps else self.schedule.end, self.now() + SAMPLE, self.schedule.end)
             yield self.pause(until - self.now())
             yield self.fleet.sample()
+            self.progress(f"{self.seen.phase}, {self.around.number()} events told")
             if self.seen.phase == CALM:
                 self.roles = {name: role_in(report) for name, report in self.seen.latest.items()}
             while steps and steps[0][0] <= self.now():
@@ -180,16 +196,25 @@
                 part.close()
 
 
-def played(plan, schedule, options, folder):
-    """Play a run in this process's reactor, once; give the Run. Raises what ended it."""
+def played(plan, schedule, options, folder, say=lambda line: None):
+    """Play a run in this process's reactor, once; give the Run. Raises what ended it. `say` takes lines that
+    tell how far it is.
+    """
     from twisted.internet import reactor
 
-    run, failures = Run(reactor, plan, schedule, options, folder), []
+    run, failures = Run(reactor, plan, schedule, options, folder, say), []
 
     def over(result):
-        reactor.callLater(0, reactor.stop)
+        if reactor.running:
+            reactor.callLater(0, reactor.stop)
         return result
 
+    def stop():
+        failures.append(Failure(Stopped("stopped before the run was over")))
+        reactor.stop()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: reactor.callFromThread(stop))
     try:
         run.prepare()
         reactor.callWhenRunning(lambda: run.play().addBoth(over).addErrback(failures.append))
