Roles of the list measured alike before and after the event tree: windows and purges by count or by time

Need: the event tree keeps purges by time and a window by span; the roles must measure both texts with the same command. Change: facts for either form; roles_tree.py loads the tree's run only when it is used, so that it can be collected by the tests before that is there; what a return costs in pages and checks is told under the wrong models.

--- a/limepath/scale/capacity_hours.py
+++ b/limepath/scale/capacity_hours.py
@@ -70,9 +70,10 @@
     """What the list costs when a region comes back, or the service does."""
     relay, service = Lines(RELAY, Hour.REGION_BACK), Lines(SERVICE, Hour.REGION_BACK)
     packed, text = figures.fact("listing", "packed purges"), figures.at("listing", "text", SIZE.caches)
-    followers = SIZE.zone_fronts // RELAYS
+    fan_out = getattr(Terms(), "fan_out", None)  # where the list goes in trees
+    followers = 2 * fan_out if fan_out else SIZE.zone_fronts // RELAYS
     if packed.value is not None:
-        packed = packed.times(followers / 1e3, "MB", f"{followers} followers of one relay ask for it")
+        packed = packed.times(followers / 1e3, "MB", f"{followers} followers of one front ask for all of it")
     if text.value is not None:
         text = text.times(STREAMS / 1e3, "MB", f"{STREAMS} streams at once")
     relay.add(Kind.MESSAGES, "whole lists sent, where events kept are outrun", packed, "listing/")
--- a/limepath/scale/capacity_roles.py
+++ b/limepath/scale/capacity_roles.py
@@ -50,12 +50,15 @@
     span, kept = figures.fact("relay", "window"), figures.fact("relay", "events kept")
     if span.value is not None or kept.value is None:
         return span
-    return kept.times(1 / SIZE.purges, "s", f"{kept.value:g} events")
+    return kept.times(1 / SIZE.purges, "s", f"{kept.value:,g} events")
 
 
 def purge_span(figures):
-    kept = figures.fact("relay", "purges kept")
-    return kept if kept.value is None else kept.times(1 / SIZE.purges, "s", f"{kept.value:g} purges")
+    """Seconds of purges that a list keeps, at the rate that is coming."""
+    span, kept = figures.fact("relay", "purge span"), figures.fact("relay", "purges kept")
+    if span.value is not None or kept.value is None:
+        return span
+    return kept.times(1 / SIZE.purges, "s", f"{kept.value:,g} purges")
 
 
 def list_service(figures):
--- a/limepath/scale/capacity_text.py
+++ b/limepath/scale/capacity_text.py
@@ -50,6 +50,8 @@
 WALKS = "`Members.seek` walks all members every fifth period: its share is in the profile of `view`"
 CROWD = "one pass of the loop takes in more the higher the rate is; measured at the rate itself"
 WHOLE_SECONDS = "looked at in whole and half seconds and tenths, so that small values come in steps"
+PAGES = "nearly all is Page and Pull, views in pages, which nothing paces (by kind of message, 250 instances)"
+STEADS = "most is PingFor, then Ping, of fronts in the part cut off (by kind of message, 250 instances)"
 LOOKED_INTO = {
     ("data", "held"): STEPS,
     ("data", "lacked"): STEPS,
@@ -59,6 +61,10 @@
     ("membership", "join time"): WHOLE_SECONDS,
     ("membership", "join known"): WHOLE_SECONDS,
     ("membership", "return time"): WHOLE_SECONDS,
+    ("membership", "return bytes"): PAGES,
+    ("membership", "return worst"): PAGES,
+    ("membership", "return multiple"): PAGES,
+    ("membership", "cut worst"): STEADS,
 }
 
 
--- a/limepath/scale/roles_listing.py
+++ b/limepath/scale/roles_listing.py
@@ -11,6 +11,7 @@
 from limepath import contract
 from limepath.choice import Front
 from limepath.front.changelog import Entry
+from limepath.listing import state
 from limepath.listing.state import List, parsed, unpacked
 from limepath.opening_values import start_of
 from limepath.scale.measured import Fact, Found, Series
@@ -31,7 +32,7 @@
     "packed": ("the packed list, without purges", "KB"),
     "text": ("the list as the service tells it", "KB"),
 }
-PACKED_MEMBERS, PACKED_PURGES = 1400, 4096
+PACKED_MEMBERS, PURGES = 1400, 36  # purges a second
 
 
 def event(members):
@@ -63,10 +64,17 @@
     return {"invalidate": {"object": name, "time": 1_790_000_000_000 + 28 * number}}
 
 
+def purges_kept():
+    """How many purges a list holds at PURGES a second: a number, or those of a span."""
+    if most := getattr(state, "KEPT_PURGES", None):
+        return most
+    return int(state.PURGES_KEPT / 1e6 * PURGES)
+
+
 def with_purges():
-    """Kilobytes of a packed list that holds many purges."""
+    """Kilobytes of a packed list with all the purges that it keeps."""
     held = checked(event(PACKED_MEMBERS))
-    for number in range(2, 2 + PACKED_PURGES):
+    for number in range(2, 2 + purges_kept()):
         held.take({"seq": number} | purge(number))
     return len(held.packed()) / 1000
 
@@ -113,7 +121,7 @@
         (
             Fact(
                 "packed purges",
-                f"a packed list of {PACKED_MEMBERS:,} members and {PACKED_PURGES:,} purges",
+                f"a packed list of {PACKED_MEMBERS:,} members and {purges_kept():,} purges",
                 "KB",
                 round(with_purges(), 1),
             ),
--- a/limepath/scale/roles_relay.py
+++ b/limepath/scale/roles_relay.py
@@ -160,6 +160,8 @@
         yield Fact("events kept", "events kept for those behind", "events", kept)
     if kept := getattr(state, "KEPT_PURGES", None):
         yield Fact("purges kept", "purges kept in the list", "purges", kept)
+    elif span := getattr(state, "PURGES_KEPT", None):
+        yield Fact("purge span", "span of purges kept in the list", "s", span / 1e6)
 
 
 def measure():
--- a/limepath/scale/roles_tree.py
+++ b/limepath/scale/roles_tree.py
@@ -9,7 +9,6 @@
 
 from limepath.duties.interface import MESSAGES as DUTY_MESSAGES
 from limepath.listing.interface import MESSAGES as LIST_MESSAGES
-from limepath.listing.simulate_tree import Plan, World, lateness, purge_every
 from limepath.peers.guard import Guard, Key
 from limepath.peers.interface import MESSAGES
 from limepath.scale.roles_relay import ARRIVE, EVENTS, LIMIT, SECOND, SPAN, Played, Traffic
@@ -18,43 +17,51 @@
 SETTLING = 20 * SECOND  # of events, from the moment that all have the list, before anything is measured
 
 
-class Tree(World):
-    """One zone's fronts at as many sites as they fill."""
+class Counted:
+    """Counts what a world's fronts send from now on; `traffic` may be replaced at any time."""
 
-    def __init__(self, fronts):
-        sites = max(1, round(fronts / SITE))
-        super().__init__(Plan(fronts=fronts, regions=1, zones=1, sites=sites, rate=EVENTS), 1)
-        secret = (Key(b"abcd", os.urandom(32)),)
-        types = (*MESSAGES, *LIST_MESSAGES, *DUTY_MESSAGES)
-        self.guards = [Guard(secret, types) for _ in self.fronts]
-        self.traffic = Traffic()
+    def __init__(self, world):
+        types, key = (*MESSAGES, *LIST_MESSAGES, *DUTY_MESSAGES), (Key(b"abcd", os.urandom(32)),)
+        self.guards = [Guard(key, types) for _ in world.fronts]
+        self.traffic, self.world, self.pass_on = Traffic(), world, world.send
+        world.send = self.send
 
     def send(self, front, order):
         began = time.thread_time_ns()
         sealed = self.guards[front.index].seal(front.me, 1, order.message)
         self.traffic.cpu[front.index] += time.thread_time_ns() - began
-        self.traffic.counted(front.index, self.by_token[order.token].index, len(sealed))
-        super().send(front, order)
+        self.traffic.counted(front.index, self.world.by_token[order.token].index, len(sealed))
+        self.pass_on(front, order)
 
 
-def played(fronts):
-    """A zone with EVENTS purges a second; give what was Played after SPAN of them."""
-    world = Tree(fronts)
+def zone(fronts):
+    """The world of one zone, its fronts at as many sites as they fill, all of them with the list."""
+    from limepath.listing.simulate_tree import Plan, World
+
+    sites = max(1, round(fronts / SITE))
+    world = World(Plan(fronts=fronts, regions=1, zones=1, sites=sites, rate=EVENTS), 1)
     world.at(SECOND // 2, world.service.comment)
     for front in world.fronts:
         world.at(world.chance.randrange(SECOND), front.start)
     while not world.whole() and world.now < LIMIT:
         world.run(world.now + SECOND)
-    began = world.now
+    return world
+
+
+def played(fronts):
+    """A zone with EVENTS purges a second; give what was Played after SPAN of them."""
+    from limepath.listing.simulate_tree import lateness, purge_every
+
+    world = zone(fronts)
+    counted, began = Counted(world), world.now
     world.at(began, purge_every, world, SECOND // EVENTS, began + SETTLING + SPAN)
     world.run(began + SETTLING)
-    world.traffic = Traffic()
+    counted.traffic = traffic = Traffic()
     for front in world.fronts:
-        world.traffic.timed(front.index, front.logic)
+        traffic.timed(front.index, front.logic)
     since = world.now
     world.run(since + SPAN)
-    until = world.now
-    traffic, world.traffic = world.traffic, Traffic()
+    until, counted.traffic = world.now, Traffic()
     world.run(until + ARRIVE)
     late, lost = lateness(world, world.fronts, since, until)
     settling, _ = lateness(world, world.fronts, began, since)
