--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -10,7 +10,7 @@
 import limepath.cli
 from limepath.cli import scale
 from limepath.cli.scale import command
-from limepath.scale.estimates import Word, estimate
+from limepath.scale.estimates import Word, estimate, total
 from limepath.scale.measured import Series
 
 FILE, PAGE, RUNS = "docs/measurements/scale.json", "docs/CAPACITY.md", "docs/measurements/scale"
@@ -261,3 +261,25 @@
 def test_what_was_not_measured_is_missing():
     told = estimate(None, 5)
     assert told.value is None and told.word is Word.MISSING
+
+
+def test_below_the_sizes_the_fit_is_used_while_it_gives_no_more():
+    told = estimate(series(LINE), 5)
+    assert told.word is Word.EXTRAPOLATED and told.value == pytest.approx(15)
+    wrong = estimate(series([*LINE[:4], (160, 400.0)]), 5)
+    assert wrong.word is Word.ASSUMED and wrong.value == 20
+
+
+def test_a_sum_is_trusted_as_its_least_trusted_part():
+    measured, beyond = estimate(series(LINE), 120), estimate(series(LINE), 1600)
+    whole = total([measured, beyond], "us")
+    assert whole.word is Word.EXTRAPOLATED and whole.value == measured.value + beyond.value
+    partly = total([measured, estimate(None, 5)], "us")
+    assert partly.value == measured.value and "without what is not measured" in partly.reason
+    assert total([estimate(None, 5)], "us").word is Word.MISSING
+
+
+def test_what_is_worked_out_of_a_measured_figure_is_assumed():
+    measured = estimate(series(LINE), 120)
+    assert measured.times(0.001, "ms").word is Word.MEASURED
+    assert measured.times(40, "us", "40 of them").word is Word.ASSUMED
