--- a/limepath/listing/page_transfer.py
+++ b/limepath/listing/page_transfer.py
@@ -1,8 +1,8 @@
 """What differs of the whole list, on its way between two fronts of a tree: pages with digests, in chunks.
 
 A snapshot stands still, so that all that begin within SNAPSHOT_KEPT ask for the same; it is kept while it is
-asked for, and what came since is in the window. Chunks share the further datagrams of `children`, so that one front never sends
-more than a set number, whoever asks. Free of I/O.
+asked for, and what came since is in the window. Chunks share the further datagrams of `children`, so that one
+front never sends more than a set number, whoever asks. Free of I/O.
 """
 
 from limepath.listing.catch_up import CatchUp, Chunk, ChunkName, DamagedPage, NoSuchChunk, OtherSnapshot
