A service that went back is not taken for one that went on: purges told anew are compared

A list's digest is of its members. Events told anew under numbers that a front holds were taken for its own where members were alike, and purges among them missed. They are compared with those in the window now; the test fails without that.

--- a/limepath/listing/stream.py
+++ b/limepath/listing/stream.py
@@ -24,6 +24,7 @@
         self.incoming, self.caught_up, self.overlapped = None, False, False
         self.whole, self.doubted, self.times = True, None, EventTimes()
         self.meets, self.tail = False, []  # the events told anew lead through our list; those beyond it
+        self.differs = False  # one of them is not as we hold it
 
     def call(self):
         self.roles.budget.called()
@@ -43,7 +44,7 @@
         )  # one that we hold: a service restored from an older
         # state, which would say nothing until its numbers pass ours, does not tell it again
         self.times.clear()
-        self.meets, self.tail = False, []
+        self.meets, self.differs, self.tail = False, False, []
         self.agenda.at(self.agenda.now + self.terms.silence, self.still_silent, self.serial)
 
     def still_silent(self, serial):
@@ -126,10 +127,11 @@
             raise BadList(f"{number} comes after {incoming.place.number}")
         incoming.take(told, self.agenda.now)
         held = self.held.list
+        self.differs |= self.held.contradicts(told)
         if self.meets and number > held.place.number:
             self.tail.append((told, text))
         elif number == held.place.number and self.tree.on:
-            self.meets = incoming.digest == held.digest
+            self.meets = incoming.digest == held.digest and not self.differs
 
     def continued(self, told, text):
         number, known, window = told["seq"], self.held.list.place.number, self.held.window
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -361,6 +361,23 @@
     assert front.logic.stream.caught_up
 
 
+def test_a_service_that_went_back_and_told_other_purges_is_not_taken_for_one_that_went_on():
+    front = Member(held(3).packed())
+    front.told(front.parent, batch(4, 6))
+    front.logic.roles.suspicious = True
+    while front.logic.stream.state is None:
+        front.run(100 * MS)
+    other = [
+        json.dumps({"seq": number, "invalidate": {"bucket": 70 + number, "time": 5}}) for number in (5, 6, 7)
+    ]
+    texts = [whole(), *map(event, range(2, 5)), *other]
+    front.hear(StreamUp(), *(StreamEvent(text) for text in texts))
+    front.run(500 * MS)
+    front.hear(StreamSays())
+    purged = [order.told["invalidate"]["bucket"] for order in front.said(Take) if "invalidate" in order.told]
+    assert {75, 76, 77} <= set(purged)
+
+
 def test_a_replay_is_told_from_events_as_they_happen_by_their_own_times():
     live, fast, slow = EventTimes(), EventTimes(), EventTimes()
     for step in range(60):
