A front of a large fleet counts as a relay to the budget only once it knows its zone

With 300 fronts in 20 zones that started at once, 24 calls in a second went to the list service, 20 allowed: a front that had not heard of any other of its zone took itself for a relay and knew of few zones. The run in virtual time looks at calls and streams.

--- a/limepath/listing/scopes.py
+++ b/limepath/listing/scopes.py
@@ -18,6 +18,7 @@
 SERVED = 8  # pages sent in one beat
 COMPARED = 4  # beats between two comparisons, once digests were the same
 SETTLED = 2_000_000  # for which no front of the zone must have been learnt or lost
+SAMPLES = 5  # fronts heard of for each zone, until all zones count as known
 
 
 class KnownScopes(Component):
@@ -60,7 +61,14 @@
             self.forget(token)
 
     def settled(self):
-        return self.agenda.now - self.changed_at >= SETTLED
+        """Whether this front knows its zone: nothing changed for a while, enough of the fleet was heard of to
+        know how many zones there are, and another of the zone knows the same, or there is no other.
+        """
+        known, zones, live = len(self.known), self.zones(), len(self.live())
+        if self.agenda.now - self.changed_at < SETTLED or known < min(live, SAMPLES * zones):
+            return False
+        alone = len(self.mates) == 1 and known >= 2 * SAMPLES * zones
+        return self.same or alone or known >= live
 
     def zones(self):
         """How many zones are known of."""
--- a/limepath/listing/simulate_tree.py
+++ b/limepath/listing/simulate_tree.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from limepath.duties.world import Network
-from limepath.listing.bounds import tree_bounds
+from limepath.listing.bounds import HELPERS, tree_bounds
 from limepath.listing.interface import (
     AskChunk,
     AskScopes,
@@ -38,7 +38,7 @@
     Where,
 )
 from limepath.listing.relay import Listing
-from limepath.listing.simulate import member
+from limepath.listing.simulate import member, most_in
 from limepath.peers.guard import HEAD, SEAL
 from limepath.peers.interface import REFUTALS, News
 from limepath.verdicts import Row, at_most, seconds
@@ -174,6 +174,7 @@
 
     def __init__(self, world, caches):
         self.world, self.streams, self.events, self.told_at = world, {}, [], {}
+        self.calls, self.most_streams = [], {}  # when; the most streams of a zone at once
         members = [member(f"s-{index}") for index in range(caches)]
         self.add({"fleet": {"complete": True, "revision": 1, "members": members}})
 
@@ -194,11 +195,14 @@
             front.hear(notes)
 
     def call(self, front, after):
+        self.calls.append(self.world.now)
         if self.world.cut(front.region, SERVICE_REGION):
             return self.world.at(
                 self.world.now + 500 * MS, self.arrive, front, front.serial, (StreamLost("no answer"),)
             )
         self.streams[front] = front.serial
+        count = sum(one.zone == front.zone for one in self.streams)
+        self.most_streams[front.zone] = max(count, self.most_streams.get(front.zone, 0))
         self.say(front, front.serial, StreamUp())
         for number in range(after, len(self.events)):
             self.say(front, front.serial, StreamEvent(self.events[number], str(number + 1)))
@@ -372,7 +376,14 @@
     for kind in plan.faults:
         failing(world, kind, bound, rows, said)
     most = max(front.readers_seen for front in world.fronts)
-    rows.append(at_most("most children of any front, ever", most, bound.children))
+    service = world.service
+    rows += [
+        at_most("most children of any front, ever", most, bound.children),
+        at_most("most calls at the list service in a second", most_in(service.calls, SECOND),
+                int(world.terms.rate)),
+        at_most("most streams of one zone", max(service.most_streams.values()),
+                world.terms.relays * (2 + HELPERS)),
+    ]  # fmt: skip
     return Measured(rows, said, world)
 
 
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -17,6 +17,7 @@
     FromPeer,
     Reach,
     Reads,
+    Role,
     Scopes,
     Stale,
     StreamEvent,
@@ -415,6 +416,18 @@
     assert asked <= 8  # of 60 fronts in one beat; all of them before
 
 
+def test_a_front_that_knows_nobody_of_its_zone_yet_does_not_count_as_one_of_few_relays():
+    front = Fronting(range(1000, 1300), terms=TERMS, me=1)
+    front.hear(*(FromPeer(token, Where(f"z{token % 20}", False, "b")) for token in range(1000, 1040)))
+    front.run(5 * SECOND)
+    assert front.logic.roles.role == Role.RELAYS and not front.logic.scopes.settled()
+    front.hear(FromPeer(1299, Where("sur", False, "a")))
+    front.hear(*(FromPeer(token, Where(f"z{token % 20}", False, "b")) for token in range(1040, 1140)))
+    front.hear(FromPeer(1299, Scopes("sur")))  # it knows the same
+    front.run(2 * SECOND)
+    assert front.logic.scopes.settled()
+
+
 def test_the_fronts_of_a_zone_are_learnt_by_pages_from_one_that_knows_them():
     tokens = list(range(10**18, 10**18 + 300))
     knowing = Fronting(tokens, terms=TERMS, me=7)
