--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -17,6 +17,7 @@
     FromPeer,
     Reach,
     Reads,
+    Role,
     Scopes,
     Stale,
     StreamEvent,
@@ -361,6 +362,23 @@
     assert front.logic.stream.caught_up
 
 
+def test_a_service_that_went_back_and_told_other_purges_is_not_taken_for_one_that_went_on():
+    front = Member(held(3).packed())
+    front.told(front.parent, batch(4, 6))
+    front.logic.roles.suspicious = True
+    while front.logic.stream.state is None:
+        front.run(100 * MS)
+    other = [
+        json.dumps({"seq": number, "invalidate": {"bucket": 70 + number, "time": 5}}) for number in (5, 6, 7)
+    ]
+    texts = [whole(), *map(event, range(2, 5)), *other]
+    front.hear(StreamUp(), *(StreamEvent(text) for text in texts))
+    front.run(500 * MS)
+    front.hear(StreamSays())
+    purged = [order.told["invalidate"]["bucket"] for order in front.said(Take) if "invalidate" in order.told]
+    assert {75, 76, 77} <= set(purged)
+
+
 def test_a_replay_is_told_from_events_as_they_happen_by_their_own_times():
     live, fast, slow = EventTimes(), EventTimes(), EventTimes()
     for step in range(60):
@@ -398,6 +416,18 @@
     assert asked <= 8  # of 60 fronts in one beat; all of them before
 
 
+def test_a_front_that_knows_nobody_of_its_zone_yet_does_not_count_as_one_of_few_relays():
+    front = Fronting(range(1000, 1300), terms=TERMS, me=1)
+    front.hear(*(FromPeer(token, Where(f"z{token % 20}", False, "b")) for token in range(1000, 1040)))
+    front.run(5 * SECOND)
+    assert front.logic.roles.role == Role.RELAYS and not front.logic.scopes.settled()
+    front.hear(FromPeer(1299, Where("sur", False, "a")))
+    front.hear(*(FromPeer(token, Where(f"z{token % 20}", False, "b")) for token in range(1040, 1140)))
+    front.hear(FromPeer(1299, Scopes("sur")))  # it knows the same
+    front.run(2 * SECOND)
+    assert front.logic.scopes.settled()
+
+
 def test_the_fronts_of_a_zone_are_learnt_by_pages_from_one_that_knows_them():
     tokens = list(range(10**18, 10**18 + 300))
     knowing = Fronting(tokens, terms=TERMS, me=7)
