Split front/caches.py into five modules: a pure move

attempt (forwards and probes), cache_protocol (answers read and checked), cache_connection, cache_peer (one member), caches (orders carried out). No line changed but imports and heads; tests follow the new paths.

--- /dev/null
+++ b/limepath/front/attempt.py
@@ -0,0 +1,63 @@
+"""Forwards and probes on their way, and the command that a forward becomes."""
+
+from limepath.front.turn import clock
+
+HOW = (("join", "join"), ("held", "held_only"), ("nocopy", "no_copy_above"), ("renew", "renew"))
+
+
+class Flight:
+    """One forward on its way."""
+
+    __slots__ = (
+        "get",
+        "number",
+        "order",
+        "at",
+        "limit",
+        "connection",
+        "tag",
+        "timer",
+        "end",
+        "source",
+        "send_by",
+    )
+
+    def __init__(self, get, order, name_of, wait):
+        self.get, self.order, self.number, self.tag = get, order, get.sent, get.txn
+        self.source = b"" if order.source == order.cache else name_of[order.source]
+        self.at, self.connection, self.timer = clock(), None, None
+        self.send_by = self.at + min(
+            wait, order.within or wait
+        )  # what its rules let it wait, wherever it does
+        self.limit = min(get.due, self.at + order.limit) if order.limit else get.due
+
+    def words(self):
+        """The command's first line, written when it is sent, with what is left of its time."""
+        get, order = self.get, self.order
+        told = [b"queue=%b,path=%b" % (get.service, get.object)]
+        if get.part is not None:
+            told.append(b"blk=%b" % get.part)
+        told.append(b"budget=%d" % max(1, (self.limit - clock()) // 1000))
+        if self.source:
+            told.append(b"up=%b" % self.source)
+        if order.rank:
+            told.append(b"store=%d" % order.rank)
+        if order.oldest:
+            told.append(b"cap=%d" % max(1, order.oldest // 1000))
+        if how := "+".join(word for word, flag in HOW if getattr(order, flag)):
+            told.append(b"do=%b" % how.encode())
+        if get.have:
+            told.append(b"inm=%b" % get.have)
+        if get.key:
+            told.append(b"uniq=%b" % get.key)
+        return b"ASK %b %b %d\r\n" % (get.txn, b",".join(told), len(get.body))
+
+
+class Probing:
+    """One probe on its way."""
+
+    __slots__ = ("cache", "at", "tag", "timer", "connection", "end", "send_by")
+
+    def __init__(self, cache, tag, wait):
+        self.cache, self.at, self.tag, self.timer, self.connection = cache, clock(), tag, None, None
+        self.send_by = self.at + wait
--- /dev/null
+++ b/limepath/front/cache_protocol.py
@@ -0,0 +1,69 @@
+"""The protocol of caches, parents and the origin: answers and load reports, read and checked."""
+
+from limepath import contract as c
+from limepath.front.turn import clock, unix_clock
+from limepath.opening_values import LOAD_NAMES
+
+VERDICTS = {
+    b"DONE": c.Verdict.RETURNED,
+    b"KEEP": c.Verdict.RETURNED,
+    b"LACK": c.Verdict.MISS,
+    b"WAIT": c.Verdict.FULL,
+    b"BROKE": c.Verdict.ERRORED,
+    b"PAST": c.Verdict.MOOT,
+    b"FIT": c.Verdict.RETURNED,
+    b"UNFIT": c.Verdict.FULL,
+}
+PROBE_WORDS = (b"FIT", b"UNFIT", b"WAIT")  # a probe, too, may find no room
+FORWARD_WORDS = (b"DONE", b"KEEP", b"LACK", b"WAIT", b"BROKE", b"PAST")
+
+
+class Unreadable(Exception):
+    """What came from a cache cannot be read."""
+
+
+def read_answer(line, longest):
+    """Give (tag, word, fields, length) of an answer's first line, without its end."""
+    words = line.split(b" ")
+    if len(words) != 4:
+        raise Unreadable(f"{len(words)} of 4 words")
+    tag, word, told, size = words
+    if word not in VERDICTS:
+        raise Unreadable(f"unknown word {word[:20]!r}")
+    if not size.isdigit() or len(size) > 9 or int(size) > longest:
+        raise Unreadable(f"length {size[:20]!r}")
+    fields = {}
+    if told != b"-":
+        for field in told.split(b","):
+            name, equals, value = field.partition(b"=")
+            if not equals:
+                raise Unreadable(f"field {name[:20]!r}")
+            fields[name] = value
+    return tag, word, fields, int(size)
+
+
+def read_load(told):
+    """Give the load report that `use` holds, by the contract's names."""
+    load = {}
+    for field in told.decode("ascii", "replace").split(";"):
+        name, _, value = field.partition(":")
+        try:
+            load[LOAD_NAMES.get(name, name)] = float(value)
+        except ValueError:
+            continue  # a report that cannot be read says nothing
+    return load
+
+
+def check_copy(flight, word, fields, body, skew):
+    """What is spoilt must not pass for a whole answer: a copy tells its tag and since when it is out."""
+    get, oldest = flight.get, flight.order.oldest
+    if word == b"KEEP" and (not get.have or body):
+        raise Unreadable("KEEP without a copy to keep, or with one")
+    tag, since = fields.get(b"rev"), fields.get(b"since")
+    if get.note.write and tag is since is None:
+        return
+    if not tag or not tag.isalnum() or not since or not since.isdigit() or len(since) > 15:
+        raise Unreadable("no tag or no time of the copy")
+    age = unix_clock() - int(since) * 1000
+    if age < -skew or oldest and age > oldest + clock() - flight.at + skew:
+        raise Unreadable(f"a copy {age // 1000} ms old")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,8 +16,9 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from limepath import contract as c
-from limepath.front import caches as front_caches
-from limepath.front.caches import CacheConnection, Caches
+from limepath.front import cache_peer
+from limepath.front.cache_connection import CacheConnection
+from limepath.front.caches import Caches
 from limepath.front.clients import ClientConnection, Clients, State
 from limepath.front.turn import Turn
 from limepath.log import Log
@@ -282,7 +283,7 @@
     waiting = get()
     now = waiting.flights[0].at
     monkeypatch.setattr(
-        front_caches, "clock", lambda: now + 41_000
+        cache_peer, "clock", lambda: now + 41_000
     )  # the process stood still, its timer is not yet run
     connection = up(caches)
     assert connection.transport.value() == b""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,7 +12,10 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from limepath import contract as c
-from limepath.front.caches import CacheConnection, Caches, Probing, Unreadable, read_answer, read_load
+from limepath.front.attempt import Probing
+from limepath.front.cache_connection import CacheConnection
+from limepath.front.cache_protocol import Unreadable, read_answer, read_load
+from limepath.front.caches import Caches
 from limepath.front.changelog import ChangeLog, Chunks, EventReader, ident_of
 from limepath.front.clients import ClientConnection, Clients, Flaw, read_head
 from limepath.front.turn import Turn
