Split front/clients.py into three modules: a pure move

client_request (head parsed, request checked), client_connection, clients. No line changed but imports and heads; tests follow the new paths.

--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -16,7 +16,8 @@
 
 from limepath import contract as c
 from limepath.front import departures
-from limepath.front.clients import ClientConnection, Clients
+from limepath.front.client_connection import ClientConnection
+from limepath.front.clients import Clients
 from limepath.front.turn import clock
 from limepath.log import Log
 from limepath.opening.limits import planned
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,8 @@
 from limepath.front import cache_peer
 from limepath.front.cache_connection import CacheConnection
 from limepath.front.caches import Caches
-from limepath.front.clients import ClientConnection, Clients, State
+from limepath.front.client_connection import ClientConnection, State
+from limepath.front.clients import Clients
 from limepath.front.turn import Turn
 from limepath.log import Log
 from limepath.opening.limits import planned
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,9 @@
 from limepath.front.cache_protocol import Unreadable, read_answer, read_load
 from limepath.front.caches import Caches
 from limepath.front.changelog import ChangeLog, Chunks, EventReader, ident_of
-from limepath.front.clients import ClientConnection, Clients, Flaw, read_head
+from limepath.front.client_connection import ClientConnection
+from limepath.front.client_request import Flaw, read_head
+from limepath.front.clients import Clients
 from limepath.front.turn import Turn
 from limepath.log import Log
 from limepath.opening.limits import planned
