--- a/limepath/front/attempt.py
+++ b/limepath/front/attempt.py
@@ -5,7 +5,7 @@
 HOW = (("join", "join"), ("held", "held_only"), ("nocopy", "no_copy_above"), ("renew", "renew"))
 
 
-class Flight:
+class Attempt:
     """One forward on its way."""
 
     __slots__ = (
--- a/limepath/front/cache_connection.py
+++ b/limepath/front/cache_connection.py
@@ -8,7 +8,7 @@
 from twisted.internet.tcp import Connection as TcpConnection
 from zope.interface import implementer
 
-from limepath.front.attempt import Flight, Probing
+from limepath.front.attempt import Attempt, Probing
 from limepath.front.cache_protocol import (
     FORWARD_WORDS,
     PROBE_WORDS,
@@ -79,13 +79,13 @@
             not self.out or bool(self.answer) and self.answer[0] not in self.out
         )
 
-    def send(self, flight, *pieces):
+    def send(self, attempt, *pieces):
         if not self.out:
             self.peer.idle.remove(self)
-        self.out[flight.tag], flight.connection = flight, self
-        self.past.append(flight.tag)
+        self.out[attempt.tag], attempt.connection = attempt, self
+        self.past.append(attempt.tag)
         self.queued += sum(map(len, pieces))
-        flight.end = self.queued
+        attempt.end = self.queued
         self.transport.writeSequence(pieces)
         if self.direct:  # now, and not a pass later, in which its client could go; errors are told there
             self.transport.doWrite()
@@ -97,7 +97,7 @@
 
     def quiet_since(self):
         """Since when something out here has heard nothing."""
-        return max(self.heard, min(flight.at for flight in self.out.values()))
+        return max(self.heard, min(attempt.at for attempt in self.out.values()))
 
     def unsent(self):
         """Bytes that were never handed to the system. Behind TLS that can't be told: all may have gone."""
@@ -106,24 +106,24 @@
         held = self.transport
         return len(held.dataBuffer) - held.offset + sum(map(len, held._tempDataBuffer))
 
-    def written(self, flight):
+    def written(self, attempt):
         """Whether all of it was handed to the system; what was not can't have run."""
-        return flight.end <= self.queued - self.unsent()
+        return attempt.end <= self.queued - self.unsent()
 
-    def give_up(self, flight, unanswered=False):
+    def give_up(self, attempt, unanswered=False):
         """Tell the cache that nobody waits; give whether it may have run. Where the cache has been silent
         since, nothing more is sent here until it speaks again, and nothing behind an answer that has
         begun.
         """
-        self.done(flight.tag)
-        if not self.out and not self.written(flight):  # half a command: closed, it never becomes a whole one
+        self.done(attempt.tag)
+        if not self.out and not self.written(attempt):  # half a command: closed, it never becomes a whole one
             self.end(abort=True)
             return False
-        if isinstance(flight, Flight):
-            line = b"QUIT %b\r\n" % flight.tag
+        if isinstance(attempt, Attempt):
+            line = b"QUIT %b\r\n" % attempt.tag
             self.queued += len(line)
             self.transport.write(line)
-        self.silent |= unanswered and self.heard < flight.at
+        self.silent |= unanswered and self.heard < attempt.at
         if self.stray():
             self.retire()
         self.close_if_done()
@@ -181,17 +181,17 @@
         return tag, word, fields, body
 
     def answered(self, tag, word, fields, body):
-        flight = self.out.get(tag)
-        if flight is None:
+        attempt = self.out.get(tag)
+        if attempt is None:
             return  # late, a second copy, or nobody's
-        if word not in (PROBE_WORDS if isinstance(flight, Probing) else FORWARD_WORDS):
+        if word not in (PROBE_WORDS if isinstance(attempt, Probing) else FORWARD_WORDS):
             raise Unreadable(f"{word!r} is no answer to that")
         if word in (b"DONE", b"KEEP"):
-            check_copy(flight, word, fields, body, self.peer.limits.skew)
+            check_copy(attempt, word, fields, body, self.peer.limits.skew)
         self.done(tag)
-        if isinstance(flight, Probing):
+        if isinstance(attempt, Probing):
             self.peer.answered_probe()
-        self.peer.caches.ended(flight, VERDICTS[word], word, fields, body)
+        self.peer.caches.ended(attempt, VERDICTS[word], word, fields, body)
         if self.peer.waiting:
             self.peer.send_waiting()
         if self.peer.caches.crowded and not self.out:
--- a/limepath/front/cache_peer.py
+++ b/limepath/front/cache_peer.py
@@ -7,7 +7,7 @@
 from twisted.internet.protocol import Factory
 
 from limepath import contract as c
-from limepath.front.attempt import Flight, Probing
+from limepath.front.attempt import Attempt, Probing
 from limepath.front.cache_connection import CacheConnection, State
 from limepath.front.turn import clock
 
@@ -37,34 +37,34 @@
         held = self.connections or self.waiting or self.coming
         return self.gone is not None and now - self.gone > self.limits.gone and not held
 
-    def send(self, flight):
+    def send(self, attempt):
         """A forward has a connection to itself where one can be had: what breaks takes no other along."""
-        if isinstance(flight, Flight) and self.caches.client_has_gone(flight):
+        if isinstance(attempt, Attempt) and self.caches.client_has_gone(attempt):
             return
-        connection = self.fit_for(flight)
+        connection = self.fit_for(attempt)
         if connection is None:
-            self.waiting.append(flight)
-            self.caches.time(flight, flight.send_by - clock(), self.overdue)
+            self.waiting.append(attempt)
+            self.caches.time(attempt, attempt.send_by - clock(), self.overdue)
             self.connect()
-        elif isinstance(flight, Probing):
-            connection.send(flight, self.caches.probe_word + b" %b\r\n" % flight.tag)
-            self.caches.time(flight, self.limits.probe, self.caches.unanswered)
+        elif isinstance(attempt, Probing):
+            connection.send(attempt, self.caches.probe_word + b" %b\r\n" % attempt.tag)
+            self.caches.time(attempt, self.limits.probe, self.caches.unanswered)
         else:
-            connection.send(flight, flight.words(), flight.get.body, b"\r\n")
-            flight.get.begun.append(clock())
-            if flight.limit < flight.get.due:
-                self.caches.time(flight, flight.limit - clock(), self.caches.timed_out)
+            connection.send(attempt, attempt.words(), attempt.get.body, b"\r\n")
+            attempt.get.begun.append(clock())
+            if attempt.limit < attempt.get.due:
+                self.caches.time(attempt, attempt.limit - clock(), self.caches.timed_out)
 
-    def fit_for(self, flight):
+    def fit_for(self, attempt):
         """The connection that was idle last; a probe asks where it has been quiet for longest."""
-        if isinstance(flight, Probing) and (busy := self.busy(flight.tag)):
+        if isinstance(attempt, Probing) and (busy := self.busy(attempt.tag)):
             return min(busy, key=CacheConnection.quiet_since)
         for connection in reversed(self.idle):
-            if connection.takes(flight.tag):
+            if connection.takes(attempt.tag):
                 return connection
         if self.coming > len(self.waiting) or self.may_connect():
             return None
-        return min(self.busy(flight.tag), key=lambda one: len(one.out), default=None)
+        return min(self.busy(attempt.tag), key=lambda one: len(one.out), default=None)
 
     def busy(self, tag):
         return [connection for connection in self.connections if connection.out and connection.takes(tag)]
@@ -73,14 +73,14 @@
         for _ in range(len(self.waiting)):
             if not self.waiting:  # others of a GET whose client has gone went with it, or found their way
                 return
-            flight = self.waiting.popleft()
-            if clock() >= flight.send_by:  # its timer is late: the loop was busy, or the process stood still
-                self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
-            elif self.fit_for(flight):
-                self.caches.still(flight)
-                self.send(flight)
+            attempt = self.waiting.popleft()
+            if clock() >= attempt.send_by:  # its timer is late: the loop was busy, or the process stood still
+                self.caches.ended(attempt, c.Verdict.CONNECT_FAILED)
+            elif self.fit_for(attempt):
+                self.caches.still(attempt)
+                self.send(attempt)
             else:
-                self.waiting.append(flight)
+                self.waiting.append(attempt)
 
     def may_connect(self):
         paced = self.caches.paced  # probes are shared out among fronts by themselves
@@ -141,9 +141,9 @@
             if connection.silent:
                 self.caches.reactor.callLater(self.limits.probe / 1e6, connection.dead, connection.heard)
 
-    def overdue(self, flight):
-        self.waiting.remove(flight)
-        self.caches.ended(flight, c.Verdict.CONNECT_FAILED)
+    def overdue(self, attempt):
+        self.waiting.remove(attempt)
+        self.caches.ended(attempt, c.Verdict.CONNECT_FAILED)
 
     def lost(self, connection):
         self.caches.held -= 1
@@ -154,9 +154,9 @@
         if self.caches.paced:
             self.caches.paced.look()
         out, connection.out = connection.out, {}
-        for flight in out.values():  # what was not written whole has not run
+        for attempt in out.values():  # what was not written whole has not run
             self.caches.ended(
-                flight, c.Verdict.RESET if connection.written(flight) else c.Verdict.CONNECT_FAILED
+                attempt, c.Verdict.RESET if connection.written(attempt) else c.Verdict.CONNECT_FAILED
             )
         if self.waiting:
             self.connect()
--- a/limepath/front/cache_protocol.py
+++ b/limepath/front/cache_protocol.py
@@ -54,9 +54,9 @@
     return load
 
 
-def check_copy(flight, word, fields, body, skew):
+def check_copy(attempt, word, fields, body, skew):
     """What is spoilt must not pass for a whole answer: a copy tells its tag and since when it is out."""
-    get, oldest = flight.get, flight.order.oldest
+    get, oldest = attempt.get, attempt.order.oldest
     if word == b"KEEP" and (not get.have or body):
         raise Unreadable("KEEP without a copy to keep, or with one")
     tag, since = fields.get(b"rev"), fields.get(b"since")
@@ -65,5 +65,5 @@
     if not tag or not tag.isalnum() or not since or not since.isdigit() or len(since) > 15:
         raise Unreadable("no tag or no time of the copy")
     age = unix_clock() - int(since) * 1000
-    if age < -skew or oldest and age > oldest + clock() - flight.at + skew:
+    if age < -skew or oldest and age > oldest + clock() - attempt.at + skew:
         raise Unreadable(f"a copy {age // 1000} ms old")
--- a/limepath/front/caches.py
+++ b/limepath/front/caches.py
@@ -3,7 +3,7 @@
 from itertools import count
 
 from limepath import contract as c
-from limepath.front.attempt import Flight, Probing
+from limepath.front.attempt import Attempt, Probing
 from limepath.front.cache_connection import State
 from limepath.front.cache_peer import Peer
 from limepath.front.cache_protocol import read_load
@@ -21,12 +21,12 @@
         self.secured = None  # TLS, where the front is told of it
         self.paced = None  # a pace of new connections, where fronts keep one together
 
-    def time(self, flight, span, then):
-        flight.timer = self.reactor.callLater(max(0, span) / 1e6, then, flight)
+    def time(self, attempt, span, then):
+        attempt.timer = self.reactor.callLater(max(0, span) / 1e6, then, attempt)
 
-    def still(self, flight):
-        if flight.timer and flight.timer.active():
-            flight.timer.cancel()
+    def still(self, attempt):
+        if attempt.timer and attempt.timer.active():
+            attempt.timer.cancel()
 
     def spare(self):
         """Whether there is a descriptor for one more connection, or an idle one that can make room: it ends a
@@ -68,10 +68,10 @@
         told.
         """
         for peer in self.peers.values():
-            for flight in [
-                one for one in peer.waiting if isinstance(one, Flight) and concerned(one.order, one.get)
+            for attempt in [
+                one for one in peer.waiting if isinstance(one, Attempt) and concerned(one.order, one.get)
             ]:
-                self.stop(flight, c.Verdict.MOOT)
+                self.stop(attempt, c.Verdict.MOOT)
 
     def purged(self, purge):
         self.recall(
@@ -79,13 +79,13 @@
         )
 
     def forward(self, order, get):
-        flight = Flight(get, order, self.names, self.limits.wait)
+        attempt = Attempt(get, order, self.names, self.limits.wait)
         get.sent += 1
-        get.flights[flight.number] = flight
-        if get.closed or flight.limit <= flight.at:
-            self.ended(flight, c.Verdict.MOOT)
+        get.attempts[attempt.number] = attempt
+        if get.closed or attempt.limit <= attempt.at:
+            self.ended(attempt, c.Verdict.MOOT)
         else:
-            self.peers[order.cache].send(flight)
+            self.peers[order.cache].send(attempt)
 
     def probe(self, order, epoch=0):
         """A probe under a lease tells its epoch in its tag, so that a member can turn an older one away."""
@@ -97,30 +97,30 @@
             if not connection.out:
                 connection.retire()
 
-    def withdraw(self, flight):
-        self.stop(flight, c.Verdict.CANCELLED)
+    def withdraw(self, attempt):
+        self.stop(attempt, c.Verdict.CANCELLED)
 
-    def timed_out(self, flight):
-        self.stop(flight, c.Verdict.TIMED_OUT)
+    def timed_out(self, attempt):
+        self.stop(attempt, c.Verdict.TIMED_OUT)
 
-    def stop(self, flight, verdict):
+    def stop(self, attempt, verdict):
         """Give a forward up; one that was never written whole did not run, and a cache that does not even
         read is out of reach.
         """
-        connection, peer = flight.connection, self.peers[flight.order.cache]
+        connection, peer = attempt.connection, self.peers[attempt.order.cache]
         if connection is None:
-            if flight in peer.waiting:
-                peer.waiting.remove(flight)
+            if attempt in peer.waiting:
+                peer.waiting.remove(attempt)
             verdict = c.Verdict.MOOT
-        elif not connection.give_up(flight, verdict == c.Verdict.TIMED_OUT):
+        elif not connection.give_up(attempt, verdict == c.Verdict.TIMED_OUT):
             verdict = c.Verdict.CONNECT_FAILED if verdict == c.Verdict.TIMED_OUT else c.Verdict.MOOT
-        self.ended(flight, verdict)
+        self.ended(attempt, verdict)
 
-    def client_has_gone(self, flight):
+    def client_has_gone(self, attempt):
         """Whether this attempt's client has gone, its end read or not; the attempt has ended then. Asked of
         the system before each attempt: a late pass, or one that brings an answer before an end, can't know.
         """
-        client = flight.get.connection
+        client = attempt.get.connection
         if client is None or not client.has_gone():
             return False
         client.hold_back()
@@ -130,37 +130,37 @@
         """The client has left: what has not gone out whole goes no more, whether its effect could be repeated
         or not.
         """
-        for flight in list(get.flights.values()):
+        for attempt in list(get.attempts.values()):
             if (
-                flight.connection is None
-                or not flight.connection.written(flight)
-                and len(flight.connection.out) == 1
+                attempt.connection is None
+                or not attempt.connection.written(attempt)
+                and len(attempt.connection.out) == 1
             ):
-                self.stop(flight, c.Verdict.MOOT)
+                self.stop(attempt, c.Verdict.MOOT)
 
     def unanswered(self, probing):
         probing.connection.give_up(probing, unanswered=True)
         self.ended(probing, c.Verdict.TIMED_OUT)
 
-    def ended(self, flight, verdict, word=b"", fields=None, body=b""):
+    def ended(self, attempt, verdict, word=b"", fields=None, body=b""):
         """Every forward and probe ends here, once."""
-        self.still(flight)
+        self.still(attempt)
         fields = fields or {}
         load = read_load(fields[b"use"]) if b"use" in fields else {}
-        if isinstance(flight, Probing):
-            self.turn.gather(c.ProbeReport(flight.cache, verdict, clock() - flight.at, load))
+        if isinstance(attempt, Probing):
+            self.turn.gather(c.ProbeReport(attempt.cache, verdict, clock() - attempt.at, load))
             return
-        get, order = flight.get, flight.order
-        get.flights.pop(flight.number, None)
+        get, order = attempt.get, attempt.order
+        get.attempts.pop(attempt.number, None)
         if verdict == c.Verdict.RETURNED:
             self.clients.returned(get, word == b"KEEP", fields.get(b"rev"), body)
         self.turn.gather(
             c.Outcome(
                 order.id,
-                flight.number,
+                attempt.number,
                 verdict,
                 order.cache,
-                clock() - flight.at,
+                clock() - attempt.at,
                 0,
                 get.closed,
                 c.Hint.NONE,
--- a/limepath/front/client_request.py
+++ b/limepath/front/client_request.py
@@ -81,7 +81,7 @@
         "due",
         "sent",
         "begun",
-        "flights",
+        "attempts",
         "closed",
         "timer",
     )
@@ -120,7 +120,7 @@
             raise Flaw(400, "X-Txn-Key")
         self.id, self.connection, self.txn, self.service, self.object = ident, connection, txn, service, obj
         self.part, self.have, self.body, self.due = part, have.strip(b'"'), body, clock() + patience
-        self.sent, self.flights, self.closed, self.timer = 0, {}, False, None
+        self.sent, self.attempts, self.closed, self.timer = 0, {}, False, None
         self.begun = []  # when its attempts were handed to the system
         self.note = c.Get(
             ident, ds, 0, int(obj, 16), patience, 0.0, group, number, False, writes, bool(self.key)
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -103,8 +103,8 @@
     def over(self, get):
         """The GET's time is over: what is out has timed out; the module answers, else this does soon."""
         get.timer = None
-        for flight in list(get.flights.values()):
-            self.caches.timed_out(flight)
+        for attempt in list(get.attempts.values()):
+            self.caches.timed_out(attempt)
         if not get.closed:
             get.timer = self.reactor.callLater(self.limits.backstop / 1e6, self.forgotten, get)
 
@@ -146,7 +146,7 @@
     def settled(self, get):
         """A closed GET without forwards is done with, once the module has heard all of it: until then it may
         order one more forward, which needs its outcome."""
-        if not get.flights:
+        if not get.attempts:
             if get.timer is not None:
                 get.timer.cancel()
                 get.timer = None
@@ -156,15 +156,15 @@
         """The module has heard all there was."""
         done, self.done = self.done, []
         for get in done:
-            if not get.flights:
+            if not get.attempts:
                 self.open.pop(get.id, None)
         self.leave_if_done()
 
     def withdraw(self, order, caches):
         get = self.open.get(order.id)
-        flight = get and get.flights.get(order.forward)
-        if flight:
-            caches.withdraw(flight)
+        attempt = get and get.attempts.get(order.forward)
+        if attempt:
+            caches.withdraw(attempt)
 
     def sweep(self):
         """Close what is idle, half sent or not taken for long; tell who holds the descriptors once they are
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -248,7 +248,7 @@
 
     def attempts(self):
         """Those that have been ordered and have not ended."""
-        return [flight for get in self.clients.open.values() for flight in get.flights.values()]
+        return [attempt for get in self.clients.open.values() for attempt in get.attempts.values()]
 
     def accept(self):
         """The cache's end of the next connection."""
@@ -355,7 +355,7 @@
         until(lambda: departures.has_ended(far))
         until(lambda: clock() - before > 150_000)
         connection.get = SimpleNamespace(
-            id=1, txn=b"aa", flights={}, timer=None, begun=[before - 50_000, clock()], closed=False
+            id=1, txn=b"aa", attempts={}, timer=None, begun=[before - 50_000, clock()], closed=False
         )
         connection.readConnectionLost()
     counted = clients.departures
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -282,7 +282,7 @@
     front = Ordering(within=40_000)
     _, _, caches, get = parts(front)
     waiting = get()
-    now = waiting.flights[0].at
+    now = waiting.attempts[0].at
     monkeypatch.setattr(
         cache_peer, "clock", lambda: now + 41_000
     )  # the process stood still, its timer is not yet run
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -288,7 +288,7 @@
     turn.joined(clients, caches)
     caches.listed(1, "s-1", ("127.0.0.1", 9), 0, c.Standing.READY)
     verdicts = []
-    caches.ended = lambda flight, verdict, *_: verdicts.append(verdict)
+    caches.ended = lambda attempt, verdict, *_: verdicts.append(verdict)
     for unsent in (0, 1):
         connection = CacheConnection(caches.peers[1])
         caches.peers[1].idle.append(connection)
@@ -666,11 +666,11 @@
             ),
         )
         connection = CacheConnection(told)
-        flight = SimpleNamespace(
+        attempt = SimpleNamespace(
             get=SimpleNamespace(note=SimpleNamespace(write=False)), order=SimpleNamespace(oldest=0)
         )
         told.idle, told.waiting = [], []
-        connection.out = {b"aa": flight, b"bb": flight, b"p7": Probing(1, b"p7", 1)}
+        connection.out = {b"aa": attempt, b"bb": attempt, b"p7": Probing(1, b"p7", 1)}
         connection.dataReceived(stream[:split])
         connection.dataReceived(stream[split:])
         assert heard == [(b"DONE", b"x\r\ny"), (b"LACK", b""), (b"FIT", b"")], (split, heard)
@@ -724,7 +724,7 @@
     )
     reactor.advance(0)
     (get,) = clients.open.values()
-    caches.ended(get.flights[0], c.Verdict.MISS)  # in one pass with the viewer's end
+    caches.ended(get.attempts[0], c.Verdict.MISS)  # in one pass with the viewer's end
     clients.left(get)
     reactor.advance(0)
     reactor.advance(0)
