--- a/limepath/front/client_request.py
+++ b/limepath/front/client_request.py
@@ -64,7 +64,7 @@
     return int(text)
 
 
-class OpenGet:
+class Request:
     """One GET as the client worded it, and what has become of it."""
 
     __slots__ = (
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -9,7 +9,7 @@
 
 from limepath import contract as c
 from limepath.front.client_connection import YOUNG, ClientConnection, State
-from limepath.front.client_request import Flaw, OpenGet
+from limepath.front.client_request import Flaw, Request
 from limepath.front.departures import Departures
 from limepath.front.descriptors import descriptor_use
 from limepath.front.turn import clock
@@ -88,7 +88,7 @@
             min(stuck, key=lambda one: one.moved).close(abort=True)
 
     def arrived(self, connection, method, target, fields, body):
-        get = OpenGet(next(self.ids), connection, method, target, fields, body, self.services)
+        get = Request(next(self.ids), connection, method, target, fields, body, self.services)
         if get.txn in self.txns:  # two with one id could not be told apart at the caches
             raise Flaw(409, "an id that is open")
         if len(self.open) >= self.limits.open_gets:
