A cold fleet in trees: lists are served fairly, an empty front is sent one packed list, calls spread

1,000 fronts that started at once with 1,400 caches and 5% loss were not whole after 60 s: those that asked first in each tick got all that a front may send of lists, the others gave it up as bad for 30 s; pages cost a front that has nothing twice the bytes of the list packed as one; and 29 calls in a second went to the list service, since all that learnt at once that they were few relays called at once.

--- a/limepath/listing/bounds.py
+++ b/limepath/listing/bounds.py
@@ -26,6 +26,7 @@
 TURN = 5_000_000  # for which a relay may call in vain until the next by hash tries beside it
 SLOW = 30_000_000  # for which a parent that does not bring what another has is passed over
 FURTHER = 4  # datagrams in a tick to those behind, beside one to each child
+PIECES = 8  # datagrams of lists in a tick, in all
 HELPERS = 1  # times the relays, that may call beside them while they call in vain
 
 
@@ -143,7 +144,7 @@
     call = int(1.5 * Budget(terms, lambda: 1.0).span_of(terms.relays * zones)) + WAY + QUIET
     ticks = SECOND / terms.gather
     per_beat = SECOND / terms.beat * (children_at_most(terms) + watchers_at_most(terms) + 4)
-    most = (children_at_most(terms) + FURTHER) * LARGEST * ticks + per_beat * HEADER
+    most = (children_at_most(terms) + FURTHER + PIECES) * LARGEST * ticks + per_beat * HEADER
     return TreeBounds(
         hops=hops,
         event=event,
--- a/limepath/listing/calls.py
+++ b/limepath/listing/calls.py
@@ -54,7 +54,11 @@
             if self.due is None:
                 self.since_wanted = now
                 self.share = self.chance() if self.first else 0.5 + self.chance()
-            self.span, self.due = span, self.since_wanted + int(span * self.share)
+            if self.due is not None and self.terms.site:  # else all that learn at once that they are few call
+                self.due = now + max(0, int((self.due - now) * span / self.span))
+            else:
+                self.due = self.since_wanted + int(span * self.share)
+            self.span = span
         return now >= self.due
 
     def called(self):
--- a/limepath/listing/children.py
+++ b/limepath/listing/children.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from limepath.listing.bounds import FURTHER, WAY, children_at_most, watchers_at_most
+from limepath.listing.bounds import FURTHER, PIECES, WAY, children_at_most, watchers_at_most
 from limepath.listing.coding import BATCH_LIMIT, batches
 from limepath.listing.component import Component
 from limepath.listing.integers import Reader
@@ -40,6 +40,10 @@
         super().__init__(listing)
         self.known, self.ticking = {}, False
         self.further, self.refilled = FURTHER, 0
+        self.pieces, self.askers = (
+            {},
+            0,
+        )  # of lists sent in this tick, by token; who asked for any in the last
 
     def readers(self):
         return [child for child in self.known.values() if child.reads == Reads.BATCHES]
@@ -148,18 +152,22 @@
         for token in self.known:
             self.agenda.order(Reach(token, self.followers.my_beat()))
 
-    def may_serve_piece(self):
-        """Whether one more datagram of a whole list may go out before the next tick."""
+    def may_serve_piece(self, token):
+        """Whether one more datagram of a list may go out before the next tick, to one of those that share
+        what goes out of lists.
+        """
         self.refill()
-        if self.further <= 0:
+        sent = self.pieces.setdefault(token, 0)
+        if sum(self.pieces.values()) >= PIECES or sent >= max(1, PIECES // max(1, self.askers)):
             return False
-        self.further -= 1
+        self.pieces[token] = sent + 1
         return True
 
     def refill(self):
-        """So many further datagrams in each span of a tick, for events and pieces together."""
+        """So many further datagrams of events and so many of lists in each span of a tick."""
         if self.agenda.now - self.refilled >= self.terms.gather:
             self.further, self.refilled = FURTHER, self.agenda.now
+            self.pieces, self.askers = {}, len(self.pieces)
 
 
 def events_in(batch):
--- a/limepath/listing/heard.py
+++ b/limepath/listing/heard.py
@@ -60,8 +60,8 @@
                 self.contradicted(token, f"up to date at {theirs.number}, others are at {place.number}")
 
     def fetch(self, token, message):
-        """Ask for the whole list, or for what differs of it where the other can tell that."""
-        if self.tree.on and message.site:
+        """Ask for the whole list, packed as one; or for what differs of it, if the other can tell that."""
+        if self.tree.on and message.site and self.held.list.place.number:
             self.pages.begin(token)
         else:
             self.snapshot.begin(token, message.followers)
--- a/limepath/listing/page_transfer.py
+++ b/limepath/listing/page_transfer.py
@@ -1,8 +1,8 @@
 """What differs of the whole list, on its way between two fronts of a tree: pages with digests, in chunks.
 
 A snapshot stands still, so that all that begin within SNAPSHOT_KEPT ask for the same; it is kept while it is
-asked for, and what came since is in the window. Chunks share the further datagrams of `children`, so that one
-front never sends more than a set number, whoever asks. Free of I/O.
+asked for, and what came since is in the window. Those that ask share a set number of datagrams in a tick.
+Free of I/O.
 """
 
 from limepath.listing.catch_up import CatchUp, Chunk, ChunkName, DamagedPage, NoSuchChunk, OtherSnapshot
@@ -66,7 +66,7 @@
 
     def asked(self, token, message):
         """Answer one that asks for a chunk; not at all where enough went out in this tick."""
-        if not self.tree.on or not self.children.may_serve_piece():
+        if not self.tree.on or not self.children.may_serve_piece(token):
             return
         place = Place(message.generation, message.number)
         snapshot = self.newest() if place.number < 0 else self.snapshots.get((place, message.mark))
@@ -94,7 +94,7 @@
         transfer.stalls += 1
         if transfer.stalls > STALLS:
             self.transfer = None
-            return self.heard.nonsense(transfer.token, "pages of the list never came")
+            return  # it serves others; the next heartbeat leads to another try
         transfer.asked = set()
         self.ask(transfer)
         self.agenda.at(self.agenda.now + RETRY, self.proceed, transfer)
--- a/limepath/listing/snapshot.py
+++ b/limepath/listing/snapshot.py
@@ -53,7 +53,7 @@
         return place if young and same and self.held.window.covers(place.number) else None
 
     def asked(self, token, message):
-        if self.tree.on and not self.children.may_serve_piece():
+        if self.tree.on and not self.children.may_serve_piece(token):
             return  # asked again later
         place, data = self.pack(Place(message.generation, message.number))
         of = packed_size(data) if data else 0
@@ -77,6 +77,8 @@
         fetch.stalls += 1
         if fetch.stalls > STALLS:
             self.fetch = None
+            if self.tree.on:
+                return  # it serves others; the next heartbeat leads to another try
             return self.heard.nonsense(fetch.token, "the whole list never came")
         fetch.asked = set()
         self.ask(fetch)
