--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -7,6 +7,7 @@
 
 from limepath import contract as c
 from limepath.listing.bounds import children_at_most, fresh, tree_bounds
+from limepath.listing.calls import Budget
 from limepath.listing.coding import batches, encode
 from limepath.listing.interface import (
     AskChunk,
@@ -296,6 +297,31 @@
     assert front.logic.upstream.flaw_of(front.logic.upstream.sources[front.parent]) == "bad"
 
 
+def test_those_that_ask_for_a_list_are_served_alike_whoever_asks_first():
+    children = Member(held(3).packed()).logic.children
+    served = dict.fromkeys(range(8), 0)
+    for _ in range(10):
+        children.agenda.now += TERMS.gather
+        for token in served:
+            served[token] += sum(children.may_serve_piece(token) for _ in range(4))
+    assert min(served.values()) >= 9 and sum(served.values()) <= 10 * 8
+
+
+def test_fronts_that_learn_at_once_that_they_are_few_do_not_call_at_once():
+    terms = Terms(fronts=1000, site="a")
+    budgets = [Budget(terms, lambda share=share: share / 40) for share in range(40)]
+    called, times = [], []
+    for now in range(0, 12 * SECOND, 100 * MS):
+        for budget in budgets:
+            budget.view(now, 1000)
+            few = 40 if now >= 5 * SECOND else 0
+            if budget not in called and budget.may_call(now, few):
+                called.append(budget)
+                times.append(now)
+    assert len([now for now in times if 5 * SECOND <= now < 6 * SECOND]) <= 10
+    assert len(called) == 40
+
+
 def test_one_of_the_older_program_is_asked_for_pieces():
     front = Member(held(3).packed())
     front.told(front.parent, Beat("sur", 0, 9000, 1, 50 * MS))
