--- a/limepath/scale/bounds.py
+++ b/limepath/scale/bounds.py
@@ -8,10 +8,13 @@
 from math import ceil, log
 from typing import NamedTuple
 
+from limepath.listing import bounds as listing
 from limepath.listing.bounds import bounds as listing_bounds
 from limepath.peers.members import detection, spread
 from limepath.scale.faults import LOSS, Kind
 
+tree_bounds = getattr(listing, "tree_bounds", None)  # a text before the tree has none
+
 SECOND = 1_000_000
 REQUIRED = 7_300_000  # a purge is done everywhere within that (issue 35)
 CPU_SHARE = 0.035  # of a core, for all control of a front (issue 35)
@@ -32,46 +35,70 @@
     storm: float = STORM
 
 
+class Shape(NamedTuple):
+    """The sizes that bounds depend on, and events a second."""
+
+    fronts: int
+    zones: int
+    sites: int
+    rate: float
+
+
 class Promise(NamedTuple):
-    """Bounds of one run. `datagrams_sent` is None where the settings state no fan-out."""
+    """Bounds of one run; None where the settings state nothing of the kind, as the star of relays does."""
 
     event: dict[str, int]  # by phase: until an event is at all fronts that no fault struck
     late_known: int  # from a cut until each front behind it knows that it is late
-    whole_again: int  # from the end of a fault until each front that it struck is whole
+    whole_again: dict[str, int]  # by kind of fault: from its end until each front that it struck is whole
     disagreement: int  # from the last change until all views are one
-    datagrams_sent: float | None
+    children: int | None  # fronts that one sends events to
+    list_bytes: float | None  # sent a second for the list by the busiest front, nothing failing
+    window: int | None  # the longest cut after which events still come one by one
     budget: Budget
 
 
 BUDGET = Budget()
 
 
-def promised(peers, fronts, zones, phases, events, budget=BUDGET):
+def tree_of(peers, shape):
+    """The TreeBounds, or None where the settings make no tree."""
+    if tree_bounds is None or not peers.listing.site:
+        return None
+    return tree_bounds(peers.listing, shape.fronts, shape.zones, shape.sites)
+
+
+def promised(peers, shape, phases, schedule, budget=BUDGET):
     """The Promise of a run: `peers` is the PeersOpening of its settings as stated, `phases` the names of its
-    phases, `events` about how many it tells in each.
+    phases, `schedule` its faults.
     """
-    told = listing_bounds(peers.listing, fronts, zones)
-    unpaced = listing_bounds(peers.listing._replace(ready=0.0), fronts, zones)
-    within = {phase: event_bound(peers, told, phase, fronts, events, budget) for phase in phases}
+    tree = tree_of(peers, shape)
+    told = listing_bounds(peers.listing._replace(ready=0.0), shape.fronts, shape.zones)
+    events = shape.rate * schedule.end / SECOND
+    within = {phase: event_bound(peers, told, tree, phase, shape.fronts * events) for phase in phases}
     return Promise(
-        event=within,
-        late_known=told.known_late + SLACK + SAMPLE,
-        whole_again=unpaced.ready + SLACK + SAMPLE,
-        disagreement=detection(peers.spans, fronts) + spread(peers.spans, fronts) + SLACK + SAMPLE,
-        datagrams_sent=datagrams(peers),
+        event={phase: min(budget.purge, bound + SLACK) for phase, bound in within.items()},
+        late_known=(tree or told).known_late + SLACK + SAMPLE,
+        whole_again={fault.kind: whole_again(told, tree, fault, shape) for fault in schedule.faults},
+        disagreement=detection(peers.spans, shape.fronts)
+        + spread(peers.spans, shape.fronts)
+        + SLACK
+        + SAMPLE,
+        children=tree and tree.children,
+        list_bytes=tree and tree.calm_bytes(shape.rate),
+        window=tree and peers.listing.window,
         budget=budget,
     )
 
 
-def event_bound(peers, told, phase, fronts, events, budget):
-    """Never more than the operators' time; less where the settings promise less."""
+def event_bound(peers, told, tree, phase, pieces):
+    """Until an event is everywhere in a phase, on a machine that is not busy."""
     if phase == "calm":
-        bound = told.event
-    elif phase == Kind.LOSS:
-        bound = told.event + lost_in_a_row(fronts * events, LOSS) * peers.listing.beat
-    else:
-        bound = told.relays_gone
-    return min(budget.purge, bound + SLACK)
+        return (tree or told).event
+    if phase == Kind.LOSS:
+        return (tree or told).event + lost_in_a_row(pieces, LOSS) * peers.listing.beat
+    if tree:
+        return max(tree.inner_gone, tree.root_gone)
+    return told.relays_gone
 
 
 def lost_in_a_row(pieces, loss):
@@ -79,15 +106,12 @@
     return max(1, ceil(log(max(2, pieces)) / log(1 / loss)))
 
 
-def datagrams(peers):
-    """Datagrams a second that a front with all the children that its fan-out allows may send: for each child
-    a batch each gathering span and an answer each heartbeat; the membership's and the counts' own beside.
-    """
-    terms = peers.listing
-    fan_out = getattr(terms, "fan_out", None)
-    if fan_out is None:
-        return None
-    children = 2 * fan_out
-    batches, heartbeats = SECOND / terms.gather, SECOND / terms.beat
-    membership = (2 * 2 + peers.spans.indirect) * SECOND / peers.spans.period
-    return 2 * (children * (batches + heartbeats) + 2 * heartbeats) + 4 * membership
+def whole_again(told, tree, fault, shape):
+    """From the end of a fault until each front that it struck has all events and knows it."""
+    if tree is None:
+        bound = told.ready
+    elif fault.kind == Kind.CUT:
+        bound = tree.whole_again(shape.rate, fault.until - fault.at)
+    else:
+        bound = max(tree.rejoined, tree.whole_again(shape.rate, fault.until - fault.at))
+    return bound + SLACK + SAMPLE
--- a/limepath/scale/observations.py
+++ b/limepath/scale/observations.py
@@ -110,6 +110,14 @@
         times = numpy.append(numpy.asarray(self.times, dtype=numpy.int64), NEVER)
         return times[at]
 
+    def skipped(self, since, until):
+        """Events that this front came past between two moments without taking them one by one."""
+        return sum(
+            number - before - 1
+            for before, number, at in zip(self.numbers, self.numbers[1:], self.times[1:], strict=False)
+            if since <= at <= until
+        )
+
 
 class Away(NamedTuple):
     """A front that a fault struck, until it was whole again (NEVER: it was not)."""
@@ -136,7 +144,7 @@
         self.arrivals = {name: Arrivals() for name in names}
         self.latest, self.generations, self.doubled = {}, set(), Counter()
         self.away, self.returning, self.whole_again, self.late_known = [], {}, {}, {}
-        self.memory, self.said, self.lost_reports = {}, Counter(), 0
+        self.memory, self.said, self.most_followers = {}, Counter(), 0
 
     def begin(self, phase, at):
         self.phases.append(Phase(phase, at))
@@ -176,6 +184,7 @@
             self.doubled[self.phase] += report.doubled
             uses = self.uses.setdefault(self.phase, {})
             uses.setdefault(name, Use()).add(report, span)
+            self.most_followers = max(self.most_followers, report.followers or 0)
         self.said.update(report.said)
         report.events = []
         self.latest[name] = report
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -138,9 +138,7 @@
         cpu = told["cpu"]["all"]["worst"]
         rows += [
             at_most(f"{phase}: busiest front, bytes sent a second", round(busiest), round(budget.bytes_sent)),
-            datagram_row(
-                f"{phase}: busiest front, datagrams sent a second", datagrams, promise.datagrams_sent
-            ),
+            Row(f"{phase}: busiest front, datagrams sent a second", round(datagrams, 1)),
             at_most(
                 f"{phase}: worst front, % of a core", round(100 * cpu, 2), round(100 * budget.cpu_share, 2)
             ),
@@ -148,6 +146,13 @@
         if phase != "calm" and calm_peak:
             peak, bound = told["peak_bytes"]["worst"], budget.storm * calm_peak["worst"]
             rows.append(at_most(f"{phase}: most bytes sent in a sample, a second", round(peak), round(bound)))
+    children, held = run.seen.most_followers, promise.children
+    rows.append(at_most_if_stated("most fronts that one sends events to", children, held))
+    if "calm" in use:
+        busiest = round(use["calm"]["all"]["sent_bytes"]["list"]["worst"])
+        rows.append(
+            at_most_if_stated("calm: most bytes of the list sent a second", busiest, promise.list_bytes)
+        )
     for role, sizes in memory_by_role(run).items():
         share = "" if role == "real" else ", its share of a process"
         worst = round(sizes["worst"] / 1e6, 1)
@@ -155,10 +160,8 @@
     return rows
 
 
-def datagram_row(what, measured, bound):
-    if bound is None:
-        return Row(what, round(measured, 1))
-    return at_most(what, round(measured, 1), round(bound, 1))
+def at_most_if_stated(what, measured, bound):
+    return Row(what, measured) if bound is None else at_most(what, measured, bound)
 
 
 # Faults and agreement
@@ -171,7 +174,7 @@
     for kind, spans in run.seen.whole_again.items():
         worst = seconds(max(spans.values()))
         what = f"{kind.value}: {len(spans)} fronts whole again after it, worst, s"
-        rows.append(at_most(what, worst, seconds(promise.whole_again)))
+        rows.append(at_most(what, worst, seconds(promise.whole_again[kind])))
     if run.seen.returning:
         away = Counter(back.kind.value for back in run.seen.returning.values())
         for kind, count in away.items():
@@ -190,6 +193,8 @@
         for who, place in enumerate(run.plan.fronts)
     )
     known = run.seen.late_known.get(Kind.CUT, {})
+    bridged = promise.window is not None and fault.until - fault.at <= promise.window
+    once = 0 if bridged else None
     hollow = [span for name, span in known.items() if run.fleet.who[name] not in run.fleet.real]
     return [
         Row(
@@ -199,9 +204,19 @@
             len(hollow) >= behind,
         ),
         at_most("cut: until each knew, s", seconds(max(hollow, default=0)), seconds(promise.late_known)),
+        at_most_if_stated("cut: events that those behind it were not told one by one", skipped(run), once),
     ]
 
 
+def skipped(run):
+    """Events of a cut that fronts behind it came past without being told each."""
+    seen, phase = run.seen, next(phase for phase in run.seen.phases if phase.name == Kind.CUT)
+    following = [other.began for other in seen.phases if other.began > phase.began]
+    until = following[0] if following else run.ended
+    names = {name for name in seen.whole_again.get(Kind.CUT, {}) if run.fleet.who[name] not in run.fleet.real}
+    return sum(seen.arrivals[name].skipped(phase.began, until) for name in names)
+
+
 def agreement_rows(run, promise):
     ready, settled = run.ready, run.settled
     until = seconds(settled.took)
--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -15,7 +15,7 @@
 
 from limepath.opening import peers as peers_opening
 from limepath.scale import settings
-from limepath.scale.bounds import SAMPLE, promised
+from limepath.scale.bounds import SAMPLE, Shape, promised
 from limepath.scale.faults import Kind
 from limepath.scale.fleet import Fleet
 from limepath.scale.observations import Observations, role_in
@@ -67,7 +67,7 @@
         self.reactor, self.plan, self.schedule, self.options = reactor, plan, schedule, options
         self.folder, self.zero, self.said, self.roles = folder, None, [], {}
         self.pace, self.say, self.told_at = Pace(options.stretch), say, None
-        self.ready = self.settled = None
+        self.ready = self.settled = self.ended = None
         self.fleet = self.around = self.doors = None
         self.load_before, self.load_after = os.getloadavg(), None
 
@@ -106,8 +106,8 @@
     def promise(self, **budget):
         """The Promise of this run, by its settings as stated."""
         sizes, phases = self.plan.sizes, [phase.name for phase in self.seen.phases]
-        events = (sizes.purges + sizes.settings_changes) * self.schedule.end / 1e6
-        return promised(self.stated, sizes.fronts, sizes.zones, phases, events, **budget)
+        shape = Shape(sizes.fronts, sizes.zones, sizes.sites, sizes.purges + sizes.settings_changes)
+        return promised(self.stated, shape, phases, self.schedule, **budget)
 
     def now(self):
         return self.pace.now() - self.zero
@@ -130,7 +130,7 @@
         yield self.pause(SETTLE)
         yield self.measure()
         promise = self.promise()
-        limit = max(promise.disagreement, promise.whole_again)
+        limit = max(promise.disagreement, *promise.whole_again.values())
         self.settled = yield self.until_whole(limit, lambda: not self.seen.returning)
         self.seen.finish()
         self.load_after = os.getloadavg()
@@ -177,6 +177,7 @@
             yield self.step(*step)
         self.clients.stop()
         self.around.stop_events()
+        self.ended = self.pace.now()
 
     @inlineCallbacks
     def step(self, at, function, index):
--- a/limepath/scale/settings.py
+++ b/limepath/scale/settings.py
@@ -61,7 +61,10 @@
         return Broken()
     if not knows(what):
         raise UnknownSetting(f"--broken {what}: this program has no [listing] {what}")
-    return Broken(fan_out=fronts) if what == "fan-out" else Broken(window=BROKEN_WINDOW)
+    key = FORM["listing"].keys[what]  # no further off than the program takes it
+    if what == "fan-out":
+        return Broken(fan_out=min(fronts, key.most or fronts))
+    return Broken(window=max(BROKEN_WINDOW, key.least or 0))
 
 
 def span_lines(section, stretch, broken=STATED):
