--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -130,7 +130,7 @@
         yield self.pause(SETTLE)
         yield self.measure()
         promise = self.promise()
-        limit = max(promise.disagreement, *promise.whole_again.values())
+        limit = max([promise.disagreement, *promise.whole_again.values()])
         self.settled = yield self.until_whole(limit, lambda: not self.seen.returning)
         self.seen.finish()
         self.load_after = os.getloadavg()
