--- a/limepath/scale/settings.py
+++ b/limepath/scale/settings.py
@@ -19,7 +19,7 @@
 CALLS = 20  # a second at the list service, of the whole fleet
 CONNECTIONS, READY = 100, 100  # a second, of the whole fleet: new ones at one cache, fronts that become ready
 PROBES = 20_000_000  # microseconds between two probes of a cache, as in the cold start's drill
-SEEDS = 3
+SEEDS, SEEDS_SHARE = 3, 20  # that a front is told of; a seed for so many fronts, so that none answers all
 FAN_OUT = 4
 BROKEN_WINDOW = 2_000_000  # microseconds
 TOKEN_BITS = 63
@@ -92,12 +92,18 @@
     return max(1, rate // stretch)
 
 
+def seeds_of(who, fronts):
+    """The fronts that one is told of at first: of the fleet's seeds, which lie apart evenly."""
+    count = min(fronts, max(SEEDS, fronts // SEEDS_SHARE))
+    every = [number * fronts // count for number in range(count)]
+    chosen = Random(f"seeds {who}").sample(every, min(SEEDS, count))
+    return [seed for seed in chosen if seed != who]
+
+
 def peers_text(plan, addresses, who, keys, broken=STATED, stretch=1):
     """The peers.ini of one front."""
     place = plan.fronts[who]
-    seeds = [
-        f"{HOST}:{addresses.reached[seed]}" for seed in range(min(SEEDS, len(plan.fronts))) if seed != who
-    ]
+    seeds = [f"{HOST}:{addresses.reached[seed]}" for seed in seeds_of(who, len(plan.fronts))]
     lines = [
         "[instance]",
         f"name = {place.name}",
