--- a/limepath/scale/fleet.py
+++ b/limepath/scale/fleet.py
@@ -35,6 +35,7 @@
         self.hollow, self.configs = [], configs
         self.real = {who: RealFront(folder, who) for who in plan.real}
         self.stopped, self.dropped, self.read_at, self.real_cpu = set(), Counter(), {}, {}
+        self.waits = []  # real microseconds until each report of a hollow process came, in measured time
 
     # Commands
 
@@ -93,6 +94,8 @@
     def take_process(self, process, reported):
         seen, reply = self.seen, reported.reply
         at = self.pace.of(reported.read_us)
+        if seen.phase is not None:
+            self.waits.append(reported.read_us - reported.asked_us)
         span = at - self.read_at.get(process.number, at)
         self.read_at[process.number] = at
         for name, report in reply.fronts.items():
--- a/limepath/scale/processes.py
+++ b/limepath/scale/processes.py
@@ -25,8 +25,9 @@
 
 
 class Reported(NamedTuple):
-    """A Reply to a Report, and when it was read, of CLOCK_BOOTTIME."""
+    """A Reply to a Report, when it was asked for and when it was read, of CLOCK_BOOTTIME."""
 
+    asked_us: int
     read_us: int
     reply: object
 
@@ -64,8 +65,9 @@
         return reply
 
     def report(self):
+        asked = boottime_us()
         reply = self.do(Report())
-        return Reported(boottime_us(), reply)
+        return Reported(asked, boottime_us(), reply)
 
     def end(self):
         try:
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -248,7 +248,10 @@
 
 def around_rows(run):
     around, service = run.around, run.around.service
+    wait = statistics(run.fleet.waits) or {"median": None, "worst": None}
     rows = [
+        Row("wait for a report of a hollow process, median, real s", seconds(wait["median"])),
+        Row("the same, worst: so late this machine was", seconds(wait["worst"])),
         Row("events told", len(around.issued)),
         Row("calls at the list service", len(service.calls)),
         Row("most streams of a zone at the list service", max(service.most_streams.values(), default=0)),
