Capacity page: constants of the membership named where they stand now

Cause: the split of the membership moved COPIES and CARRIED to peers/gossip.py, so 'scale check' ended with an AttributeError on the joined text.

--- a/limepath/scale/capacity_hours.py
+++ b/limepath/scale/capacity_hours.py
@@ -4,7 +4,7 @@
 
 from limepath.listing.bounds import bounds
 from limepath.listing.interface import Terms
-from limepath.peers import members
+from limepath.peers import gossip, members
 from limepath.peers.interface import Spans
 from limepath.scale.capacity_lines import Hour, Kind, Lines
 from limepath.scale.capacity_roles import BY_CODE, RELAYS, STREAMS
@@ -14,7 +14,7 @@
 CHECKS = 4  # messages a second and front that can carry news: checks and their answers
 NEWS_OF_RESTART = 2  # it left, it is there again
 CONTROL, RELAY, SERVICE = "a front's control", "a relay or inner node", "the list service"
-NEWS, PAGES = "news on checks, peers/members.py", "pages of what differs, peers/members.py"
+NEWS, PAGES = "news on checks, peers/gossip.py", "pages of what differs, peers/anti_entropy.py"
 
 
 def together(lost):
@@ -25,12 +25,12 @@
 
 def news(restarts):
     """News a second that each front passes on, at so many restarts a second of the fleet."""
-    return NEWS_OF_RESTART * restarts * members.COPIES * ceil(log2(SIZE.fronts + 2))
+    return NEWS_OF_RESTART * restarts * gossip.COPIES * ceil(log2(SIZE.fronts + 2))
 
 
 def news_capacity():
     """News a second that a front's messages can carry in a calm hour."""
-    return float(CHECKS * members.CARRIED)
+    return float(CHECKS * gossip.CARRIED)
 
 
 def least_rollout():
@@ -93,7 +93,7 @@
     for hour, count in ((Hour.RESTARTS, SIZE.restarts), (Hour.ROLLOUT, SIZE.fronts)):
         some = Lines(CONTROL, hour)
         reason = (
-            f"{count:,} in an hour; {NEWS_OF_RESTART} news each, passed on {members.COPIES} x log2 n times"
+            f"{count:,} in an hour; {NEWS_OF_RESTART} news each, passed on {gossip.COPIES} x log2 n times"
         )
         passed = assumed(news(count / 3600), "news/s", reason)
         some.add(Kind.MESSAGES, "news passed on by each front", passed, NEWS, news_capacity())
