--- a/limepath/cli/listing.py
+++ b/limepath/cli/listing.py
@@ -106,6 +106,11 @@
     click.echo(
         f"{told['role']} in zone {told['zone']}, stream {told['stream']}, {told['followers']} followers"
     )
+    if told["site"]:
+        click.echo(
+            f"site {told['site']}, {told['hops']} hops at the most, {told['children']} children, events from"
+            f" {told['reaches']} on" + (", CUT SHORT by window-bytes" if told["window_cut_short"] else "")
+        )
     for one in told["follows"]:
         heard = (
             "not heard yet"
--- a/limepath/listing/relay.py
+++ b/limepath/listing/relay.py
@@ -139,6 +139,7 @@
             "children": len(self.children.readers()),
             "hops": self.tree.hops,
             "reaches": held.reaches(),
+            "window_cut_short": held.window.cut_short(now),
             "follows": [
                 {
                     "token": f"{token:016x}",
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -427,6 +427,15 @@
     assert [order.told["seq"] for order in front.said(Take)][-3:] == [4, 5, 6]
 
 
+def test_what_is_shown_tells_that_the_bound_in_bytes_cut_the_window_short():
+    front = Member(held(3).packed(), terms=TERMS._replace(window_bytes=200))
+    front.told(front.parent, batch(4, 20))
+    assert not front.logic.shown()["window_cut_short"] and front.logic.shown()["reaches"] == 4
+    front.told(front.parent, batch(21, 90))
+    shown = front.logic.shown()
+    assert shown["window_cut_short"] and shown["reaches"] > 4 and shown["site"] == "a"
+
+
 # Scopes
 
 
