--- a/tests/test_scale_faults.py
+++ b/tests/test_scale_faults.py
@@ -1,12 +1,20 @@
 """The schedule of a scale run's faults, and what comes of samples: who was away, when an event was where."""
 
+from random import Random
+from types import SimpleNamespace
+
 import numpy
 import pytest
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from limepath.scale import faults, plan
+from limepath.listing.interface import Terms
+from limepath.peers.interface import Spans
+from limepath.scale import bounds, faults, plan
 from limepath.scale.control import Arrival, FrontReport, Subsystem, Traffic
 from limepath.scale.faults import Kind, UnknownFault
 from limepath.scale.observations import Observations
+from limepath.scale.report import at_most_if_stated, fault_rows
+from limepath.testbed.regions import Doors, Links, RegionalListService
 
 SECOND = 1_000_000
 MACHINE = plan.Machine(cores=8, memory=24 << 30)
@@ -170,3 +178,114 @@
     seen.finish()
     _, counts = seen.times([5000], 500, ["a"])
     assert not counts.any()
+
+
+def test_events_that_came_in_a_snapshot_are_counted_as_skipped():
+    seen = Observations(["a"])
+    seen.take("a", report((1, 100), (2, 200), (9, 500), (10, 600)), 0, 700)
+    assert seen.arrivals["a"].skipped(0, 1000) == 6
+    assert seen.arrivals["a"].skipped(0, 499) == 0
+
+
+# Links by region
+
+
+def test_doors_lose_a_share_and_cut_pairs_of_regions_and_count_both():
+    doors = Doors(None, Random(1), {1: "r0", 2: "r1", 3: "r2"})
+    assert all(doors.passes(port, "r0") for port in (1, 2, 3))
+    doors.links = Links(0.0, (("r1", "r0"),))
+    assert [doors.passes(port, "r0") for port in (1, 2, 3)] == [True, False, True]
+    assert not doors.passes(1, "r1") and doors.passes(3, "r1")
+    assert (doors.lost, doors.cut) == (0, 2)
+    doors.links = Links(0.05)
+    passed = sum(doors.passes(1, "r0") for _ in range(10_000))
+    assert passed == 10_000 - doors.lost and 400 < doors.lost < 600
+
+
+def stream_of(service, who, after=0):
+    """A call of the list service by one front, over an in-memory transport."""
+    stream = service.factory(who).buildProtocol(None)
+    stream.makeConnection(StringTransport())
+    stream.dataReceived(b"GET /changes HTTP/1.1\r\nLast-Event-ID: %d\r\n\r\n" % after)
+    return stream
+
+
+@pytest.fixture
+def service():
+    made = RegionalListService(MemoryReactorClock(), 3, lambda who: "z0")
+    made.add({"invalidate": {"bucket": 1, "time": 1}})
+    yield made
+    made.streams.clear()
+
+
+def test_the_list_service_tells_nothing_to_those_that_a_cut_parts_from_it(service):
+    streams = [stream_of(service, who) for who in range(2)]
+    service.part([1])
+    service.add({"invalidate": {"bucket": 2, "time": 2}})
+    service.beat()
+    told = [stream.transport.value().count(b"data:") for stream in streams]
+    assert told == [2, 1] and service.held == 2
+
+
+def test_what_a_cut_held_back_arrives_when_it_ends(service):
+    open_before = stream_of(service, 1)
+    service.part([1])
+    called_meanwhile = stream_of(service, 1)
+    service.add({"invalidate": {"bucket": 2, "time": 2}})
+    assert not called_meanwhile.transport.value()
+    service.rejoin()
+    assert open_before.transport.value().count(b"data:") == 2
+    assert called_meanwhile.transport.value().count(b"data:") == 2
+
+
+def test_a_call_that_is_none_of_the_list_is_hung_up(service):
+    stream = service.factory(0).buildProtocol(None)
+    stream.makeConnection(StringTransport())
+    stream.dataReceived(b"INFO p1-e0\r\n\r\n")
+    assert stream.transport.disconnecting
+
+
+# Bounds
+
+
+def test_the_more_pieces_the_longer_a_run_of_losses_is_expected():
+    assert bounds.lost_in_a_row(100, 0.05) == 2
+    assert bounds.lost_in_a_row(1000 * 36 * 60, 0.05) == 5
+
+
+def promise_of(listing, kinds=(), purge=7_300_000):
+    peers = SimpleNamespace(listing=listing, spans=Spans())
+    made = faults.schedule(LAYOUT, kinds, 100 * SECOND, 1)
+    phases = ["calm", *(kind.value for kind in kinds)]
+    shape = bounds.Shape(40, 4, 8, 36.0)
+    return bounds.promised(peers, shape, phases, made, bounds.Budget(purge=purge))
+
+
+def test_an_event_has_the_time_that_the_settings_promise_and_never_more_than_the_operators():
+    promise = promise_of(Terms(fronts=40), (Kind.LOSS, Kind.RACK))
+    assert promise.event["calm"] < promise.event["loss"] < promise.event["rack"] == 7_300_000
+    assert set(promise.whole_again) == {Kind.LOSS, Kind.RACK}
+    assert promise_of(Terms(fronts=40), purge=1_000_000).event == {"calm": 1_000_000}
+
+
+def test_a_longer_heartbeat_is_a_longer_bound():
+    quick, slow = (promise_of(Terms(fronts=40, beat=beat), (Kind.LOSS,)) for beat in (100_000, 400_000))
+    assert quick.event["loss"] < slow.event["loss"]
+
+
+def test_a_star_states_nothing_of_children_and_windows():
+    promise = promise_of(Terms(fronts=40))
+    assert promise.children is None and promise.list_bytes is None and promise.window is None
+
+
+def test_a_fault_that_took_no_effect_breaks_the_run():
+    run = SimpleNamespace(
+        seen=Observations(["a"]), schedule=faults.Schedule((), SECOND, SECOND), fleet=None, plan=LAYOUT
+    )
+    promise = promise_of(Terms(fronts=40))
+    felt, unfelt = (fault_rows(run, promise, {Kind.LOSS: count}) for count in (3, 0))
+    assert all(row.holds for row in felt) and not any(row.holds for row in unfelt)
+
+
+def test_a_bound_that_nothing_states_is_not_judged():
+    assert at_most_if_stated("x", 5, None).holds and not at_most_if_stated("x", 5, 4).holds
