--- a/limepath/scale/fleet.py
+++ b/limepath/scale/fleet.py
@@ -3,6 +3,7 @@
 """
 
 from collections import Counter
+from statistics import median
 
 from twisted.internet.defer import gatherResults, inlineCallbacks
 from twisted.internet.threads import deferToThread
@@ -10,8 +11,10 @@
 from limepath.scale.control import Kill, Pause, Resume, Start
 from limepath.scale.control import Links as LinksCommand
 from limepath.scale.processes import HollowProcess, RealFront
+from limepath.scale.settings import all_seeds
 from limepath.testbed.regions import Links
 
+WAVE = 100  # fronts started at once: all at once, each would pull half-known views of all again and again
 LIVING = ("alive", "suspect")  # states of a member that counts as alive
 
 
@@ -39,11 +42,22 @@
 
     # Commands
 
-    def start_all(self):
-        """Start the processes, and all fronts in them; a Deferred."""
+    def start_processes(self):
         for number, config in enumerate(self.configs):
             self.hollow.append(HollowProcess(number, config))
-        return self.start(self.names)
+
+    def waves(self):
+        """All names in groups of WAVE, the seeds first, the others of a group from all over the fleet."""
+        seeds = all_seeds(len(self.names))
+        rest = [who for who in range(len(self.names)) if who not in set(seeds)]
+        count = -(-len(self.names) // WAVE)
+        order = seeds + [who for number in range(count) for who in rest[number::count]]
+        return [[self.names[who] for who in order[at : at + WAVE]] for at in range(0, len(order), WAVE)]
+
+    def know_each_other(self, names):
+        """Whether all hollow fronts of these names see as many as there are names."""
+        reports = [self.seen.latest.get(name) for name in names if self.who[name] not in self.real]
+        return all(report is not None and (report.live or 0) >= len(names) for report in reports)
 
     @inlineCallbacks
     def act(self, command, names, real):
@@ -141,6 +155,11 @@
         report = self.seen.latest.get(name)
         return report is not None and report.live == len(self.names) and report.view == common
 
+    def median_view(self):
+        """How many fronts half of the hollow ones see, at the least."""
+        views = [report.live for report in self.seen.latest.values() if report.live is not None]
+        return round(median(views)) if views else 0
+
     def common_view(self):
         """The digest that most hollow fronts tell."""
         views = Counter(report.view for report in self.seen.latest.values() if report.view is not None)
--- a/limepath/scale/report.py
+++ b/limepath/scale/report.py
@@ -223,7 +223,7 @@
     return [
         Row("fronts with the list before the measured time", ready.lists, ready.of, ready.lists == ready.of),
         Row("fronts that saw all others by then", ready.views, ready.of, ready.views == ready.of),
-        Row("until all were ready, s", seconds(ready.took)),
+        Row("until all were ready, from the last group started, s", seconds(ready.took)),
         Row("fronts with the list at the end", settled.lists, settled.of, settled.lists == settled.of),
         Row("fronts that see all others at the end", settled.views, settled.of, settled.views == settled.of),
         at_most("until lists and views were one at the end, s", until, seconds(promise.disagreement)),
--- a/limepath/scale/run.py
+++ b/limepath/scale/run.py
@@ -122,8 +122,8 @@
         self.reactor.suggestThreadPoolSize(len(self.plan.hollow) + len(self.plan.real) + 8)
         self.zero = self.pace.now()
         self.around.begin()
-        yield self.fleet.start_all()
         limit = START + START_EACH * len(self.plan.fronts)
+        yield self.start_in_waves(limit)
         self.ready = yield self.until_whole(limit, self.fleet.serves)
         if not self.ready.lists:
             raise NotStarted("no front ever had the list; --keep DIR keeps the logs")
@@ -135,6 +135,21 @@
         self.seen.finish()
         self.load_after = os.getloadavg()
 
+    @inlineCallbacks
+    def start_in_waves(self, limit):
+        """Start a part of the fleet once those that run already know each other."""
+        self.fleet.start_processes()
+        started = []
+        for names in self.fleet.waves():
+            yield self.fleet.start(names)
+            started += names
+            while len(started) < len(self.plan.fronts) and self.now() < limit:
+                yield self.pause(SAMPLE // 2)
+                yield self.fleet.sample()
+                self.progress(f"{len(started)} started, the median sees {self.fleet.median_view()}")
+                if self.fleet.know_each_other(started):
+                    break
+
     def progress(self, text):
         """Tell how far the run is, now and then."""
         now = self.pace.now()
@@ -150,7 +165,9 @@
             yield self.fleet.sample()
             lists, views = self.fleet.whole(self.around.number())
             standing = Standing(self.pace.now() - began, lists, views, len(self.plan.fronts))
-            self.progress(f"{lists} whole lists, {views} whole views of {len(self.plan.fronts)}")
+            self.progress(
+                f"{lists} whole lists, {views} whole views, the median sees {self.fleet.median_view()}"
+            )
             if standing.whole and also() or standing.took > limit:
                 return standing
             yield self.pause(SAMPLE // 2)
@@ -206,13 +223,14 @@
     run, failures = Run(reactor, plan, schedule, options, folder, say), []
 
     def over(result):
-        if reactor.running:
+        if not failures:
             reactor.callLater(0, reactor.stop)
         return result
 
     def stop():
         failures.append(Failure(Stopped("stopped before the run was over")))
-        reactor.stop()
+        if reactor.running:
+            reactor.stop()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(stop))
--- a/limepath/scale/settings.py
+++ b/limepath/scale/settings.py
@@ -92,11 +92,16 @@
     return max(1, rate // stretch)
 
 
-def seeds_of(who, fronts):
-    """The fronts that one is told of at first: of the fleet's seeds, which lie apart evenly."""
+def all_seeds(fronts):
+    """The fleet's seeds, which lie apart evenly."""
     count = min(fronts, max(SEEDS, fronts // SEEDS_SHARE))
-    every = [number * fronts // count for number in range(count)]
-    chosen = Random(f"seeds {who}").sample(every, min(SEEDS, count))
+    return [number * fronts // count for number in range(count)]
+
+
+def seeds_of(who, fronts):
+    """The fronts that one is told of at first: of the fleet's seeds."""
+    every = all_seeds(fronts)
+    chosen = Random(f"seeds {who}").sample(every, min(SEEDS, len(every)))
     return [seed for seed in chosen if seed != who]
 
 
