--- a/limepath/scale/fleet.py
+++ b/limepath/scale/fleet.py
@@ -15,6 +15,7 @@
 from limepath.testbed.regions import Links
 
 WAVE = 100  # fronts started at once: all at once, each would pull half-known views of all again and again
+KNOWN = 0.95  # of those that run, that each of them sees before more are started
 LIVING = ("alive", "suspect")  # states of a member that counts as alive
 
 
@@ -55,9 +56,9 @@
         return [[self.names[who] for who in order[at : at + WAVE]] for at in range(0, len(order), WAVE)]
 
     def know_each_other(self, names):
-        """Whether all hollow fronts of these names see as many as there are names."""
+        """Whether all hollow fronts of these names see nearly as many as there are names."""
         reports = [self.seen.latest.get(name) for name in names if self.who[name] not in self.real]
-        return all(report is not None and (report.live or 0) >= len(names) for report in reports)
+        return all(report is not None and (report.live or 0) >= KNOWN * len(names) for report in reports)
 
     @inlineCallbacks
     def act(self, command, names, real):
