listing show tells how many fronts events are sent to; the scale run holds that to its bound

Seen: a scale run of 100 fronts broke 'most fronts that one sends events to', 11 against 8. Checked: the run took 'followers', which counts those that are sent heartbeats only; readers of events never go over children_at_most (refused beyond it). Change: shown by itself and used by hollow fronts. Test: fails without the new figure (KeyError).

--- a/limepath/listing/relay.py
+++ b/limepath/listing/relay.py
@@ -137,6 +137,7 @@
             "site": self.terms.site,
             "followers": len(self.followers.known) + len(self.children.known),
             "children": len(self.children.readers()),
+            "sends_events_to": len(self.followers.known) + len(self.children.readers()),
             "hops": self.tree.hops,
             "reaches": held.reaches(),
             "window_cut_short": held.window.cut_short(now),
--- a/limepath/scale/hollow.py
+++ b/limepath/scale/hollow.py
@@ -178,7 +178,7 @@
         live = sorted([members.me.token, *members.ring])
         report.live, report.view = len(live), digest_of(live)
         report.late, report.age_us = told["late"], told["confirmed_us_ago"]
-        report.role, report.followers = told["role"], told["followers"]
+        report.role, report.followers = told["role"], told["sends_events_to"]
         report.number, report.generation = told["number"], told["generation"]
 
 
--- a/tests/test_event_tree.py
+++ b/tests/test_event_tree.py
@@ -136,6 +136,9 @@
     front.run(TERMS.gather)
     sent = {order.token for order in front.said(Reach) if isinstance(order.message, Batch)}
     assert len(sent) == children_at_most(TERMS) and not sent & set(refused)
+    front.told(refused[0], Follow("sur", 0, 3, Reads.HEARTBEATS, "a", False, 5))
+    shown = front.logic.shown()  # who is sent heartbeats only is a follower, and no cost of events
+    assert shown["sends_events_to"] == children_at_most(TERMS) == shown["followers"] - 1
 
 
 @pytest.mark.parametrize(
