Cold members: few fronts keep equal parts wherever their places lie

Cause: Gate.part gives each front whole requests of the dearest class and draws who has one more for the whole ramp, so with a few fronts most had less than their equal part for as long. Change: where an equal part takes a request of mean work no front has less; the sum of equal parts is no chance. Test: fails without it.

--- a/limepath/choice.py
+++ b/limepath/choice.py
@@ -353,6 +353,7 @@
         works = zip(self.door.work, self.door.services, strict=True)
         works = sorted({max(1, work) for work, ds in works if not (straight and ds.uncacheable)}) or [1]
         each = whole / sharing // works[-1] * works[-1]
+        equal = whole / sharing if whole >= sharing * self.door.mean else 0  # few fronts: no matter of chance
         left, grain, mean, limit = whole - each * sharing, 2 * works[-1], self.door.mean, whole / MARGIN
         variance = ((limit - whole + 2 * sqrt(limit * mean) + 2 * mean) / SPREAD) ** 2
         while works and left < sharing * works[-1]:
@@ -362,10 +363,10 @@
                 free = 1 - 4 * part * variance / work**2 / sharing  # over 0: not all may be drawn
                 drawn = min(part * left / work, sharing / 2 * (1 - sqrt(free)) if free > 0 else sharing)
                 if place < drawn:
-                    return each + work
+                    return max(equal, each + work)
                 variance = max(0, variance - drawn * (1 - drawn / sharing) * work**2)
                 left, sharing, place, grain = left - drawn * work, sharing - drawn, place - drawn, work
-        return each + left / sharing
+        return max(equal, each + left / sharing)
 
     def started(self, ident, when):
         before, ledger = self.starts.get(ident, (when, deque()))
--- a/tests/test_cold_ramp.py
+++ b/tests/test_cold_ramp.py
@@ -96,6 +96,18 @@
     assert one.request(now + ramp.warmup.window, 0, 13)
 
 
+def test_few_fronts_have_equal_parts_wherever_their_places_lie():
+    """With room for a request of mean work each, the dearest class (0.4 s) leaves no front less than that."""
+    ramp, now = Ramp(3, lanes=6.0, **TWO), 1000 * SECOND
+    for seed in range(50):
+        one = OfferedFront(ramp, 0, seed)
+        one.told(now, now - 1)
+        gate = one.front.gate
+        whole = 3.2 * SECOND  # 1.07 s each: two of the dearest and a rest of 0.27 s
+        parts = [gate.part(whole, 3, place) for place in (0.0, 1.0, 2.9)]
+        assert min(parts) >= whole / 3
+
+
 def test_what_goes_straight_to_the_origin_takes_no_part_of_a_cold_budget():
     passing = service(objective=60 * SECOND, uncacheable=True)
     sent = []
