--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -381,13 +381,15 @@
     family: int = 17
     method: str = "GET"
     body: bytes = b""
+    is_last: bool = False  # whether it says `Connection: close`
 
     def encode(self, transaction: str) -> bytes:
         """Return the request as it is sent."""
         length = f"Content-Length: {len(self.body)}\r\n" if self.method == "PUT" else ""
+        close = "Connection: close\r\n" if self.is_last else ""
         head = (
             f"{self.method} {self.target} HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {transaction}\r\n"
-            f"X-Ttl-Ms: {self.ttl_ms}\r\nX-Family: {self.family}\r\n{length}\r\n"
+            f"X-Ttl-Ms: {self.ttl_ms}\r\nX-Family: {self.family}\r\n{length}{close}\r\n"
         )
         return head.encode() + self.body
 
@@ -410,6 +412,7 @@
 
     async def connect(self, receive_buffer: int = 0) -> None:
         """Connect; `receive_buffer` is the size of the socket's buffer in bytes, 0 for the default."""
+        self._buffer = b""
         self._socket = socket.socket()
         self._socket.setblocking(False)
         if receive_buffer:
