--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,6 +26,7 @@
 )
 
 STEP = float(os.environ.get("STEP_S", "3600"))  # seconds by which the platform's clock is ahead at first
+CLOCK = os.environ.get("CLOCK", "platform")  # whose clock is ahead: the platform's, or that of one new cache
 IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 OBJECT = "7f3a9c21e0b4d655"
 OTHER_OBJECT = "00c41f7ae0b4d655"
@@ -52,13 +53,15 @@
             Cache("p-1", "parent", self.respond, record),
             Cache("o-1", "origin", self.respond, record),
         ]
+        self.new_cache = Cache("s-3", "box", self.respond, record)
 
     async def respond(self, ask: Ask) -> Answer:
         """Answer from the old copy if the request lets it do, else from the origin if it may be filled."""
         tag, since = OLD, self.started_at - COPY_AGE
         limit = int(ask.fields.get("cap", "0")) / 1000
         is_too_old = limit and time.time() - since > limit
-        is_held = ask.cache in self.holds_old and not self._has_dropped()
+        places = {ask.cache, ask.fields.get("up")}  # the source of a fill may give an old copy, too
+        is_held = bool(places & self.holds_old) and not self._has_dropped()
         if ask.cache == "o-1" or not is_held or is_too_old:
             if ask.cache != "o-1" and "up" not in ask.fields:
                 return Answer("LACK")
@@ -70,6 +73,13 @@
     def _has_dropped(self) -> bool:
         return self.purged_at is not None and time.time() - self.purged_at > GONE_EVERYWHERE - 0.5
 
+    def event(self, unix_time: float) -> dict[str, object]:
+        """Return an event with a timestamp: a purge of another object, or the start of another cache."""
+        if CLOCK == "platform":
+            return {"invalidate": {"object": OTHER_OBJECT, "time": int(unix_time * 1000)}}
+        started = self.new_cache.member(up_since_ms=int(unix_time * 1000))
+        return {"fleet": {"revision": 2, "complete": False, "members": [started]}}
+
     def purge(self, log: ChangeLog) -> None:
         """Purge the object now; the platform's clock is right by now."""
         self.purged_at = time.time()
@@ -88,7 +98,7 @@
     front = Front("n1", free_ports(1)[0], record)
     client = Client(front, record)
     try:
-        for server in site.servers:
+        for server in (*site.servers, site.new_cache):
             await server.start()
         await log.start()
         members = [server.member() for server in site.servers]
@@ -98,10 +108,10 @@
         await client.connect()
         await asyncio.sleep(1)
         ahead = STEP if IS_TROUBLED else 0.0
-        record.write(f"the platform's clock is {ahead} s ahead")
-        log.add({"invalidate": {"object": OTHER_OBJECT, "time": int((time.time() + ahead) * 1000)}})
+        record.write(f"the clock of the {CLOCK} is {ahead} s ahead")
+        log.add(site.event(time.time() + ahead))
         await asyncio.sleep(1)
-        record.write("the platform's clock is right from here on")
+        record.write(f"the clock of the {CLOCK} is right from here on")
         before = await client.ask(Request(TARGET))
         if before.status != 200 or OLD not in before.fields.get("etag", ""):
             raise CannotRunError("the old copy was not served before the purge")
@@ -116,7 +126,7 @@
         client.close()
         await front.end()
         log.stop()
-        for server in site.servers:
+        for server in (*site.servers, site.new_cache):
             server.stop()
     if not any(status == 200 for status, _ in tags):
         raise CannotRunError("no request was served after the purge")
