Review: scripts end the processes that they started also when they are cut off

A case ended by SIGTERM left its front running: seen. Signals now cancel the case, which ends its processes and exits with 2; the front and the idle clients are killed by the kernel if the script itself is killed.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,6 +23,7 @@
     Record,
     Request,
     base_settings,
+    end_with_parent,
     free_ports,
     run_case,
 )
@@ -122,7 +123,7 @@
         await front.start()
         if IS_TROUBLED:
             arguments = (sys.executable, __file__, CROWD_ARGUMENT, str(front.port))
-            idle = await asyncio.create_subprocess_exec(*arguments)
+            idle = await asyncio.create_subprocess_exec(*arguments, preexec_fn=end_with_parent)
             record.write(f"{IDLE_CLIENTS} idle clients begin to connect")
             await asyncio.sleep(1)
         end = time.monotonic() + DURATION - 2
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -22,6 +23,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 MS = 1_000_000  # nanoseconds
+PR_SET_PDEATHSIG = 1  # linux/prctl.h
 READY_TIMEOUT = 30.0  # seconds that a front may take to be ready
 CASE_TIMEOUT = 100.0  # seconds that a case may take
 COMMENT_INTERVAL = 1.0  # seconds between comments of the change log
@@ -35,12 +37,13 @@
 def run_case(case_file: str, play: Callable[[Record], Awaitable[int]]) -> int:
     """Play a case, write `record.txt` beside its file, and return the exit status.
 
-    That is 1 if the rule was broken, 0 if it held, 2 if the case could not be played within `CASE_TIMEOUT`.
+    That is 1 if the rule was broken, 0 if it held, 2 if the case could not be played within `CASE_TIMEOUT`,
+    or was ended by a signal. All processes that it started have ended then.
     """
     record = Record(Path(case_file).resolve().parent / "record.txt")
     try:
         status = asyncio.run(_limit(play(record)))
-    except (CannotRunError, OSError) as error:  # TimeoutError is an OSError
+    except (CannotRunError, OSError, asyncio.CancelledError) as error:  # TimeoutError is an OSError
         record.write(f"could not run: {error!r}")
         status = 2
     verdict = {0: "the rule held", 1: "the rule was broken", 2: "no verdict"}[status]
@@ -50,6 +53,10 @@
 
 
 async def _limit(play: Awaitable[int]) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     return await asyncio.wait_for(play, CASE_TIMEOUT)
 
 
@@ -70,6 +77,14 @@
         self._file.close()
 
 
+def end_with_parent() -> None:
+    """Have this process killed when the one that started it ends in whatever way (prctl(2)).
+
+    Runs in a new process before its program; the program's `exec` keeps the setting.
+    """
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL))
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of the loopback address that nobody uses."""
     sockets = [socket.socket() for _ in range(count)]
@@ -317,6 +332,7 @@
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
             start_new_session=True,
+            preexec_fn=end_with_parent,
         )
         self.record.write(f"{self.name} started: {command}")
         self._log = asyncio.create_task(self._copy_log())
