Copies stay in service after a timestamp of a clock that was ahead

Cause: ReferenceClock took the latest timestamp it ever heard for a lower bound of all other clocks, for good, so each copy counted as an hour old and check_copy refused it. Change: an age is the smaller of two estimates, by the latest timestamp of others and by this machine's wall clock at its lowest reading. One clock that is ahead no longer makes an age too long, and neither do all clocks of a site that are ahead and set back together, as the own reading follows. It is too long only while the own clock and one other are ahead. observe() still raises own_offset after one timestamp: that only loosens the check against copies from the future, and a front whose clock is behind has to serve at once. Evidence: test_copies_are_served_after_a_timestamp_of_a_clock_that_was_ahead fails on the text before with 503 for 200 in both cases (front's clock right; all clocks ahead and set back) and passes now, with the other tests of tests/test_terms_clock.py.

--- a/limepath/front/reference_clock.py
+++ b/limepath/front/reference_clock.py
@@ -1,10 +1,10 @@
-"""Estimates the Unix time of other machines, whose timestamps tell when endpoints started, when objects were
-purged and when copies were served.
+"""Estimates the Unix time of other machines, whose timestamps tell when endpoints started and when copies
+were served.
 
-The wall clock of this machine may be stepped, so it is read only once, at the start, and extrapolated by the
-monotonic clock. It may be wrong at the start, too. Timestamps received from other machines lie in the past,
-so they are a lower bound of those machines' clock. Ages are computed from that bound alone: they are never
-too long, so that a purge is not forgotten early and a server does not count as warm early.
+Any wall clock may be wrong or stepped, this machine's and those of others, so no single one is believed. An
+age is the smaller of two estimates: by the latest timestamp received from other machines, as timestamps lie
+in the past, and by this machine's wall clock. It is too long only if both are ahead. An estimate that is too
+short is harmless: a server counts as recently started for longer, and servers check the age of copies, too.
 """
 
 from limepath.front.clock import clock, unix_clock
@@ -16,31 +16,43 @@
 
 
 class ReferenceClock:
-    """Relates the clock of other machines to the monotonic clock; all times are microseconds."""
+    """Relates the clock of other machines to the monotonic clock; all times are microseconds.
+
+    Attributes:
+        skew: maximum difference between two correct clocks.
+        tolerance: maximum time by which a valid copy may lie in the future.
+        latest_offset: of the latest timestamp of others, minus the monotonic clock; None before the first.
+        least_own_offset: the lowest difference seen between this machine's wall clock and the monotonic one.
+        own_offset: the difference at the start, raised by timestamps that show that the clock was behind.
+        recent_leads: by how much the last copies lay in the future.
+    """
 
     def __init__(self, skew: int):
-        self.skew = skew  # maximum difference between two correct clocks
-        self.tolerance = skew  # maximum time by which a valid copy may lie in the future
-        self.lower_bound: int | None = None  # of the other machines' clock minus the monotonic clock
-        # This machine's corrected Unix clock minus the monotonic one.
+        self.skew = skew
+        self.tolerance = skew
+        self.latest_offset: int | None = None
         self.own_offset = unix_clock() - clock()
-        self.recent_leads: list[int] = []  # by how much the last copies lay in the future
+        self.least_own_offset = self.own_offset
+        self.recent_leads: list[int] = []
 
     def observe(self, unix_time: int) -> None:
         """Process a timestamp of a past event that another machine sent."""
         offset = unix_time - clock()
-        if self.lower_bound is None or offset > self.lower_bound:
-            self.lower_bound = offset
+        if self.latest_offset is None or offset > self.latest_offset:
+            self.latest_offset = offset
         if offset > self.own_offset + self.skew:
-            # This machine's clock is behind; the new offset is behind only by the delay of the event.
+            # This machine's clock is behind, or the other is ahead. In both cases copies of that time must be
+            # served; the new offset is behind only by the delay of the event.
             self.own_offset = offset
             self.tolerance = MAX_LIST_DELAY
 
     def age(self, unix_time: int) -> int:
-        """Return the minimum age of a timestamp."""
-        if self.lower_bound is None:
+        """Return the minimum age of a timestamp, 0 if none has been received yet."""
+        if self.latest_offset is None:
             return 0
-        return max(0, clock() + self.lower_bound - unix_time)
+        now = clock()
+        self.least_own_offset = min(self.least_own_offset, unix_clock() - now)
+        return max(0, now + min(self.latest_offset, self.least_own_offset) - unix_time)
 
     def has_passed(self, unix_time: int) -> bool:
         """Whether a copy with this timestamp is valid, that is, not from the future.
--- a/tests/test_terms_clock.py
+++ b/tests/test_terms_clock.py
@@ -6,6 +6,8 @@
 import threading
 import time
 
+import pytest
+
 from tests.stand_ins import MS, SETTINGS, TIMEOUT, Site, wait_for
 
 HOUR = 3600
@@ -21,9 +23,9 @@
     return int(time.time() * 1000)
 
 
-def serve(site, client, since, body=b"x"):
+def serve(site, client, since, body=b"x", group=17):
     """Send a request that a cache answers with a copy of the time `since`; return what the cache received."""
-    client.send(txn=next(TXNS), ttl=10_000)
+    client.send(txn=next(TXNS), ttl=10_000, X_Family=group)
     command = site.cache.next()
     command.answer("DONE", f"rev=4be0,since={since}", body)
     assert client.answer()[::2] == (200, body)
@@ -66,6 +68,26 @@
                     assert time.monotonic() < end, (at_start, step)
 
 
+@pytest.mark.parametrize("at_start", [0, HOUR])
+def test_copies_are_served_after_a_timestamp_of_a_clock_that_was_ahead(at_start):
+    """Guards against valid copies that count as too old because one timestamp came from a clock ahead.
+
+    The clock of the front is right all the time, or all clocks are ahead at first and set back together.
+    """
+    with Site(faults={"wall_step": at_start}, settings=AGEING) as site:
+        site.log.next_call()
+        client = site.open_client()
+        site.log.send_event(2, invalidate={"bucket": 18, "time": milliseconds() + 1000 * HOUR})
+        limit = time.monotonic() + 3
+        copied_at = milliseconds() + 1000 * at_start
+        while serve(site, client, copied_at, group=18).fields["cap"] == "8000":
+            assert time.monotonic() < limit
+            copied_at = milliseconds() + 1000 * at_start
+        site.inject(wall_step=0)
+        for _ in range(3):
+            assert serve(site, client, milliseconds() - 2000).fields["cap"] == "8000"
+
+
 class Answering:
     """Lets all servers answer immediately with a current copy; records the requests in `commands`."""
 
