A purge counts from its receipt, whatever clock its timestamp came from

Cause: the purge's age was worked out from its timestamp. With a bound of the other clocks that was too high, or with the change log's clock set back, a purge of just now counted as an hour old, and Purges forgot it at once. No clock can prove that a purge is older than the time since it was received: any may have been stepped. Change: EndpointWatch counts a purge from its receipt, on the monotonic clock. Where fronts share the list, its age is the time since one of them first received it, which the list keeps already; the limit that discovery/purge_age.py put on ages by the service's clock is not needed any more and goes.

--- a/limepath/discovery/host.py
+++ b/limepath/discovery/host.py
@@ -34,7 +34,6 @@
     ServiceMoved,
     StreamClosed,
 )
-from limepath.discovery.purge_age import PurgeAgeLimit
 from limepath.discovery.stream_feed import StreamFeed, WatchStream
 from limepath.duties.host import clock
 from limepath.frequency_exchange.host import FrequencyExchange
@@ -78,7 +77,6 @@
         self.logic = DiscoveryEngine(members.me.token, discovery, seed, lambda: members.ring, saved)
         self.logic_host = LogicHost(reactor, clock, self.logic, self.execute, self.failed)
         self.serial: int = 0  # number of the current call
-        self.max_purge_age: int = -1  # of the event being applied, in microseconds; -1 if unknown
         self.on_ready: Callable[[], None] | None = None  # called when the front may become ready
         self.paced_connections: Any = None  # limits the rate of new connections; None without a limit
         self.request_counts: FrequencyExchange | None = None  # exchanges request counts with other fronts
@@ -147,10 +145,9 @@
 
     def apply_list_event(self, command: ApplyEvent) -> None:
         """Apply an event to the front's list."""
-        self.max_purge_age = command.max_purge_age
         number = command.event["seq"]
         try:
-            self.apply_event(command.event)
+            self.apply_event(command.event, command.purge_age)
         except WatchError as error:  # the event is well-formed but names something unknown to this front
             self.log.info("changelog", f"{error}; skipped", number=number)
         self.last_seq = number
@@ -163,18 +160,6 @@
             if self.paced_connections:
                 self.paced_connections.update()
 
-    def apply_purge(self, purge: dict[str, Any]) -> None:
-        """Apply a purge with an age of at most `max_purge_age`, even if the service's clock is wrong."""
-        if self.max_purge_age < 0:
-            super().apply_purge(purge)
-            return
-        plain = self.decision_loop
-        self.decision_loop = PurgeAgeLimit(plain, self.max_purge_age)
-        try:
-            super().apply_purge(purge)
-        finally:
-            self.decision_loop = plain
-
     # The stream
 
     def _open_stream(self, after: int) -> None:
--- a/limepath/discovery/interface.py
+++ b/limepath/discovery/interface.py
@@ -254,11 +254,11 @@
 class ApplyEvent(NamedTuple):
     """Apply this event to the front.
 
-    A purge in it is at most `max_purge_age` microseconds old, even if clocks disagree; -1 if unknown.
+    `purge_age` is the time since a front first received the purge in it, as far as is known, in microseconds.
     """
 
     event: dict[str, Any]
-    max_purge_age: int = -1
+    purge_age: int = 0
 
 
 class SaveSnapshot(NamedTuple):
--- a/limepath/discovery/list_replica.py
+++ b/limepath/discovery/list_replica.py
@@ -12,7 +12,7 @@
 from limepath.discovery.component import Component
 from limepath.discovery.endpoint_list import EndpointList, unpack_list
 from limepath.discovery.event_checks import InvalidEventError, json_digest
-from limepath.discovery.event_coding import MAX_BATCH_BYTES, CodingError, encode_event
+from limepath.discovery.event_coding import MAX_BATCH_BYTES, CodingError, decode_event, encode_event
 from limepath.discovery.event_window import EventWindow
 from limepath.discovery.interface import (
     ApplyEvent,
@@ -149,22 +149,18 @@
         self.tree_subscribers.send_heartbeats()
 
     def _apply_full(self) -> None:
-        """Apply the whole list to the front; the age of its purges depends on the service's clock alone."""
+        """Apply the whole list to the front."""
         self.applied = True
         self.timers.emit(ApplyEvent(self.list.full_event()))
-        for event in self.list.purges.values():
-            self.timers.emit(ApplyEvent(event))
+        for purge in self.list.purges.retained(self.timers.now):
+            self.timers.emit(ApplyEvent(decode_event(purge.encoded).body, purge.age))
 
     def append(self, event: dict[str, Any], text: str) -> None:
-        """Apply the next event and send it to the subscribers.
-
-        The event is at most as old as the last confirmation of our list, because it did not exist then.
-        """
-        max_purge_age = self.wire_age()
+        """Apply the next event and send it to the subscribers."""
         self.list.apply(event, self.timers.now)
         self._add_to_window(event, text)
         if self.applied:
-            self.timers.emit(ApplyEvent(event, max_purge_age))
+            self.timers.emit(ApplyEvent(event))
         if not self.star_subscribers.unsent:
             self.timers.schedule(self.timers.now + BATCH_DELAY_US, self.star_subscribers.push)
         self.star_subscribers.unsent.append(event["seq"])
--- a/limepath/front/endpoint_watch.py
+++ b/limepath/front/endpoint_watch.py
@@ -111,10 +111,13 @@
             self.log.info("changelog", f"{error}; skipped", number=number)
             self.last_seq = max(self.last_seq, int(number) if number.isdigit() else 0)
 
-    def apply_event(self, event: dict) -> None:
-        """Apply an event; raises WatchError if it is malformed, or a part of it."""
+    def apply_event(self, event: dict, purge_age: int = 0) -> None:
+        """Apply an event; raises WatchError if it is malformed, or a part of it.
+
+        A purge in it counts as `purge_age` microseconds old; see `apply_purge`.
+        """
         self._observe_times(event)
-        self._apply_contents(event)
+        self._apply_contents(event, purge_age)
 
     def _observe_times(self, event: dict) -> None:
         """Pass the times in this event, all of which are in the past, to the reference clock."""
@@ -129,12 +132,12 @@
         if latest:
             self.servers.reference.observe(latest * 1000)
 
-    def _apply_contents(self, event: dict) -> None:
+    def _apply_contents(self, event: dict, purge_age: int = 0) -> None:
         try:
             if "fleet" in event:
                 self.apply_update(event["fleet"])
             elif "invalidate" in event:
-                self.apply_purge(event["invalidate"])
+                self.apply_purge(event["invalidate"], purge_age)
         except MALFORMED_EVENT_ERRORS as error:
             raise WatchError(f"{type(error).__name__}: {error}") from None
 
@@ -192,9 +195,12 @@
                     entries.append(known)
         return ParsedEntries(entries, errors)
 
-    def apply_purge(self, purge: dict) -> None:
-        """Apply a purge of one object or of a group."""
-        age = self.servers.reference.age(int(purge["time"]) * 1000)
+    def apply_purge(self, purge: dict, age: int = 0) -> None:
+        """Apply a purge of one object or of a group, which a front received at least `age` microseconds ago.
+
+        Its timestamp is not used: clocks may be stepped, and a purge that counts as older than it is would be
+        forgotten too early, and allow copies from before it.
+        """
         if "object" in purge:
             announced = PurgeAnnounced(0, age, int(purge["object"], 16))
         else:
--- a/tests/test_terms_clock.py
+++ b/tests/test_terms_clock.py
@@ -16,6 +16,8 @@
 AGEING = SETTINGS | {
     "family-info": SETTINGS["family-info"] | {"max-age": [8000 * MS, 0], "gone-everywhere": 6000 * MS}
 }
+# Copies have no limit of their own; a purge is forgotten after 6 s.
+UNLIMITED_AGE = SETTINGS | {"family-info": SETTINGS["family-info"] | {"gone-everywhere": 6000 * MS}}
 TXNS = (f"{number:016x}" for number in range(1, 1 << 30))
 
 
@@ -68,6 +70,15 @@
                     assert time.monotonic() < end, (at_start, step)
 
 
+def first_cap(site, client, group):
+    """Ask until a request of this group bears the age limit of a purge; return it, or None after 3 s."""
+    end = time.monotonic() + 3
+    while time.monotonic() < end:
+        if cap := serve(site, client, milliseconds(), group=group).fields.get("cap"):
+            return int(cap)
+    return None
+
+
 @pytest.mark.parametrize("at_start", [0, HOUR])
 def test_copies_are_served_after_a_timestamp_of_a_clock_that_was_ahead(at_start):
     """Guards against valid copies that count as too old because one timestamp came from a clock ahead.
@@ -88,6 +99,41 @@
             assert serve(site, client, milliseconds() - 2000).fields["cap"] == "8000"
 
 
+@pytest.mark.parametrize("step", [HOUR, 3, -3, -HOUR])
+def test_a_purge_is_heeded_whatever_the_clock_of_the_change_log_shows(step):
+    """Guards against a purge that counts as old, and is forgotten, because of a clock that is wrong.
+
+    The clock is ahead and set back by `step` before the purge of the test, or set back and stays behind.
+    """
+    with Site(settings=UNLIMITED_AGE) as site:
+        site.log.next_call()
+        client = site.open_client()
+        site.log.send_event(2, invalidate={"bucket": 99, "time": milliseconds() + 1000 * max(0, step)})
+        told_at = milliseconds()
+        behind = 1000 * max(0, -step)
+        site.log.send_event(3, invalidate={"bucket": 17, "time": told_at - behind})
+        site.log.send_event(4, invalidate={"bucket": 18, "time": milliseconds() - behind})
+        first_cap(site, client, group=18)  # event 3 has been read, too
+        command = serve(site, client, milliseconds())
+        assert int(command.fields["cap"]) <= milliseconds() - told_at
+
+
+@pytest.mark.parametrize("step", [HOUR, -HOUR])
+def test_a_purge_of_the_configuration_is_heeded_whatever_its_timestamp_is(step):
+    """Guards against a purge that is forgotten at a front's start because of a timestamp of a wrong clock."""
+    behind = 1000 * max(0, -step)
+    purges = [
+        {"seq": 2, "invalidate": {"bucket": 99, "time": milliseconds() + 1000 * max(0, step)}},
+        {"seq": 3, "invalidate": {"bucket": 17, "time": milliseconds() - behind}},
+    ]
+    site = Site(settings=UNLIMITED_AGE)
+    site.changes["known"] = {"seq": 3, "results": site.changes["known"]["results"] + purges}
+    started_at = milliseconds()
+    with site:
+        command = serve(site, site.open_client(), milliseconds())
+        assert int(command.fields["cap"]) <= milliseconds() - started_at
+
+
 class Answering:
     """Lets all servers answer immediately with a current copy; records the requests in `commands`."""
 
