A crowd of idle clients no longer cuts off answers on their way to others

Cause: HALF_CLOSED was taken for "the client has the answer". It begins when the kernel has accepted answer and FIN; the connection then ranked first for the limit's close, with a reset that throws the send queue away. Change: front/answer_delivery.py alone decides what is delivered: the kernel's queue (SIOCOUTQ), which counts the FIN, is empty. A new state DELIVERED follows HALF_CLOSED; only it ranks first. HALF_CLOSED ranks last, and is closed without a reset, so that the kernel goes on sending. What the front itself still holds is not cut off while the client's own time lasts; accepting is paused meanwhile. Over the limit of blocked answers, clients whose time is over go first.

--- a/limepath/front/client_connection.py
+++ b/limepath/front/client_connection.py
@@ -11,6 +11,7 @@
 from twisted.internet.tcp import Connection as TcpConnection
 from zope.interface import implementer
 
+from limepath.front.answer_delivery import is_delivered
 from limepath.front.client_disconnects import has_ended, since_last_data, since_last_packet
 from limepath.front.clock import clock
 from limepath.front.request_head import RequestError, RequestHead, body_size, parse_head
@@ -31,8 +32,16 @@
     READING = 1  # a part of a request has arrived
     AWAITING_ANSWER = 2  # a request is open
     LINGERING = 3  # buffered output is being sent, followed by the FIN; input is discarded
-    HALF_CLOSED = 4  # the FIN was sent; input is discarded until the client closes, too
-    CLOSED = 5
+    HALF_CLOSED = (
+        4  # the kernel has all output and the FIN, and may still be sending them; input is discarded
+    )
+    DELIVERED = (
+        5  # the client's machine has acknowledged both; input is discarded until the client closes, too
+    )
+    CLOSED = 6
+
+
+CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.HALF_CLOSED, ConnectionState.DELIVERED)
 
 
 @implementer(IPushProducer, IHalfCloseableProtocol)
@@ -45,6 +54,8 @@
         self.buffer = bytearray()  # unparsed input
         self.head: RequestHead | None = None  # the parsed head of a request whose body is incomplete
         self.request: ClientRequest | None = None  # the open request
+        # Until when the client waits for the answer to its last request, microseconds; None before the first.
+        self.client_deadline: int | None = None
         self.is_persistent = True  # whether the connection stays open after the next answer
         self.has_requested = False  # whether a complete request has arrived
         self.output_blocked = False  # whether the send buffer is full because the client does not read
@@ -172,7 +183,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the front has begun to close the connection and discards its input."""
-        return self.state in (ConnectionState.LINGERING, ConnectionState.HALF_CLOSED)
+        return self.state in CLOSING_STATES
 
     @property
     def is_between_requests(self) -> bool:
@@ -205,7 +216,7 @@
         if self.state is ConnectionState.CLOSED:
             return
         at_once = self._can_end_at_once()
-        if self.state is not ConnectionState.HALF_CLOSED:
+        if self.state not in (ConnectionState.HALF_CLOSED, ConnectionState.DELIVERED):
             self.state = ConnectionState.LINGERING
         self.transport.unregisterProducer()
         if at_once:
@@ -240,12 +251,22 @@
         return bool(poller.poll(0))
 
     def writeConnectionLost(self):
-        """Wait for the client to close, after all output and the FIN were sent."""
+        """Wait until the client has all output, which the kernel holds now, and closes."""
         self.last_activity_at = clock()
         self.state = ConnectionState.HALF_CLOSED
         self.output_blocked = False
         self.transport.resumeProducing()
 
+    def check_delivery(self) -> None:
+        """Note that the client has its last answer if the kernel says so, which reports no event for it."""
+        if self.state is ConnectionState.HALF_CLOSED and is_delivered(self.transport):
+            self.last_activity_at = clock()
+            self.state = ConnectionState.DELIVERED
+
+    def is_awaited(self, now: int) -> bool:
+        """Whether the client still waits for its last answer, if it does not have it yet."""
+        return self.client_deadline is not None and now < self.client_deadline
+
     def is_disconnected(self) -> bool:
         """Whether the client's FIN or reset has arrived, even if it is still unread."""
         return has_ended(self.transport.socket)
--- a/limepath/front/client_limit.py
+++ b/limepath/front/client_limit.py
@@ -20,7 +20,7 @@
 class CloseRank(IntEnum):
     """Order in which connections are closed, lowest first."""
 
-    ENDED = 0  # the front has sent its FIN
+    ENDED = 0  # the client has its last answer and the front's FIN
     SILENT = 1  # the client has never sent a request
     PARTIAL_REQUEST = 2  # sent slowly; closed before IDLE, so that slow senders cannot lock out other clients
     IDLE = 3  # between requests
@@ -41,10 +41,11 @@
 def close_rank(connection: ClientConnection, now: int) -> CloseRank:
     """Return the rank of a connection without an open request; `now` is monotonic microseconds."""
     is_new = now - connection.last_activity_at < connection.clients.limits.first_request_grace
-    if connection.output_blocked or connection.state is ConnectionState.LINGERING:
-        return CloseRank.TAKING_ANSWER
-    if connection.state is ConnectionState.HALF_CLOSED:
+    connection.check_delivery()
+    if connection.state is ConnectionState.DELIVERED:
         return CloseRank.ENDED
+    if connection.output_blocked or connection.is_closing:
+        return CloseRank.TAKING_ANSWER
     if is_new and (connection.buffer or not connection.has_requested):
         return CloseRank.NEW
     if connection.buffer:
@@ -86,6 +87,8 @@
         """Close the connections in excess of the limit, not counting those that are closing already.
 
         A few more of low rank are closed as well: scanning all connections for each new one is expensive.
+        An answer that the front itself still holds is not cut off while its client waits for it, so the limit
+        may stay exceeded, by what was accepted at once; accepting is paused then.
         """
         self.is_scheduled = False
         limit = self.clients.limits.client_connections
@@ -94,15 +97,19 @@
             return
         idle = [c for c in self.clients.connections if c.request is None and c not in self.closing]
         self.clients.log.info("descriptors", clients=len(self.clients.connections), idle=len(idle))
+        now = clock()
         for number, candidate in enumerate(self._first_to_close(idle, excess + limit // HEADROOM_DIVISOR)):
             if number >= excess and (candidate.rank >= CloseRank.NEW or candidate.has_unread_bytes):
                 continue
             connection = candidate.connection
+            holds_output = connection.output_blocked or connection.state is ConnectionState.LINGERING
+            if holds_output and connection.is_awaited(now):
+                continue
             if not candidate.has_unread_bytes and connection.has_unread_bytes():  # arrived during this loop
                 self.schedule()
                 continue
             self.closing.add(connection)  # before the call, which may already call connectionLost
-            connection.close(abort=connection.output_blocked or connection.is_closing)
+            connection.close(abort=holds_output)  # without, the kernel goes on sending what it holds
 
     def _first_to_close(self, idle: list[ClientConnection], number: int) -> list[CloseCandidate]:
         now = clock()
@@ -118,11 +125,12 @@
     def output_blocked(self) -> None:
         """Close the connection that is blocked for longest if too many are.
 
-        Otherwise their buffered output could exhaust memory.
+        Otherwise their buffered output could exhaust memory. Clients that no longer wait come first.
         """
         blocked = [c for c in self.clients.connections if c.output_blocked]
         if len(blocked) > self.clients.limits.undrained_connections:
             self.clients.log.info(
                 "memory", "too many clients do not read their answers; closed one", clients=len(blocked)
             )
-            min(blocked, key=lambda c: c.last_activity_at).close(abort=True)
+            now = clock()
+            min(blocked, key=lambda c: (c.is_awaited(now), c.last_activity_at)).close(abort=True)
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -91,6 +91,7 @@
             return
         self.requests[request.id] = request
         connection.request = request
+        connection.client_deadline = request.deadline
         self.transaction_ids.add(request.transaction_id)
         answer_deadline = self.shutdown.answer_deadline
         if answer_deadline is not None and request.deadline > answer_deadline:
@@ -216,7 +217,7 @@
         """Return after how many microseconds without activity this connection is closed."""
         if connection.output_blocked or connection.state is ConnectionState.LINGERING:
             return self.limits.undrained_timeout
-        if connection.state is ConnectionState.HALF_CLOSED:
+        if connection.is_closing:
             return self.limits.half_close_timeout
         if connection.buffer or not connection.has_requested:
             return self.limits.request_read_timeout
