An answer on a slow link is not reset a second after it was handed to the kernel

On a slow link most of the answer lies in its send queue then. A client that had sent a part of its next request was reset the same way after 2 s. Until then, undrained_timeout holds (10 s), and no less than the client's own time, which the connection keeps; after that a client that never reads is reset, so that no wait is without end. After SIGTERM the process still ends by last_answer_read_timeout, and the kernel goes on sending what it holds then. Evidence: five cases of tests/test_answer_delivery.py fail on the text before (ECONNRESET in the answer, or the connection gone in the client's time) and pass now, among them the client that never reads.

--- a/limepath/configuration/process_limits.py
+++ b/limepath/configuration/process_limits.py
@@ -42,11 +42,11 @@
     client_idle_timeout: int = 5_000_000  # idle timeout of a client connection after an answer
     # Timeout of reading the head and body of a request; it starts at the accept for the first request.
     request_read_timeout: int = 2_000_000
-    half_close_timeout: int = 1_000_000  # timeout of the client's close after the front's half-close
+    half_close_timeout: int = 1_000_000  # timeout of the client's close after it has the last answer
     last_answer_read_timeout: int = 5_000_000  # time for clients to read their last answers after SIGTERM
     max_discarded_bytes: int = 256_000  # bytes read and discarded after a rejected request
     first_request_grace: int = 300_000  # time for which a new client connection is closed last
-    undrained_timeout: int = 10_000_000  # timeout of a client that does not read its answer
+    undrained_timeout: int = 10_000_000  # least timeout of a client that does not read its answer
     overload_retry_after: int = 0  # Retry-After of a request rejected because of `open_requests`
     backlog: int = 1024  # length of the listen queue
     # Pause after an exception in the decision module until it handles events again.
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
+from limepath.front.answer_delivery import is_delivered
 from limepath.front.client_connection import ClientConnection, ConnectionState
 from limepath.front.client_disconnects import DisconnectCounter
 from limepath.front.client_limit import ClientConnectionLimit
@@ -197,28 +198,33 @@
             self.log.info("descriptors-by-use", **descriptor_use(self, self.servers, self.limits)._asdict())
         now = clock()
         for connection in list(self.connections):
-            if connection.request is None and now - connection.last_activity_at > self._timeout_of(
-                connection
-            ):
-                self._close_expired(connection)
+            if connection.request is None and now > self._expires_at(connection):
+                self._close_expired(connection, now)
 
-    def _close_expired(self, connection: ClientConnection) -> None:
+    def _close_expired(self, connection: ClientConnection, now: int) -> None:
         may_send = connection.is_between_requests and not connection.output_blocked
         if may_send and not connection.close_deferred and connection.has_unread_bytes():
             connection.close_deferred = True  # only once: the unread bytes may be a request
             return
         is_idle = connection.state is ConnectionState.IDLE and connection.has_requested
-        if is_idle and not connection.output_blocked:
+        is_receiving = connection.is_awaited(now) and not is_delivered(connection.transport)
+        if (is_idle or is_receiving) and not connection.output_blocked:
             connection.close_gracefully()
         else:
-            connection.close(abort=True)
-
-    def _timeout_of(self, connection: ClientConnection) -> int:
-        """Return after how many microseconds without activity this connection is closed."""
-        if connection.output_blocked or connection.state is ConnectionState.LINGERING:
-            return self.limits.undrained_timeout
-        if connection.is_closing:
-            return self.limits.half_close_timeout
+            connection.close(abort=connection.state is not ConnectionState.DELIVERED)
+
+    def _expires_at(self, connection: ClientConnection) -> int:
+        """Return when this connection is closed if nothing happens on it, in microseconds.
+
+        A client that has not received its answer is not cut off while it waits for it.
+        """
+        connection.check_delivery()
+        limits = self.limits
+        since = connection.last_activity_at
+        if connection.state is ConnectionState.DELIVERED:
+            return since + limits.half_close_timeout
+        if connection.output_blocked or connection.is_closing:
+            return max(since + limits.undrained_timeout, connection.client_deadline or 0)
         if connection.buffer or not connection.has_requested:
-            return self.limits.request_read_timeout
-        return self.limits.client_idle_timeout
+            return since + limits.request_read_timeout
+        return since + limits.client_idle_timeout
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -13,6 +13,7 @@
 
 BODY = b"z" * 240_000
 REQUEST = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+LATER = 30_000_000  # microseconds; beyond each timeout of a client connection
 CLIENT_TIME = 5_000_000  # microseconds that the client waits for its answer
 
 
@@ -42,6 +43,12 @@
     assert not is_delivered(connection.transport)
 
 
+def pass_time(connection, microseconds):
+    """Make all that happened on the connection longer ago, and the client's deadline closer."""
+    connection.last_activity_at -= microseconds
+    connection.client_deadline -= microseconds
+
+
 def enforce_limit(front, limit):
     front.clients.limits = front.clients.limits._replace(client_connections=limit)
     front.clients.connection_limit.enforce()
@@ -89,6 +96,56 @@
     assert read_answer(front, client) == BODY
 
 
+@pytest.mark.parametrize("is_persistent", [True, False])
+@pytest.mark.parametrize("next_request", ["", "GET /invoke/video/1 HTTP/1.1\r\n"])
+def test_a_sweep_does_not_cut_off_an_answer_on_a_slow_link(driven, is_persistent, next_request):  # noqa: F811
+    """Guards against a reset a second after the FIN was handed to the kernel (review case 3).
+
+    It is the same if the client has sent a part of its next request already.
+    """
+    front = driven()
+    client, connection = slow_client(front)
+    write_answer(front, connection, is_persistent)
+    if next_request:
+        client.send_raw(next_request)
+        front.passes_until(lambda: connection.buffer or connection.discarded_bytes)
+    pass_time(connection, CLIENT_TIME - 1_000_000)
+    front.clients.sweep()
+    assert read_answer(front, client) == BODY
+
+
+def test_a_client_that_never_reads_its_last_answer_is_closed(driven):  # noqa: F811
+    """Guards against a wait for a client that has no end, and against one that is cut off in its time."""
+    front = driven()
+    client, connection = slow_client(front)
+    write_answer(front, connection, is_persistent=False)
+    pass_time(connection, LATER)
+    connection.client_deadline += 2 * LATER
+    front.clients.sweep()
+    front.reactor.iterate(0)
+    assert connection in front.clients.connections  # its time is not over
+    pass_time(connection, 2 * LATER)
+    front.clients.sweep()
+    front.passes_until(lambda: connection not in front.clients.connections)
+    assert client.closed_by_server()
+
+
+def test_a_client_that_has_its_last_answer_and_does_not_close_is_closed_soon(driven):  # noqa: F811
+    """The wait for the client's FIN begins when the answer is delivered, not when it is handed over."""
+    front = driven()
+    client, connection = slow_client(front)
+    write_answer(front, connection, is_persistent=False)
+    pass_time(connection, 2 * front.clients.limits.half_close_timeout)
+    assert read_answer(front, client) == BODY
+    front.passes_until(lambda: is_delivered(connection.transport))
+    front.clients.sweep()
+    front.reactor.iterate(0)
+    assert connection in front.clients.connections
+    pass_time(connection, 2 * front.clients.limits.half_close_timeout)
+    front.clients.sweep()
+    front.passes_until(lambda: connection not in front.clients.connections)
+
+
 def test_too_many_blocked_answers_cost_those_first_whose_clients_no_longer_wait(driven):  # noqa: F811
     """Guards against an answer that is cut off in its client's time while others are overdue."""
     front = driven()
