The soak plays slow links, crowds that reconnect and wrong clocks, by seed

Change: by seed eight clients read bodies of 240,000 bytes over a slow link with small receive buffers, half of them with `Connection: close`, also through SIGTERM; idle clients connect again 50 ms after they were shut out; the change log's clock is stepped and new caches start with wrong ones, ahead and behind. An answer that breaks off in its client's time is a loss of its own, in a crowd, too.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,19 +10,39 @@
 import concurrent.futures
 import hashlib
 import heapq
+import io
 import json
 import queue
 import signal
+import socket
 import sys
 import threading
 import time
+from collections import Counter
 from itertools import repeat
 from random import Random
 
 from tests.soak_rules import Attempt, ChangeEvent, Request, RuleChecker
-from tests.stand_ins import MS, SETTINGS, HttpClient, Site, StandInCache, StandInChangeLog, address
-
-CLIENTS, IDLE_CLIENTS, SOCKETS = 12, 130, 256
+from tests.stand_ins import (
+    MS,
+    SETTINGS,
+    HttpClient,
+    Site,
+    StandInCache,
+    StandInChangeLog,
+    TruncatedAnswerError,
+    address,
+)
+
+CLIENTS, SLOW_CLIENTS, IDLE_CLIENTS, SOCKETS = 12, 8, 130, 256
+LARGEST_BODY = 240_000  # bytes (protocol page)
+LARGE_NAMES = range(1000, 1010)  # numbers of objects with the largest body
+LINK_BYTES_PER_S = 155_000  # of a slow client: an eighth of a link of 1,240,000 (deployment page)
+SMALL_RECEIVE_BUFFER = 16_384  # bytes; what a slow client has not read stays at the front
+SLOW_DEADLINE = 3000  # milliseconds; longest deadline of seeds with slow clients (protocol page: 3 s at most)
+SLOW_TTL = 5000  # milliseconds that a slow client waits
+RECONNECT_PAUSE = 0.05  # seconds until a member of the crowd that was shut out connects again
+CLOCK_STEPS = (-3600, -10, -2, 0, 2, 10, 3600)  # seconds by which a machine's wall clock may be wrong
 FAULTS_DURATION = 4.0  # seconds with faults before SIGTERM
 KILL_DELAY = 0.7  # seconds from SIGTERM to SIGKILL in addition to the longest deadline (protocol page)
 ACCEPT_PERIOD = 0.4  # seconds after SIGTERM during which clients open connections
@@ -36,9 +56,27 @@
 CLASSES = ("video", "tarea", "entrega")
 
 
-def make_settings(rng):
+class Variant:
+    """What a seed adds to the usual traffic and faults, drawn apart from the order of those.
+
+    Attributes:
+        has_slow_clients: some clients read large answers over a slow link.
+        has_crowd: idle clients connect again at once when they are shut out.
+        clocks_are_wrong: the clocks of the change log and of new caches are ahead, behind and stepped.
+    """
+
+    def __init__(self, seed):
+        rng = Random(f"variant {seed}")
+        self.has_slow_clients = rng.random() < 0.5
+        self.has_crowd = rng.random() < 0.4
+        self.clocks_are_wrong = rng.random() < 0.5
+
+
+def make_settings(rng, variant):
     """Return settings with one class of each idempotency, and their deadline in milliseconds."""
     longest = rng.choice((300, 600, 1200))
+    if variant.has_slow_clients:
+        longest = SLOW_DEADLINE
     video, tarea = SETTINGS["classes"]
     times = {"aim": 50 * MS, "deadline": longest * MS}
     keyed = {
@@ -55,6 +93,8 @@
 def make_body(name):
     """Return the tag and the body that every cache serves for the object."""
     digest = hashlib.sha256(name.encode()).hexdigest()
+    if int(name.partition("/")[2], 16) in LARGE_NAMES:
+        return digest[:16], (digest * (LARGEST_BODY // len(digest))).encode()
     return digest[:16], (digest * 40).encode()[: int(digest[:3], 16)]
 
 
@@ -185,7 +225,7 @@
             ):
                 return
             try:
-                client = HttpClient(self.soak.site.listen_address)
+                client = self.open_connection()
             except OSError:
                 time.sleep(0.02)
                 continue
@@ -194,6 +234,9 @@
                 client.answered += 1
             client.close()
 
+    def open_connection(self):
+        return HttpClient(self.soak.site.listen_address)
+
     def exchange(self, client):
         """Send a request; return whether the connection can be reused."""
         time.sleep(self.rng.random() * 0.08)
@@ -232,9 +275,12 @@
         client.socket.settimeout(request.ttl + LATE_ANSWER_WAIT)
         try:
             answer = client.answer()
+        except TruncatedAnswerError as error:
+            answer, request.got, request.cut_off = None, error.body, True
         except (OSError, AssertionError, ValueError):
             answer = None
-        request.ended_at = client.last_arrival() if answer else time.monotonic()
+        has_stamps = answer and not request.is_slow
+        request.ended_at = client.last_arrival() if has_stamps else time.monotonic()
         if answer is None:
             return False
         request.status, headers, request.got = answer
@@ -242,17 +288,108 @@
         return headers.get("connection") != "close"
 
 
+class PacedSocket(io.RawIOBase):
+    """Reads a socket at the pace of a slow link."""
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def readable(self):
+        return True
+
+    def readinto(self, buffer):
+        size = self.connection.recv_into(buffer, min(len(buffer), SMALL_RECEIVE_BUFFER // 4))
+        time.sleep(size / LINK_BYTES_PER_S)
+        return size
+
+
+class SlowClient(Client):
+    """A client that asks for the largest objects over a slow link, and reads all the time.
+
+    Some of its requests are the last ones of their connections.
+    """
+
+    def open_connection(self):
+        client = HttpClient.__new__(HttpClient)
+        client.socket = socket.socket()
+        client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_RECEIVE_BUFFER)
+        host, port = self.soak.site.listen_address.split(":")
+        client.socket.connect((host, int(port)))
+        client.stream = io.BufferedReader(PacedSocket(client.socket), SMALL_RECEIVE_BUFFER)
+        return client
+
+    def exchange(self, client):
+        """Send a request for a large object; return whether the connection can be reused."""
+        time.sleep(self.rng.random() * 0.08)
+        self.sent += 1
+        name = f"{self.rng.choice(LARGE_NAMES):016x}"
+        txn = f"{self.number:08x}{self.sent:08x}"
+        group = int(name, 16) % 5
+        tag, body = make_body(f"video/{name}")
+        request = Request("video", name, group, SLOW_TTL / 1000, tag, body)
+        request.is_slow = True
+        fields = {"X_Family": group}
+        if self.rng.random() < 0.5:
+            fields["Connection"] = "close"
+        try:
+            client.send(f"/invoke/video/{name}", txn=txn, ttl=SLOW_TTL, **fields)
+        except OSError:
+            return False
+        request.sent_at = time.monotonic()
+        request.first = not client.answered
+        self.soak.checker.record_request(txn, request)
+        return self.answer(client, request)
+
+
+class Crowd(threading.Thread):
+    """Idle clients that connect again shortly after they were shut out; `reconnects` counts how often."""
+
+    def __init__(self, soak):
+        super().__init__(daemon=True)
+        self.soak, self.reconnects = soak, 0
+        host, port = soak.site.listen_address.split(":")
+        self.address = host, int(port)
+
+    def run(self):
+        connections = []
+        while not self.soak.killed.is_set():
+            while len(connections) < IDLE_CLIENTS:
+                connection = socket.socket()
+                connection.setblocking(False)
+                connection.connect_ex(self.address)
+                connections.append(connection)
+            time.sleep(RECONNECT_PAUSE)
+            ended = [connection for connection in connections if self.has_ended(connection)]
+            self.reconnects += len(ended)
+            for connection in ended:
+                connection.close()
+            connections = [connection for connection in connections if connection.fileno() >= 0]
+        for connection in connections:
+            connection.close()
+
+    def has_ended(self, connection):
+        try:
+            return connection.recv(1) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
 class Soak:
     """The run of one seed: its traffic, its faults and the check of the rules."""
 
     def __init__(self, seed, quiet=0, max_suspension=LONG_SUSPENSION):
         self.seed, self.rng, self.quiet = seed, Random(seed), quiet
         self.max_suspension = max_suspension
-        self.settings, self.longest = make_settings(self.rng)
+        self.variant = Variant(seed)
+        self.settings, self.longest = make_settings(self.rng, self.variant)
         self.checker = RuleChecker(self.settings, REPEAT_WINDOW)
         self.terminated_at, self.killed = None, threading.Event()
         self.events, self.lock = [], threading.Lock()
         self.names, self.drained = [f"s-{number}" for number in range(1, 6)], set()
+        self.platform_step = 0  # seconds by which the change log's wall clock is ahead
+        self.taken_effect = Counter()  # disruptions by name
 
     def run(self):
         """Run the seed; return a line for each violation."""
@@ -266,14 +403,23 @@
             self.checker.watch()
             time.sleep(self.quiet)
             clients = [Client(self, number) for number in range(CLIENTS)]
+            if self.variant.has_slow_clients:
+                clients += [SlowClient(self, CLIENTS + number) for number in range(SLOW_CLIENTS)]
             for client in clients:
                 client.start()
             if self.rng.random() < 0.3:
                 self.fill_descriptors()
+            crowd = Crowd(self)
+            if self.variant.has_crowd:
+                self.checker.descriptors_exhausted = True
+                crowd.start()
             self.cause_faults()
             self.restart()
             for client in clients:
-                client.join(self.longest / 1000 + LATE_ANSWER_WAIT + 1)
+                client.join(SLOW_TTL / 1000 + LATE_ANSWER_WAIT + 1)
+            self.taken_effect["crowd reconnects"] = crowd.reconnects
+            slow = [request for request in self.checker.requests.values() if request.is_slow]
+            self.taken_effect["slow answers"] = sum(request.status == 200 for request in slow)
             return self.checker.find_violations(self.terminated_at, self.killed_at, self.site.log_lines)
 
     def fill_descriptors(self):
@@ -301,6 +447,8 @@
             self.step_clock,
             self.fail_system_calls,
         )
+        if self.variant.clocks_are_wrong:
+            actions += (self.step_platform_clock, self.step_platform_clock, self.purge, self.join)
         while time.monotonic() - began < FAULTS_DURATION:
             self.rng.choice(actions)()
             time.sleep(self.rng.random() * 0.4)
@@ -324,7 +472,7 @@
             event, target = ChangeEvent(object=name), {"object": name}
         event.purged_at = time.monotonic()
         self.checker.purges.append(event)
-        self.publish({"invalidate": target | {"time": int(now * 1000)}}, event)
+        self.publish({"invalidate": target | {"time": int((now + self.platform_step) * 1000)}}, event)
 
     def drain(self):
         left = [name for name in self.names if name not in self.drained]
@@ -351,7 +499,9 @@
         member.commands = self.caches.commands
         self.site.members.append(member)
         self.names.append(member.name)
-        self.publish_member(member.entry(up_since_ms=int(time.time() * 1000)), ChangeEvent())
+        step = self.rng.choice(CLOCK_STEPS) if self.variant.clocks_are_wrong else 0
+        self.taken_effect["new caches with a wrong clock"] += bool(step)
+        self.publish_member(member.entry(up_since_ms=int((time.time() + step) * 1000)), ChangeEvent())
 
     def publish_member(self, entry, event):
         self.publish({"fleet": {"revision": 2, "complete": False, "members": [entry]}}, event)
@@ -386,6 +536,10 @@
     def step_clock(self):
         self.site.inject(wall_step=self.rng.choice((-3600, -2, 0, 2, 3600)))
 
+    def step_platform_clock(self):
+        self.platform_step = self.rng.choice(CLOCK_STEPS)
+        self.taken_effect["steps of the platform's clock"] += 1
+
     def fail_system_calls(self):
         call, errors = self.rng.choice(
             (
@@ -425,7 +579,9 @@
         f"test process late by {soak.checker.late:.3f} s, "
         f"{soak.checker.attributed_to_suspensions} late actions due to suspensions"
     )
-    return seed, lines, f"{requests}, {attempts} attempts, {soak.checker.count_untimed()} untimed, {delays}"
+    effects = ", ".join(f"{number} {name}" for name, number in sorted(soak.taken_effect.items()))
+    timing = f"{soak.checker.count_untimed()} untimed, {delays}"
+    return seed, lines, f"{requests}, {attempts} attempts, {timing}; {effects}"
 
 
 def main():
--- a/tests/soak_rules.py
+++ b/tests/soak_rules.py
@@ -47,6 +47,8 @@
         )
         self.sent_at = self.ended_at = self.disconnected_at = self.status = self.got = self.got_tag = None
         self.first = False
+        self.is_slow = False  # whether the client's link, not the front, decides when the answer is whole
+        self.cut_off = False  # whether the connection ended within an answer
 
 
 class ChangeEvent:
@@ -149,7 +151,13 @@
         if request.disconnected_at is not None:
             return
         waited = request.ended_at - request.sent_at if request.ended_at else float("inf")
-        if request.status is None:
+        if request.cut_off:
+            if waited < request.ttl + RESPONSE_SLACK:
+                self.lines.append(
+                    f"lost: {txn} cut off after {len(request.got)} bytes and {waited:.3f} s "
+                    f"with a deadline of {request.ttl} s"
+                )
+        elif request.status is None:
             crossed = waited <= CLOSE_RACE + self.late
             shut_unread = self.descriptors_exhausted and request.first
             if not (crossed or shut_unread or self.closed_on_resume(request)):
@@ -157,7 +165,7 @@
                 self.lines.append(
                     f"lost: {txn} {request.service} without an answer after {waited:.3f} s, {at}"
                 )
-        elif waited > request.ttl + RESPONSE_SLACK + self.late:
+        elif waited > request.ttl + RESPONSE_SLACK + self.late and not request.is_slow:
             self.lines.append(f"lost: {txn} answered after {waited:.3f} s with a deadline of {request.ttl} s")
         elif request.status == 200 and (request.got, request.got_tag) != (request.body, request.tag):
             self.lines.append(f"lost: {txn} served with {len(request.got)} bytes of tag {request.got_tag}")
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -275,6 +275,14 @@
         self.stream.close()
 
 
+class TruncatedAnswerError(AssertionError):
+    """The connection ended within the body of an answer; `body` is what came, empty after a reset."""
+
+    def __init__(self, body, size):
+        super().__init__(f"the body ended after {len(body)} of {size} bytes")
+        self.body = body
+
+
 class HttpClient:
     """A client's HTTP connection to the front."""
 
@@ -316,8 +324,12 @@
             name, _, value = field.decode().partition(":")
             fields[name.lower()] = value.strip()
         status, size = int(line.split()[1]), int(fields.get("content-length", 0))
-        body = self.stream.read(size)
-        assert len(body) == size, f"the body ended after {len(body)} of {size} bytes"
+        try:
+            body = self.stream.read(size)
+        except ConnectionResetError as error:
+            raise TruncatedAnswerError(b"", size) from error
+        if len(body) != size:
+            raise TruncatedAnswerError(body, size)
         return status, fields, body
 
     def last_arrival(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,7 @@
 )
 from tests.stand_ins import SETTINGS, open_listener
 
-SEEDS = range(1, 9)
+SEEDS = (*range(1, 10), 13)  # on the text before their mends, these find each case of docs/incidents
 LATE = 0.3  # seconds between the arrival of data and its read
 CLOCK_ERROR = 0.001  # seconds; the error of a time stamp converted between clocks
 
@@ -33,6 +33,11 @@
     statuses, attempts = soak.checker.count_results()
     assert statuses[200] > 20 and sum(statuses.values()) > 50  # the run had traffic
     assert attempts - soak.checker.count_untimed() > 50
+    effects = soak.taken_effect
+    assert effects["slow answers"] > 0 or not soak.variant.has_slow_clients
+    assert effects["crowd reconnects"] > 0 or not soak.variant.has_crowd
+    clock_effects = effects["steps of the platform's clock"] + effects["new caches with a wrong clock"]
+    assert clock_effects > 0 or not soak.variant.clocks_are_wrong
 
 
 def connect():
