A lack of descriptors at accept no longer resets connections with requests

Cause: Twisted keeps a reserve descriptor; at EMFILE it gives it up, accepts each waiting connection with it and closes it, until none waits. ENFILE, ENOBUFS and the other errors only end the round of accepts. Change: the listener replaces the reserve by Twisted's empty one, so that EMFILE ends the round, too.

--- a/limepath/front/client_listener.py
+++ b/limepath/front/client_listener.py
@@ -5,6 +5,7 @@
 import select
 from typing import TYPE_CHECKING
 
+from twisted.internet import tcp
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
 
@@ -27,7 +28,12 @@
         self.accepted_count = 0
 
     def listen(self, endpoint: IStreamServerEndpoint) -> Deferred:
-        """Listen on a Twisted server endpoint; return a Deferred that fires once clients can connect."""
+        """Listen on a Twisted server endpoint; return a Deferred that fires once clients can connect.
+
+        Twisted's reserve descriptor is not used: at EMFILE it would accept all waiting connections and close
+        them, with the requests that have arrived. They wait for a free descriptor instead.
+        """
+        tcp._reservedFD = tcp._NullFileDescriptorReservation()
         return endpoint.listen(Factory.forProtocol(self._accept)).addCallback(self._listening)
 
     def _accept(self) -> ClientConnection:
--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -67,6 +67,17 @@
         assert site.count_injected("accept") == 3
 
 
+def test_a_lack_of_descriptors_at_accept_loses_no_connection():
+    """Guards against Twisted's reserve descriptor, which accepts all waiting connections and closes them."""
+    with Site(faults={}) as site:
+        site.inject(fail={"accept": ["EMFILE", 1]})
+        clients = [site.open_client().send(txn=f"{number:016x}") for number in range(3)]
+        for _ in clients:
+            site.cache.next().answer("DONE", COPY_FIELDS, b"x")
+        assert [client.answer()[::2] for client in clients] == [(200, b"x")] * 3
+        assert site.count_injected("accept") == 1
+
+
 @pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"])
 def test_request_on_a_broken_connection_counts_as_possibly_executed(error):
     """A read is retried, a write is failed, and both get an answer."""
