An endpoint that changes its kind gets the limits and slow start of the new kind

What callers would see (suspected in docs/ROADMAP.md): a cache that the list turns into a parent under its id, or back, kept the least limit, the adapted factor and the ramp's length of what it was before. Cause: Server.update changed is_upstream alone; ConcurrencyLimit and slow_start_duration are set up once. Change: a change between cache and parent or origin starts a new ConcurrencyLimit, and the duration of slow start follows each entry of the list.

--- a/limepath/decisions/endpoints.py
+++ b/limepath/decisions/endpoints.py
@@ -99,6 +99,7 @@
                 is_upstream,
                 slow_start_duration,
             )
+        self.servers[endpoint.id].slow_start_duration = slow_start_duration
         fronts = self._topology.fronts if is_upstream else self._topology.fronts_in_zone
         concurrency = self._base_concurrency(endpoint, is_upstream, parent_count)
         self.servers[endpoint.id].update(endpoint, is_upstream, fronts, concurrency, self._topology.weighted)
--- a/limepath/decisions/server.py
+++ b/limepath/decisions/server.py
@@ -69,7 +69,9 @@
         self, endpoint: Endpoint, is_upstream: bool, fronts: int, base_concurrency: float, is_weighted: bool
     ) -> None:
         """Apply an entry of the endpoint list and the number of fronts that share the server's capacity."""
-        self.is_upstream = is_upstream
+        if is_upstream != self.is_upstream:
+            self.is_upstream = is_upstream
+            self.limit = ConcurrencyLimit(is_upstream)
         has_started = endpoint.started_at > self.endpoint.started_at
         self.endpoint = endpoint
         if endpoint.started_at:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -1,7 +1,8 @@
 """Tests of the endpoint list in the decision engine."""
 
+from limepath.decisions.concurrency_limit import MIN_ATTEMPTS
 from limepath.interface.commands import ForwardRequest, RejectRequest
-from tests.fake_host import ENDPOINTS, FakeHost, make_endpoint
+from tests.fake_host import CACHE, ENDPOINTS, PARENT, SECOND, FakeHost, make_endpoint
 
 
 def test_every_endpoint_list_leads_to_answers_and_caches_in_other_zones_are_not_used():
@@ -19,3 +20,23 @@
 def test_a_parent_of_unknown_capacity_has_an_equal_share_of_all_links():
     host = FakeHost(weighted=False)
     assert [host.front.endpoints.servers[ident].limit.base_concurrency for ident in (11, 12)] == [4.5, 4.5]
+
+
+def test_an_endpoint_that_changes_its_kind_gets_the_limits_and_the_slow_start_of_the_new_kind():
+    """Guards against a parent with the limit and the ramp of the cache that it was listed as before."""
+    host = FakeHost()
+    server = host.front.endpoints.servers[1]
+    cache_limit = server.limit.base_limit()
+    for _ in range(5):
+        server.limit.record_outcome(is_overloaded=True, active_attempts=0)
+    host.update_endpoints(make_endpoint(1, PARENT, started_at=host.now))
+    assert server.is_upstream
+    assert server.limit.factor == 1
+    assert server.limit.base_limit() == cache_limit / 2  # two fronts share a parent, one a cache
+    server.limit.base_concurrency = 0  # the least limit of a parent is one more than that of a cache
+    assert server.limit.base_limit() == MIN_ATTEMPTS + 1
+    assert server.slow_start_duration == 20 * SECOND
+    assert server.warming_until == host.now + 20 * SECOND
+    host.update_endpoints(make_endpoint(1, CACHE, started_at=host.now))
+    assert server.limit.base_limit() == cache_limit
+    assert server.slow_start_duration == 10 * SECOND
