A waiting request is not sent to the former state of an endpoint that was listed again

What callers would see (suspected in docs/ROADMAP.md): attempts beyond a server's limit. A request keeps the servers that it may try; one that the list dropped and listed again meanwhile has a new state, and attempts that were recorded in the former one counted in no limit, health check or recall. Cause: the guard looked at the listed state for drain and budget, and the attempt was recorded in the other. Evidence: the new test of 20 objects in tests/test_endpoints.py fails on the text before (no attempt recorded) and passes now.

--- a/limepath/decisions/guard.py
+++ b/limepath/decisions/guard.py
@@ -113,8 +113,9 @@
         if self.is_list_stale and server is not self._router.origin:
             return Rule.STALE_LIST
         listed = self._servers.get(server.id)
-        # The grace period of a drain is not used, because the endpoint list itself arrives with a delay.
-        if listed is None or listed.endpoint.state != EndpointState.READY:
+        # The grace period of a drain is not used, because the endpoint list itself arrives with a delay. An
+        # endpoint that was removed and listed again has a new state; no limit would count work of the former.
+        if listed is not server or listed.endpoint.state != EndpointState.READY:
             return Rule.DRAIN
         if not self._budgets.has_budget(listed, request.service_index):
             return Rule.SLOW_START
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -2,7 +2,8 @@
 
 from limepath.decisions.concurrency_limit import MIN_ATTEMPTS
 from limepath.interface.commands import ForwardRequest, RejectRequest
-from tests.fake_host import CACHE, ENDPOINTS, PARENT, SECOND, FakeHost, make_endpoint
+from limepath.interface.events import AttemptOutcome, EndpointState
+from tests.fake_host import CACHE, ENDPOINTS, PARENT, SECOND, FakeHost, forwards, make_endpoint
 
 
 def test_every_endpoint_list_leads_to_answers_and_caches_in_other_zones_are_not_used():
@@ -40,3 +41,17 @@
     host.update_endpoints(make_endpoint(1, CACHE, started_at=host.now))
     assert server.limit.base_limit() == cache_limit
     assert server.slow_start_duration == 10 * SECOND
+
+
+def test_a_waiting_request_is_not_sent_to_the_former_state_of_an_endpoint_that_was_listed_again():
+    """Guards against attempts that no limit counts, because a request still refers to the dropped state."""
+    for obj in range(20):
+        host = FakeHost()
+        (first,) = forwards(host.request(obj))
+        others = [make_endpoint(ident) for ident in (1, 2, 3) if ident != first.endpoint]
+        host.update_endpoints(*(other._replace(state=EndpointState.REMOVED) for other in others))
+        host.update_endpoints(*others)
+        (retry,) = forwards(host.end_attempt(first, AttemptOutcome.FULL))
+        servers = host.front.endpoints.servers
+        for ident in {retry.endpoint, retry.source}:
+            assert len(servers[ident].active_attempts) == 1
