--- a/limepath/front/client_connection.py
+++ b/limepath/front/client_connection.py
@@ -32,12 +32,8 @@
     READING = 1  # a part of a request has arrived
     AWAITING_ANSWER = 2  # a request is open
     LINGERING = 3  # buffered output is being sent, followed by the FIN; input is discarded
-    HALF_CLOSED = (
-        4  # the kernel has all output and the FIN, and may still be sending them; input is discarded
-    )
-    DELIVERED = (
-        5  # the client's machine has acknowledged both; input is discarded until the client closes, too
-    )
+    HALF_CLOSED = 4  # the kernel has all output and the FIN, and may still send them; input is discarded
+    DELIVERED = 5  # the client's machine has acknowledged both; input is discarded until the client closes
     CLOSED = 6
 
 
