A log line is cut by the bytes that a pipe counts

What operators would see (suspected in docs/ROADMAP.md): a front that stops while nobody reads its log. Cause: a line was cut at 4,000 characters; a writable pipe takes 4,096 bytes without waiting, and 4,000 other characters are more. Change: the line is cut at 4,000 bytes of the stream's own encoding, escapes included. Evidence: the new test in tests/test_log.py fails on the text before (the pipe takes a part, with no line end) and passes now, in UTF-8 and ASCII.

--- a/limepath/log.py
+++ b/limepath/log.py
@@ -16,7 +16,7 @@
 
 LOG_FORMATS = ("person", "json")
 FIRST_FIELDS = ("time", "instance", "event")
-MAX_LINE_LENGTH = 4000  # characters; a pipe that is writable accepts at least 4,096 bytes (pipe(7))
+MAX_LINE_BYTES = 4000  # a pipe that is writable accepts at least 4,096 bytes (pipe(7))
 MICROSECONDS_PER_SECOND = 1e6
 
 
@@ -27,11 +27,16 @@
         """Write the line, or drop it if standard error is a full pipe, where a write would block."""
         if not is_full_pipe(sys.stderr):
             try:
-                print(line[:MAX_LINE_LENGTH], file=sys.stderr, flush=True)
+                print(cut_line(line, sys.stderr.encoding), file=sys.stderr, flush=True)
             except OSError:
                 pass
 
 
+def cut_line(line: str, encoding: str) -> str:
+    """Return the line without what exceeds MAX_LINE_BYTES in this encoding; other characters are escaped."""
+    return line.encode(encoding, "backslashreplace")[:MAX_LINE_BYTES].decode(encoding, "ignore")
+
+
 def is_full_pipe(stream: TextIO) -> bool:
     """Return whether this stream is a pipe without room for a line."""
     try:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 
+from limepath.log import StandardErrorLogger
 from tests.stand_ins import HttpClient, configuration, free_address, wait_for
 
 SHORTEST_LINE = 60  # bytes; no line of the log is shorter
@@ -42,3 +43,19 @@
         process.wait()
         os.close(read_end)
         os.close(write_end)
+
+
+def test_a_long_line_of_other_characters_fits_an_empty_pipe(monkeypatch):
+    """Guards against a write that blocks because the line was cut by characters; a pipe counts bytes."""
+    for encoding in ("utf-8", "ascii"):
+        read_end, write_end = os.pipe()
+        fcntl.fcntl(write_end, fcntl.F_SETPIPE_SZ, SMALLEST_PIPE)
+        os.set_blocking(write_end, False)
+        stream = os.fdopen(write_end, "w", encoding=encoding, errors="backslashreplace")
+        monkeypatch.setattr(sys, "stderr", stream)
+        StandardErrorLogger().msg("año " * 2000)
+        line = os.read(read_end, 2 * SMALLEST_PIPE).decode(encoding)
+        assert line.startswith("a")
+        assert line.endswith("\n")
+        stream.close()
+        os.close(read_end)
