--- a/tests/soak.py
+++ b/tests/soak.py
@@ -47,6 +47,7 @@
 KILL_DELAY = 0.7  # seconds from SIGTERM to SIGKILL in addition to the longest deadline (protocol page)
 ACCEPT_PERIOD = 0.4  # seconds after SIGTERM during which clients open connections
 LATE_ANSWER_WAIT = 2.0  # seconds that a client waits after its deadline, to tell a late answer from none
+LATEST_ERROR = 1.5  # seconds until an error; beyond REPEAT_WINDOW, so that a retry would be too late
 REPEAT_WINDOW = 0.8  # seconds for which caches deduplicate requests by key
 LONG_SUSPENSION = 0.25  # seconds; the maximum on the command line
 # Seconds; the maximum in CI. It is below all slacks, as the front may be suspended between a check and the
@@ -196,6 +197,7 @@
                     lambda: refuse("WAIT"),
                     lambda: refuse("PAST"),
                     lambda: command.answer("BROKE"),
+                    lambda: self.after(self.rng.random() * LATEST_ERROR, lambda: command.answer("BROKE")),
                     lambda: command.answer("KEEP", f"rev={tag[::-1]},since={since}"),
                     command.disconnect,
                     lambda: [answer_done(), command.disconnect()],
