--- a/limepath/log.py
+++ b/limepath/log.py
@@ -16,6 +16,7 @@
 
 LOG_FORMATS = ("person", "json")
 FIRST_FIELDS = ("time", "instance", "event")
+DEFAULT_ENCODING = "utf-8"  # of a standard error that is replaced by a stream of text
 MAX_LINE_BYTES = 4000  # a pipe that is writable accepts at least 4,096 bytes (pipe(7))
 MICROSECONDS_PER_SECOND = 1e6
 
@@ -27,7 +28,7 @@
         """Write the line, or drop it if standard error is a full pipe, where a write would block."""
         if not is_full_pipe(sys.stderr):
             try:
-                print(cut_line(line, sys.stderr.encoding), file=sys.stderr, flush=True)
+                print(cut_line(line, sys.stderr.encoding or DEFAULT_ENCODING), file=sys.stderr, flush=True)
             except OSError:
                 pass
 
