--- a/review/common2/case.py
+++ b/review/common2/case.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -31,6 +32,14 @@
 FIRST_PORT, LAST_PORT = 12_000, 31_000  # below the range that the system gives to outgoing connections
 
 
+PR_SET_PDEATHSIG = 1  # prctl(2)
+
+
+def end_with_parent() -> None:
+    """Let the system end a started process once the one that runs the case has ended, however it did."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CouldNotRunError(Exception):
     """The case could not be played; the message says why."""
 
@@ -87,6 +96,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=end_with_parent,
             )
         self.record.note(f"{self.name} is started, process {self.process.pid}")
         end = time.monotonic() + READY_S
@@ -164,6 +174,10 @@
 
 def run(play: Callable[[Case], Awaitable[list[str]]], here: Path) -> None:
     """Play a case, write `record.txt` beside it, and exit with its status."""
+    # Streams that are dropped after the loop has closed would only fill the output with complaints of that.
+    sys.unraisablehook = lambda _: None
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record()
     status = COULD_NOT_RUN
     with tempfile.TemporaryDirectory(prefix="limepath-case-") as folder:
--- a/review/common2/stand_ins.py
+++ b/review/common2/stand_ins.py
@@ -233,6 +233,8 @@
     status: int | None = None
     tag: str = ""
     body: bytes = b""
+    cut_after_s: float | None = None  # when its connection ended without a whole answer
+    cut_bytes: int = 0  # what of an answer's body had come by then
 
 
 @dataclass
@@ -281,15 +283,21 @@
             lines.append(f"Content-Length: {len(body)}")
         message = ("\r\n".join(lines) + "\r\n\r\n").encode() + (body or b"")
         for _ in range(2):
-            with contextlib.suppress(ConnectionError, TimeoutError, asyncio.IncompleteReadError):
+            try:
                 async with asyncio.timeout(ttl_s + wait_s):
                     await self._exchange(request, message)
                 break
-            ended = time.monotonic()
-            if ended - (request.sent_at or ended) > CROSSING_S:
+            except (ConnectionError, TimeoutError, asyncio.IncompleteReadError) as error:
+                request.status = None
+                request.cut_after_s = time.monotonic() - request.sent_at if request.sent_at else 0.0
+                if isinstance(error, asyncio.IncompleteReadError) and request.ended_at is not None:
+                    request.cut_bytes = len(error.partial)
+                self.record.note(
+                    f"client has no whole answer to {request.id}: {type(error).__name__} "
+                    f"after {request.cut_after_s:.4f} s"
+                )
+            if request.cut_after_s > CROSSING_S:
                 break
-        if request.status is None:
-            self.record.note(f"client gets no answer to {request.id}")
         return request
 
     async def _exchange(self, request: Request, message: bytes) -> None:
@@ -328,6 +336,7 @@
         fields = {
             name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])
         }
+        request.ended_at = time.monotonic()
         body = await reader.readexactly(int(fields.get("content-length", "0")))
         request.ended_at = time.monotonic()
         request.status = int(head[0].split()[1])
