The purge of object 0 is no longer taken for that of a group

Cause: 0 in PurgeAnnounced.object meant "the whole group", and the front passed the number of object 0 on as it is, so the decisions and the queue of waiting attempts took it for the purge of group 0. Evidence: a GET of group 0 bore an age limit after that purge, one of object 0 none.

Change: the field is None for a group. The records of the decision trace stay: its events with number 0 meant groups.

--- a/limepath/decisions/purges.py
+++ b/limepath/decisions/purges.py
@@ -20,7 +20,7 @@
 
     def handle_purge_announced(self, event: PurgeAnnounced) -> None:
         """Record the purge, unless a later purge of the same scope is known."""
-        scope: PurgeScope = (event.object, 0) if event.object else (None, event.group)
+        scope: PurgeScope = (None, event.group) if event.object is None else (event.object, 0)
         purged_at = self._queue.now - event.age
         if purged_at > self._purged_at.get(scope, purged_at - 1):
             self._purged_at[scope] = purged_at
--- a/limepath/front/endpoint_watch.py
+++ b/limepath/front/endpoint_watch.py
@@ -208,7 +208,7 @@
         if "object" in purge:
             announced = PurgeAnnounced(0, age, int(purge["object"], 16))
         else:
-            announced = PurgeAnnounced(int(purge["bucket"]), age, 0)
+            announced = PurgeAnnounced(int(purge["bucket"]), age, None)
         self.servers.apply_purge(announced)
         self.decision_loop.gather(announced)
 
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -144,10 +144,10 @@
 
     def apply_purge(self, purge: PurgeAnnounced) -> None:
         """Cancel the queued attempts for a purged object or group."""
-        if purge.object:
-            self.cancel_waiting(lambda command, request: request.event.object == purge.object)
-        else:
+        if purge.object is None:
             self.cancel_waiting(lambda command, request: request.event.group == purge.group)
+        else:
+            self.cancel_waiting(lambda command, request: request.event.object == purge.object)
 
     # Commands of the decisions
 
--- a/limepath/interface/events.py
+++ b/limepath/interface/events.py
@@ -115,11 +115,13 @@
 
 
 class PurgeAnnounced(NamedTuple):
-    """Copies older than `age` microseconds must not be served; `object` is 0 for an entire group."""
+    """Copies of an object or of a group that are older than `age` microseconds must not be served."""
 
     group: int
+    """The group that is purged; it has no meaning if the purge names an object."""
     age: int
-    object: int
+    object: int | None
+    """The object that is purged, any number from 0; None if the entire group is."""
 
 
 class AttemptEnded(NamedTuple):
--- a/limepath/simulator_host/codec.py
+++ b/limepath/simulator_host/codec.py
@@ -108,7 +108,7 @@
 
 def read_purge(cursor, _):
     group, age, obj = cursor.take(struct.Struct(">HQQ"))
-    return PurgeAnnounced(group, to_microseconds(age), obj)
+    return PurgeAnnounced(group, to_microseconds(age), obj or None)  # 0 on this wire: no object is named
 
 
 def read_attempt_ended(cursor, load_fields):
--- a/tests/decision_trace.py
+++ b/tests/decision_trace.py
@@ -280,7 +280,8 @@
     def purge_announced(self) -> PurgeAnnounced:
         rng = self.random
         obj = rng.randrange(40) if rng.random() < 0.5 else 0
-        return PurgeAnnounced(rng.randrange(40), rng.randrange(300_000), obj)
+        # Number 0 stands for a whole group here, so that the recorded digests keep their meaning.
+        return PurgeAnnounced(rng.randrange(40), rng.randrange(300_000), obj or None)
 
     def availability_changed(self) -> ConnectionAvailabilityChanged:
         return ConnectionAvailabilityChanged(
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -149,7 +149,7 @@
     def update_endpoints(self, *endpoints, kind=UpdateKind.DELTA):
         return self.handle(EndpointListUpdated(kind, 2, endpoints))
 
-    def purge(self, obj=0, group=0, age=0):
+    def purge(self, obj=None, group=0, age=0):
         return self.handle(PurgeAnnounced(group, age, obj))
 
     def end_probe(self, endpoint_id, outcome=AttemptOutcome.SUCCEEDED, util=0.0):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -371,7 +371,7 @@
     disconnect, list_update, purge = (
         ClientDisconnected(1),
         EndpointListUpdated(UpdateKind.DELTA, 2, ()),
-        PurgeAnnounced(1, 0, 0),
+        PurgeAnnounced(1, 0, None),
     )
     decision_loop.gather(disconnect, list_update)
     decision_loop.gather(purge)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -622,7 +622,7 @@
         ),
         b"",
     )
-    purge = PurgeAnnounced(1, 0, 0)
+    purge = PurgeAnnounced(1, 0, None)
     decision_loop.gather(purge)
     clock.advance(0)
     assert connection.answers == [502]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -70,6 +70,20 @@
     assert lookup[9:15] == CACHE == lookup[23:29] and struct.unpack(">Q", lookup[30:38]) == (8_000_000_000,)
 
 
+def test_a_purge_without_an_object_is_that_of_a_group():
+    """Guards against 0, which stands for an absent object on this wire, being taken for object 0."""
+    settings = SETTINGS | {"family-info": SETTINGS["family-info"] | {"gone-everywhere": 6_000_000_000}}
+
+    def max_age_after(purged_object, obj):
+        purge = struct.pack(">BIHQQ", 10, 3, 1, 5_000_000, purged_object)
+        reply = reply_to(batch(start_and_list(settings)), batch(purge), batch(request(obj)))
+        lookup = reply[reply.index(struct.pack(">BII", 60, 3, 77)) :][:39]
+        return struct.unpack(">Q", lookup[30:38])[0]
+
+    assert max_age_after(0, obj=9) < 10_000_000 < max_age_after(8, obj=9)
+    assert max_age_after(9, obj=9) < 10_000_000
+
+
 def test_a_stop_discards_the_front_and_a_start_in_the_same_batch_creates_a_new_one():
     stop = struct.pack(">BI", 70, 3)
     reply = reply_to(batch(start_and_list()), batch(request(), stop, start_and_list()))
