An answer that confirms a client's copy is not taken for a transfer in slow start

Cause: AttemptEnded did not tell DONE from KEEP. The duration of a KEEP, a twentieth of the work, went into the mean sending time in which the slow start budget is counted, so the budget allowed more transfers than the cache can send.

Change: AttemptEnded.is_not_modified; only answers with bytes enter the mean. The unit is then that of a transfer, whatever share of clients has copies.

--- a/limepath/decisions/router.py
+++ b/limepath/decisions/router.py
@@ -223,7 +223,7 @@
         request.active_attempt = None
         self._fetch_window.handle_attempt_ended(attempt, ended, result)
         is_hit = result.outcome == AttemptOutcome.SUCCEEDED and ended.source is ended.server
-        if is_hit and not request.size_kb:
+        if is_hit and not event.is_not_modified and not request.size_kb:
             self._sending_times.record_transfer(request.service_index, result.duration)
         execution = request.possible_execution
         if result.outcome in NEVER_EXECUTED and execution and execution.number == event.attempt:
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -240,8 +240,8 @@
             return
         request, command = attempt.request, attempt.command
         request.attempts.pop(attempt.number, None)
+        is_not_modified = answer is not None and answer.status == NOT_MODIFIED
         if outcome == AttemptOutcome.SUCCEEDED:
-            is_not_modified = answer.status == NOT_MODIFIED
             self.clients.answer_with_copy(request, is_not_modified, answer.fields.get(b"rev"), answer.body)
         self.decision_loop.gather(
             AttemptEnded(
@@ -254,6 +254,7 @@
                 not request.is_open,
                 CacheStatus.NONE,
                 load,
+                is_not_modified,
             )
         )
         if not request.is_open:
--- a/limepath/interface/events.py
+++ b/limepath/interface/events.py
@@ -138,6 +138,8 @@
     """Whether the client has its final answer or has disconnected."""
     cache_status: CacheStatus
     load: dict[str, float]
+    is_not_modified: bool = False
+    """Whether it succeeded by confirming the client's copy, without a transfer of the object."""
 
 
 class ResponseStarted(NamedTuple):
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -138,11 +138,27 @@
         )
 
     def end_attempt(
-        self, forward, outcome, number=0, answered=False, cache_status=CacheStatus.NONE, duration=1000
+        self,
+        forward,
+        outcome,
+        number=0,
+        answered=False,
+        cache_status=CacheStatus.NONE,
+        duration=1000,
+        is_not_modified=False,
     ):
         return self.handle(
             AttemptEnded(
-                forward.request, number, outcome, forward.endpoint, duration, 0, answered, cache_status, {}
+                forward.request,
+                number,
+                outcome,
+                forward.endpoint,
+                duration,
+                0,
+                answered,
+                cache_status,
+                {},
+                is_not_modified,
             )
         )
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -27,6 +27,29 @@
     assert 0 < sent <= 3  # 0.8 x (2 x 0.2 x 6) transfers during 1 s, 0.6 s each
 
 
+def test_confirmed_copies_of_clients_do_not_lower_the_price_of_a_transfer():
+    """Guards against a budget counted in answers without bytes, which topples a cold cache with transfers."""
+    host = FakeHost()
+    for obj in range(300):
+        for forward in forwards(host.request(obj)):
+            confirms = obj % 10 < 7  # clients often have a copy
+            duration = 30_000 if confirms else 600_000
+            host.end_attempt(
+                forward,
+                AttemptOutcome.SUCCEEDED,
+                answered=True,
+                duration=duration,
+                is_not_modified=confirms,
+            )
+    host.update_endpoints(make_endpoint(1, started_at=host.now))
+    sent = 0
+    for obj in range(200):
+        for forward in forwards(host.request(obj)):
+            sent += forward.endpoint == 1
+            host.end_attempt(forward, AttemptOutcome.SUCCEEDED, answered=True, duration=600_000)
+    assert 0 < sent <= 3
+
+
 def test_a_request_whose_parents_have_no_budget_left_is_rejected_once():
     host = FakeHost()
     host.update_endpoints(*(make_endpoint(cache, state=EndpointState.REMOVED) for cache in (1, 2, 3)))
