A confirmed copy does not hide that a server's transfers are late

Callers saw (by the decisions' tests, no case): with most clients holding copies, a cache whose transfers all came late kept its full limit of attempts.

A KEEP in time, a twentieth of a transfer's work, restored the concurrency limit as much as a transfer in time. Evidence: 8 of 10 answers confirmed, the others 4 s late: factor 1.

A late one indicates overload as before. Confirmed copies alone still restore the limit in the end, so no server waits without end where there are no probes; a test holds that too.

Tests: test_confirmed_copies_of_clients_do_not_hide_that_transfers_are_late failed before (factor 1, under 0.5 wanted).

--- a/limepath/decisions/attempt.py
+++ b/limepath/decisions/attempt.py
@@ -9,6 +9,10 @@
     from limepath.decisions.server import Server
 
 
+# Work of confirming the client's copy, as a fraction of a transfer's (protocol page, "Copies of its own").
+NOT_MODIFIED_WORK = 1 / 20
+
+
 class AttemptId(NamedTuple):
     """Identifies an attempt by its request and by its number within the request, from 0."""
 
@@ -38,6 +42,8 @@
     """Whether it succeeded within its latency objective, extended in proportion to its sending time."""
     is_overloaded: bool | None
     """Whether the server that sent the answer is overloaded; None if the result does not indicate it."""
+    work: float
+    """Work of the server that sent the answer, as a fraction of a transfer's."""
 
 
 def evaluate_attempt(event: AttemptEnded, request: "PendingRequest") -> AttemptResult:
@@ -54,4 +60,5 @@
         is_overloaded = not in_time
     elif outcome == AttemptOutcome.FULL:
         is_overloaded = True
-    return AttemptResult(outcome, event.duration, in_time, is_overloaded)
+    work = NOT_MODIFIED_WORK if event.is_not_modified else 1.0
+    return AttemptResult(outcome, event.duration, in_time, is_overloaded, work)
--- a/limepath/decisions/concurrency_limit.py
+++ b/limepath/decisions/concurrency_limit.py
@@ -42,18 +42,23 @@
             return self.base_limit()
         return self.base_limit() * self.factor ** (1 / request.size_factor)
 
-    def record_outcome(self, is_overloaded: bool, active_attempts: int) -> None:
+    def record_outcome(self, is_overloaded: bool, active_attempts: int, work: float = 1.0) -> None:
         """Adapt the factor to a sign of overload or an answer in time.
 
+        An overloaded server still gives answers without bytes in time, so an answer in time raises the factor
+        in proportion to its work.
+
         Args:
             is_overloaded: whether the server is overloaded.
             active_attempts: number of attempts that are still active at the server.
+            work: the server's work for the answer, as a fraction of a transfer's.
         """
         if is_overloaded:
             self.factor = max(MIN_FACTOR, self.factor * OVERLOAD_DECREASE)
         elif self.factor < 1 or self._is_upstream:
-            self.factor = min(1, self.factor / OVERLOAD_DECREASE**RECOVERY_EXPONENT)
+            self.factor = min(1, self.factor / OVERLOAD_DECREASE ** (RECOVERY_EXPONENT * work))
         elif active_attempts + 1 >= self.base_limit() * self.factor:
             # Only a server at its limit shows that it can take more.
             full_capacity_factor = ATTEMPTS_PER_CAPACITY * self.base_concurrency / self.base_limit()
-            self.factor = max(1, min(full_capacity_factor, self.factor / OVERLOAD_DECREASE**GROWTH_EXPONENT))
+            grown_factor = self.factor / OVERLOAD_DECREASE ** (GROWTH_EXPONENT * work)
+            self.factor = max(1, min(full_capacity_factor, grown_factor))
--- a/limepath/decisions/router.py
+++ b/limepath/decisions/router.py
@@ -240,7 +240,7 @@
         source = ended.source
         overload = result.is_overloaded
         if source is server:
-            self._queue.put(server.handle_attempt_ended, attempt, result.outcome, True, overload)
+            self._queue.put(server.handle_attempt_ended, attempt, result.outcome, True, overload, result.work)
             return
         self._queue.put(server.handle_attempt_ended, attempt, result.outcome, True, None)
         # A late fill indicates overload of its source only if the source has reported overload itself,
--- a/limepath/decisions/server.py
+++ b/limepath/decisions/server.py
@@ -116,7 +116,12 @@
         self.active_attempts[attempt] = sending_time
 
     def handle_attempt_ended(
-        self, attempt: AttemptId, outcome: AttemptOutcome, was_target: bool, is_overloaded: bool | None
+        self,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        was_target: bool,
+        is_overloaded: bool | None,
+        work: float = 1.0,
     ) -> None:
         """Remove an attempt that has ended, and update the concurrency limit and the health.
 
@@ -126,10 +131,11 @@
             was_target: whether the front sent the attempt to this server; otherwise the server was the
                 source of a fill.
             is_overloaded: whether the end indicates overload of this server; None if it indicates nothing.
+            work: this server's work for the answer, as a fraction of a transfer's.
         """
         self.active_attempts.pop(attempt, None)
         if is_overloaded is not None:
-            self.limit.record_outcome(is_overloaded, len(self.active_attempts))
+            self.limit.record_outcome(is_overloaded, len(self.active_attempts), work)
         if was_target:
             self._update_health_as_target(outcome)
         else:
--- a/tests/test_concurrency_limit.py
+++ b/tests/test_concurrency_limit.py
@@ -33,6 +33,46 @@
     assert cache.limit.factor == 1
 
 
+def answer_lookups(host, confirmed_in_ten, transfer_duration, requests):
+    """Let a cache answer requests: some confirm the client's copy in time, the others are transfers."""
+    for obj in range(requests):
+        is_confirmed = obj % 10 >= 10 - confirmed_in_ten
+        for forward in forwards(host.request(obj)):
+            host.end_attempt(
+                forward,
+                AttemptOutcome.SUCCEEDED,
+                answered=True,
+                duration=1000 if is_confirmed else transfer_duration,
+                is_not_modified=is_confirmed,
+            )
+
+
+def test_confirmed_copies_of_clients_do_not_hide_that_transfers_are_late():
+    """Guards against answers without bytes restoring the limit of a cache whose transfers are all late."""
+    host = FakeHost(endpoints=ENDPOINTS[:1] + ENDPOINTS[3:])
+    limit = host.front.endpoints.servers[1].limit
+    answer_lookups(host, confirmed_in_ten=8, transfer_duration=4 * SECOND, requests=60)
+    assert limit.factor < 0.5
+
+
+def test_confirmed_copies_of_clients_restore_a_lowered_limit_in_the_end():
+    host = FakeHost(endpoints=ENDPOINTS[:1] + ENDPOINTS[3:])
+    limit = host.front.endpoints.servers[1].limit
+    answer_lookups(host, confirmed_in_ten=0, transfer_duration=4 * SECOND, requests=6)
+    assert limit.factor < 0.5
+    answer_lookups(host, confirmed_in_ten=10, transfer_duration=0, requests=2000)
+    assert limit.factor == 1
+
+
+def test_a_late_confirmation_of_a_clients_copy_indicates_overload():
+    host = FakeHost(endpoints=ENDPOINTS[:1] + ENDPOINTS[3:])
+    for forward in forwards(host.request()):
+        host.end_attempt(
+            forward, AttemptOutcome.SUCCEEDED, answered=True, duration=4 * SECOND, is_not_modified=True
+        )
+    assert host.front.endpoints.servers[1].limit.factor < 1
+
+
 def test_a_write_is_not_rejected_where_the_limit_of_the_origin_is_lowered_for_fills():
     host = FakeHost(
         services=(make_service(uncacheable=True, idempotency=Idempotency.NON_IDEMPOTENT),), fronts=200
