Incomplete requests have a limit on the memory that they hold together

Callers saw (reported by operators): hundreds of clients that write slowly, or stop half way, get a front killed for its memory. Here, 64 MB configured: 68 MB resident with 400 writes that lack their last byte, 73 MB if they come a kilobyte at a time; 46 MiB when ready.

Cause: each connection may hold 56 KB of an incomplete request for two seconds, and nothing bounded the sum.

Change: RequestMemory counts incomplete requests and the bodies of open ones. Beyond a quarter of the memory that the program leaves (its own is read at the start), the incomplete request that began first gets 503 and a lingering close: slow writers are always the oldest, and one whose last byte crosses that answer has its final answer. A complete body that still does not fit is shed before anything is forwarded.

--- a/limepath/configuration/platform.py
+++ b/limepath/configuration/platform.py
@@ -11,7 +11,12 @@
 from limepath.configuration.addresses import parse_host_port
 from limepath.configuration.decision_settings import DecisionArguments
 from limepath.configuration.json_checks import ConfigurationError, Number, require
-from limepath.configuration.process_limits import Limits, available_descriptors, plan_limits
+from limepath.configuration.process_limits import (
+    Limits,
+    available_descriptors,
+    plan_limits,
+    resident_megabytes,
+)
 from limepath.configuration.settings_schema import COUNT, check_settings
 
 # Environment variables
@@ -241,6 +246,7 @@
         available_descriptors(descriptors),
         memory_mb,
         permitted.get("streams-per-conn", DEFAULT_STREAMS),
+        resident_megabytes(),
         open_requests=permitted.get("max-open", DEFAULT_OPEN_REQUESTS),
         drain_period=shutdown.drain_period,
         last_answer=shutdown.last_answer,
--- a/limepath/configuration/process_limits.py
+++ b/limepath/configuration/process_limits.py
@@ -1,9 +1,11 @@
 """Limits of the network code: sizes, counts and timeouts, computed once at the start of a front."""
 
+import os
 import resource
 from typing import Any, NamedTuple
 
-PROGRAM_MEGABYTES = 40  # memory of the program without buffered answers, with a margin
+PROGRAM_MEGABYTES = 40  # least memory of the program without buffered bytes, with a margin
+GROWTH_MEGABYTES = 6  # by which the program's own memory grows after its start
 # For the reactor, log, endpoint list, listener and shared state, and for the two excesses below.
 RESERVED_DESCRIPTORS = 64
 ACCEPTED_AT_ONCE = 16  # client connections allowed over the limit while idle ones are being closed
@@ -12,6 +14,10 @@
 MIN_UNDRAINED_CONNECTIONS = 8
 # Answers that clients have not yet read may fill half of the memory beyond PROGRAM_MEGABYTES.
 UNDRAINED_BYTES_PER_MEGABYTE = 500_000
+# Incomplete requests and the bodies of open ones may fill a quarter of the memory beyond the program's.
+REQUEST_BYTES_PER_MEGABYTE = 250_000
+MIN_REQUEST_BYTES = 500_000
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 class Limits(NamedTuple):
@@ -22,6 +28,7 @@
     streams: int  # attempts in flight on one connection to an endpoint
     open_requests: int  # requests without a complete answer
     undrained_connections: int  # client connections with an answer that the client does not read
+    request_bytes: int  # bytes of all incomplete requests and of the bodies of all open ones
     cache_connections: int = 32  # connections to one cache, parent or origin
     head: int = 8192  # size of the head of a request or of a change log response
     fields: int = 64  # number of header fields of a request
@@ -75,15 +82,29 @@
     return configured if soft == resource.RLIM_INFINITY else min(configured, soft)
 
 
-def plan_limits(descriptors: int, memory_mb: int, streams: int, **others: Any) -> Limits:
+def resident_megabytes() -> int:
+    """Return the resident memory of this process in megabytes, 0 if the system does not tell (proc(5))."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            pages = int(file.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return -(-pages * os.sysconf("SC_PAGE_SIZE") // BYTES_PER_MEGABYTE)
+
+
+def plan_limits(
+    descriptors: int, memory_mb: int, streams: int, resident_mb: int = 0, **others: Any
+) -> Limits:
     """Divide descriptors and memory among clients and endpoints.
 
     Clients get 40 % of the descriptors, because the usual clients hold at most a third; endpoints get the
-    rest. Half of the memory beyond PROGRAM_MEGABYTES may hold answers that clients have not yet read.
-    `others` are further fields of `Limits`, by name.
+    rest. Half of the memory beyond PROGRAM_MEGABYTES may hold answers that clients have not yet read, and a
+    quarter of what the program itself does not need may hold requests. `resident_mb` is the present memory of
+    the process, in megabytes. `others` are further fields of `Limits`, by name.
     """
     client_connections = max(1, descriptors * 4 // 10)
     cache_connections = descriptors - client_connections - RESERVED_DESCRIPTORS
+    free_mb = memory_mb - max(PROGRAM_MEGABYTES, resident_mb + GROWTH_MEGABYTES)
     undrained_bytes = (memory_mb - PROGRAM_MEGABYTES) * UNDRAINED_BYTES_PER_MEGABYTE
     return Limits(
         client_connections,
@@ -92,5 +113,6 @@
         undrained_connections=max(
             MIN_UNDRAINED_CONNECTIONS, undrained_bytes // Limits._field_defaults["answer"]
         ),
+        request_bytes=max(MIN_REQUEST_BYTES, free_mb * REQUEST_BYTES_PER_MEGABYTE),
         **others,
     )
--- a/limepath/front/client_connection.py
+++ b/limepath/front/client_connection.py
@@ -93,10 +93,15 @@
             # Input was read in the same iteration in which output got blocked. While reading is paused, a
             # disconnect would go unnoticed, so the request starts only after output is unblocked.
             self.buffer += data
+            self.clients.request_memory.set_incomplete(self, len(self.buffer))
             return
         if not self.buffer and self.has_requested:
             self.last_activity_at = clock()
         self.buffer += data
+        self._handle_input()
+        self.clients.request_memory.set_incomplete(self, len(self.buffer))
+
+    def _handle_input(self) -> None:
         try:
             if self.request is not None:  # the body exceeds its Content-Length, or requests are pipelined
                 raise RequestError(400, "unexpected bytes after an open request")
@@ -118,6 +123,10 @@
         self.buffer = bytearray()
         self.send_response(error.status)
 
+    def reject_incomplete_request(self) -> None:
+        """Answer 503 to the incomplete request, which the front has no memory for, and close."""
+        self._reject(RequestError(503, "too many bytes of incomplete requests; rejected the oldest"))
+
     def _parse_buffer(self) -> None:
         if self.head is None:
             while self.buffer[:2] == b"\r\n":  # empty lines before a request are ignored (RFC 9112, 2.2)
@@ -201,6 +210,7 @@
         self.last_activity_at = clock()
         self.discarded_bytes = 0
         self.buffer = bytearray()
+        self.clients.request_memory.set_incomplete(self, 0)
         self.transport.unregisterProducer()  # a registered producer would keep the connection open
         self._end_output(at_once)
 
@@ -298,6 +308,7 @@
     def connectionLost(self, reason):
         self.state = ConnectionState.CLOSED
         self.clients.connections.discard(self)
+        self.clients.request_memory.set_incomplete(self, 0)
         self.clients.connection_limit.closing.discard(self)
         self._abandon_request()
         self.clients.connection_limit.count_changed()
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -17,6 +17,7 @@
 from limepath.front.descriptors import descriptor_use
 from limepath.front.graceful_shutdown import GracefulShutdown
 from limepath.front.request_head import RequestError, RequestHead
+from limepath.front.request_memory import RequestMemory
 from limepath.front.response import retry_after_field
 from limepath.interface.commands import CancelAttempt, FailRequest, RejectRequest
 from limepath.interface.events import ClientDisconnected
@@ -60,6 +61,7 @@
         self.disconnects = DisconnectCounter(log)
         self.listener = ClientListener(self)
         self.connection_limit = ClientConnectionLimit(self)
+        self.request_memory = RequestMemory(limits.request_bytes)
         self.shutdown = GracefulShutdown(self)
 
     def listen(self, endpoint: IStreamServerEndpoint) -> Deferred:
@@ -88,7 +90,11 @@
             raise RequestError(409, "X-Txn: another open request has this id")
         if len(self.requests) >= self.limits.open_requests:
             self.log.info("open", "request shed: too many open requests", gets=len(self.requests))
-            connection.send_response(503, retry_after_field(self.limits.overload_retry_after))
+            self._reject_unaccepted(connection)
+            return
+        if not self.request_memory.add_body(len(body)):
+            self.log.info("memory", "request shed: the bodies of open requests fill their part of the memory")
+            self._reject_unaccepted(connection)
             return
         self.requests[request.id] = request
         connection.request = request
@@ -103,6 +109,9 @@
         )
         self.decision_loop.gather(request.event)
 
+    def _reject_unaccepted(self, connection: ClientConnection) -> None:
+        connection.send_response(503, retry_after_field(self.limits.overload_retry_after))
+
     def _deadline_passed(self, request: ClientRequest) -> None:
         """Time out all attempts in flight.
 
@@ -178,8 +187,9 @@
         released = self.released
         self.released = []
         for request in released:
-            if not request.attempts:
-                self.requests.pop(request.id, None)
+            if not request.attempts and request.id in self.requests:
+                del self.requests[request.id]
+                self.request_memory.remove_body(len(request.body))
         self.shutdown.check_finished()
 
     def cancel_attempt(self, command: CancelAttempt) -> None:
