A write does not run again under an id that may have run

Callers saw (reported by operators): an id ran twice when it came again after its client had left. Here the second request was sent on while the first attempt still ran, and after it had run, for classes that may not be repeated and for keyed ones.

Cause: the front forgot an id as soon as its client left or was answered, and to the decisions the second was a new request without any attempt. Evidence: two requests with one attempt each at the origin, under one id.

Change: SentTransactions remembers the ids of non-idempotent requests written to a server and not proven not to have run; RequestArrived.may_have_run tells the guard, the one place of the rule, which forwards such a request never.

Tests that gave the settings of a service as a tuple use its type.

--- a/limepath/configuration/platform.py
+++ b/limepath/configuration/platform.py
@@ -18,6 +18,7 @@
     resident_megabytes,
 )
 from limepath.configuration.settings_schema import COUNT, check_settings
+from limepath.interface.settings import Idempotency
 
 # Environment variables
 NAME = "ROUTER_NAME"
@@ -56,11 +57,13 @@
         index: the service's index in the settings.
         uncacheable: whether the service's objects are never cached; requests to it are writes.
         max_deadline: the maximum deadline in a request, in microseconds.
+        is_idempotent: whether its requests may run any number of times.
     """
 
     index: int
     uncacheable: bool
     max_deadline: int
+    is_idempotent: bool
 
 
 class FrontSettings(NamedTuple):
@@ -199,7 +202,10 @@
 def _services(settings: Mapping[str, Any], arguments: DecisionArguments) -> dict[bytes, Service]:
     return {
         entry["name"].encode(): Service(
-            index, service.uncacheable, service.deadline * MAX_CLIENT_DEADLINE_FACTOR
+            index,
+            service.uncacheable,
+            service.deadline * MAX_CLIENT_DEADLINE_FACTOR,
+            service.idempotency == Idempotency.IDEMPOTENT,
         )
         for index, (entry, service) in enumerate(zip(settings["classes"], arguments["services"], strict=True))
     }
--- a/limepath/configuration/process_limits.py
+++ b/limepath/configuration/process_limits.py
@@ -60,6 +60,8 @@
     exception_pause: int = 50_000
     # Delay of the handling of events from which on the sockets are read once more before deciding.
     late_poll_threshold: int = 20_000
+    # Time beyond the longest deadline for which the id of a request that may have run is remembered.
+    repeat_margin: int = 5_000_000
     accept_pause: int = 10_000  # delay before a failed accept is retried while draining
     # Time without data until a stream from the change log is closed.
     change_log_silence_timeout: int = 2_500_000
--- a/limepath/decisions/guard.py
+++ b/limepath/decisions/guard.py
@@ -98,8 +98,12 @@
         return None
 
     def _is_retry_safe(self, request: PendingRequest, server: "Server") -> bool:
+        if request.idempotency == Idempotency.IDEMPOTENT:
+            return True
+        if request.may_have_run:  # where and when is not known, so no key can make a repeat safe
+            return False
         execution = request.possible_execution
-        if execution is None or request.idempotency == Idempotency.IDEMPOTENT:
+        if execution is None:
             return True
         if request.idempotency == Idempotency.NON_IDEMPOTENT:
             return False
@@ -167,11 +171,8 @@
         key_valid_everywhere = (
             request.idempotency == Idempotency.KEYED and request.service.key_scope == KeyScope.ALL
         )
-        is_retry_safe = (
-            request.possible_execution is None
-            or request.idempotency == Idempotency.IDEMPOTENT
-            or key_valid_everywhere
-        )
+        has_no_effect = request.possible_execution is None and not request.may_have_run
+        is_retry_safe = has_no_effect or request.idempotency == Idempotency.IDEMPOTENT or key_valid_everywhere
         if is_retry_safe:
             self._queue.commands.append(RejectRequest(request.id, retry_after))
         else:
--- a/limepath/decisions/request.py
+++ b/limepath/decisions/request.py
@@ -56,6 +56,7 @@
         attempts: number of attempts that have begun.
         active_attempt: the attempt that has not ended yet; None if all have.
         possible_execution: None while no attempt can have had an effect.
+        may_have_run: whether an earlier request with the same id may have had an effect.
         is_answered: whether the client has its final answer or has disconnected.
         accepts_stale: whether a copy within the service's `stale_grace` is acceptable.
         cached_only: whether the attempt requests only a copy that the server holds.
@@ -74,6 +75,7 @@
         "id",
         "idempotency",
         "is_answered",
+        "may_have_run",
         "object_part",
         "phase",
         "possible_execution",
@@ -108,6 +110,7 @@
         self.attempts: int = 0
         self.active_attempt: AttemptId | None = None
         self.possible_execution: PossibleExecution | None = None
+        self.may_have_run: bool = event.may_have_run
         self.is_answered: bool = False
         self.accepts_stale: bool = False
         self.cached_only: bool = False
--- a/limepath/front/client_request.py
+++ b/limepath/front/client_request.py
@@ -10,6 +10,7 @@
 from limepath.interface.events import RequestArrived
 
 if TYPE_CHECKING:
+    from limepath.configuration.platform import Service
     from limepath.front.attempt import Attempt
     from limepath.front.client_connection import ClientConnection
 
@@ -58,6 +59,8 @@
         "attempt_count",
         "attempt_start_times",
         "attempts",
+        "is_idempotent",
+        "possible_executions",
         "state",
         "timer",
     )
@@ -71,6 +74,7 @@
         body: bytes,
         event: RequestArrived,
         deadline: int,
+        is_idempotent: bool,
     ):
         self.id = event.id
         self.connection: ClientConnection | None = connection  # None once the request is no longer open
@@ -86,6 +90,8 @@
         self.attempt_count = 0
         self.attempt_start_times: list[int] = []  # when each attempt was written to its socket
         self.attempts: dict[int, Attempt] = {}  # attempts in flight, by number
+        self.is_idempotent = is_idempotent  # whether it may run any number of times
+        self.possible_executions: set[int] = set()  # numbers of the attempts that may have had an effect
         self.state = RequestState.OPEN
         self.timer = None  # fires at the deadline, then again after `Limits.backstop`
 
@@ -104,6 +110,10 @@
         self.connection = None
         return connection
 
+    def mark_as_repeat(self) -> None:
+        """Note that an earlier request with the same id may have had an effect."""
+        self.event = self.event._replace(may_have_run=True)
+
     def shorten_deadline(self, deadline: int) -> None:
         """Replace the client's deadline by an earlier one."""
         self.deadline = deadline
@@ -115,32 +125,34 @@
     connection: ClientConnection,
     head: RequestHead,
     body: bytes,
-    services: dict[bytes, tuple[int, bool, int]],
+    services: dict[bytes, Service],
     arrived_at: int,
 ) -> ClientRequest:
     """Build a request from a head and a body.
 
-    `services` maps the name of each delivery service to its number, whether it accepts writes, and its
-    maximum time to live in microseconds. `arrived_at` is when the last byte arrived, in microseconds on the
-    monotonic clock.
+    `services` holds the delivery services by name. `arrived_at` is when the last byte arrived, in
+    microseconds on the monotonic clock.
 
     Raises:
         RequestError: the request is invalid.
     """
     target = _parse_target(head.target, services)
-    service_number, is_write, longest = services[target.service]
+    service = services[target.service]
+    is_write = service.uncacheable
     if head.method != (b"PUT" if is_write else b"GET"):
         raise RequestError(405, "method not allowed for this service")
     block = _block_of(target)
     _check_ids(head.fields.get(b"x-txn", b""), target.object_id)
-    time_to_live = parse_integer(head.fields.get(b"x-ttl-ms", b""), longest // 1000, "X-Ttl-Ms") * 1000
+    time_to_live = (
+        parse_integer(head.fields.get(b"x-ttl-ms", b""), service.max_deadline // 1000, "X-Ttl-Ms") * 1000
+    )
     if not time_to_live:
         raise RequestError(400, "X-Ttl-Ms: 0 is not allowed; expected 1 or more")
     deadline = arrived_at + time_to_live  # the client counts from the request's last byte
     time_left = max(1, deadline - clock())
     event = RequestArrived(
         id=request_id,
-        service=service_number,
+        service=service.index,
         tenant=0,
         object=int(target.object_id, 16),
         time_left=time_left,
@@ -151,10 +163,10 @@
         is_write=is_write,
         has_key=bool(_idempotency_key(head.fields)),
     )
-    return ClientRequest(connection, target, block, head.fields, body, event, deadline)
+    return ClientRequest(connection, target, block, head.fields, body, event, deadline, service.is_idempotent)
 
 
-def _parse_target(target: bytes, services: dict[bytes, tuple[int, bool, int]]) -> RequestTarget:
+def _parse_target(target: bytes, services: dict[bytes, Service]) -> RequestTarget:
     path, mark, query = _origin_form(target).partition(b"?")
     service, slash, object_id = path[len(PATH_PREFIX) :].partition(b"/")
     if not path.startswith(PATH_PREFIX) or not slash or service not in services:
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -19,13 +19,16 @@
 from limepath.front.request_head import RequestError, RequestHead
 from limepath.front.request_memory import RequestMemory
 from limepath.front.response import retry_after_field
+from limepath.front.sent_transactions import SentTransactions
 from limepath.interface.commands import CancelAttempt, FailRequest, RejectRequest
 from limepath.interface.events import ClientDisconnected
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IStreamServerEndpoint
 
+    from limepath.configuration.platform import Service
     from limepath.configuration.process_limits import Limits
+    from limepath.front.attempt import Attempt
     from limepath.front.decision_loop import DecisionLoop
     from limepath.front.servers import Servers
     from limepath.log import Log
@@ -44,7 +47,7 @@
         decision_loop: DecisionLoop,
         limits: Limits,
         log: Log,
-        services: dict[bytes, tuple[int, bool, int]],
+        services: dict[bytes, Service],
     ):
         self.reactor = reactor
         self.decision_loop = decision_loop
@@ -54,6 +57,8 @@
         self.connections: set[ClientConnection] = set()
         self.requests: dict[int, ClientRequest] = {}  # by id
         self.transaction_ids: set[bytes] = set()  # transaction ids of open requests
+        longest_deadline = max((service.max_deadline for service in services.values()), default=0)
+        self.sent_transactions = SentTransactions(longest_deadline + limits.repeat_margin)
         self.request_ids = count(1)
         self.released: list[ClientRequest] = []  # removed after the next call of the decision engine
         self.read_delay = lambda: 0  # returns the maximum age of the data read last, in microseconds
@@ -96,6 +101,9 @@
             self.log.info("memory", "request shed: the bodies of open requests fill their part of the memory")
             self._reject_unaccepted(connection)
             return
+        if self.sent_transactions.has(request.transaction_id, clock()):
+            self.log.info("client", "X-Txn: an earlier request with this id may have run", status=502)
+            request.mark_as_repeat()
         self.requests[request.id] = request
         connection.request = request
         connection.client_deadline = request.deadline
@@ -140,6 +148,22 @@
         self.decision_loop.gather(ClientDisconnected(request.id))
         self.release_if_done(request)
 
+    def attempt_written(self, attempt: Attempt) -> None:
+        """Note that an attempt was written to its server, so that its request may run from now on."""
+        request = attempt.request
+        now = clock()
+        request.attempt_start_times.append(now)
+        request.possible_executions.add(attempt.number)
+        if not request.is_idempotent:
+            self.sent_transactions.add(request.transaction_id, now)
+
+    def attempt_not_executed(self, attempt: Attempt) -> None:
+        """Note that an attempt certainly had no effect."""
+        request = attempt.request
+        request.possible_executions.discard(attempt.number)
+        if not (request.is_idempotent or request.possible_executions or request.event.may_have_run):
+            self.sent_transactions.discard(request.transaction_id)
+
     def answer_with_copy(
         self, request: ClientRequest, is_not_modified: bool, tag: bytes | None, body: bytes
     ) -> None:
--- a/limepath/front/server_endpoint.py
+++ b/limepath/front/server_endpoint.py
@@ -95,7 +95,7 @@
         else:
             request = attempt.request
             connection.send(attempt, attempt_line(attempt), request.body, b"\r\n")
-            request.attempt_start_times.append(clock())
+            self.servers.clients.attempt_written(attempt)
             if attempt.deadline < request.deadline:
                 self.servers.start_timer(attempt, attempt.deadline - clock(), self.servers.time_out)
 
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -15,6 +15,7 @@
 from limepath.front.server_protocol import NOT_MODIFIED, Answer, parse_load
 from limepath.interface.commands import CloseIdleConnections, ForwardRequest, SendProbe
 from limepath.interface.events import (
+    NEVER_EXECUTED,
     AttemptEnded,
     AttemptOutcome,
     CacheStatus,
@@ -240,6 +241,8 @@
             return
         request, command = attempt.request, attempt.command
         request.attempts.pop(attempt.number, None)
+        if outcome in NEVER_EXECUTED:
+            self.clients.attempt_not_executed(attempt)
         is_not_modified = answer is not None and answer.status == NOT_MODIFIED
         if outcome == AttemptOutcome.SUCCEEDED:
             self.clients.answer_with_copy(request, is_not_modified, answer.fields.get(b"rev"), answer.body)
--- a/limepath/interface/events.py
+++ b/limepath/interface/events.py
@@ -100,6 +100,8 @@
     is_write: bool
     has_key: bool = True
     """Whether it has an idempotency key, if its delivery service is keyed."""
+    may_have_run: bool = False
+    """Whether an earlier request with the same id may have had an effect."""
 
 
 class ClientDisconnected(NamedTuple):
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -16,6 +16,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from limepath.configuration.platform import Service
 from limepath.configuration.process_limits import plan_limits
 from limepath.front import client_disconnects
 from limepath.front.client_connection import ClientConnection
@@ -249,7 +250,7 @@
     def __init__(self, **limits):
         self.front, self.reactor, self.ready = ForwardingTo(), EPollReactor(), EndpointState.READY
         _, self.clients, self.servers, _ = build_front(self.front, self.reactor, **limits)
-        self.clients.services[b"tarea"] = (1, True, 5_000_000)
+        self.clients.services[b"tarea"] = Service(1, True, 5_000_000, False)
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from limepath.configuration.platform import Service
 from limepath.configuration.process_limits import (
     ACCEPTED_AT_ONCE,
     MAX_EXCESS_CONNECTIONS,
@@ -162,7 +163,7 @@
     number = 2 * MAX_EXCESS_CONNECTIONS
     # Timeouts that a slow machine does not reach.
     front = driven(open_requests=number, connection_wait=TIMEOUT * 1_000_000, connect=TIMEOUT * 1_000_000)
-    front.clients.services[b"video"] = (0, False, TIMEOUT * 1_000_000)
+    front.clients.services[b"video"] = Service(0, False, TIMEOUT * 1_000_000, True)
     front.servers.limits = front.servers.limits._replace(all_cache_connections=number)
     first, second = Answering("s-1"), Answering("s-2")
     clients, most = [front.open_client() for _ in range(number)], 0
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -16,7 +16,7 @@
 import pytest
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from limepath.configuration.platform import front_settings
+from limepath.configuration.platform import Service, front_settings
 from limepath.configuration.process_limits import plan_limits
 from limepath.front import server_endpoint
 from limepath.front.client_connection import ClientConnection, ConnectionState
@@ -259,7 +259,7 @@
     )
     log = Log("n1", 5, 1)
     decision_loop = DecisionLoop(reactor, front, limits, log)
-    clients = Clients(reactor, decision_loop, limits, log, {b"video": (0, False, 5_000_000)})
+    clients = Clients(reactor, decision_loop, limits, log, {b"video": Service(0, False, 5_000_000, True)})
     servers = Servers(reactor, decision_loop, clients, limits, log, b"INFO")
     decision_loop.connect(clients, servers)
     servers.update_endpoint(1, "s-1", ("127.0.0.1", 9), 0, EndpointState.READY)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from limepath.configuration.platform import front_settings
+from limepath.configuration.platform import Service, front_settings
 from limepath.configuration.process_limits import plan_limits
 from limepath.front.client_connection import ClientConnection
 from limepath.front.clients import Clients
@@ -108,10 +108,10 @@
         assert command.body == b"mine" * 12_000 and "up" not in command.fields
         command.answer("DONE")  # without a tag
         assert client.answer()[0] == 200
-        client.send("/invoke/tarea/0000000000000001", b"again")
+        client.send("/invoke/tarea/0000000000000001", b"again", txn="00000000000000a2")
         site.origin.next().disconnect()
         assert client.answer()[0] == 502
-        client.send("/invoke/tarea/0000000000000001", b"third")
+        client.send("/invoke/tarea/0000000000000001", b"third", txn="00000000000000a3")
         assert site.origin.next().body == b"third"  # the second write was not repeated
 
 
@@ -302,7 +302,7 @@
     )
     log = Log("n1", 0, 1)
     decision_loop = DecisionLoop(reactor, engine, limits, log)
-    clients = Clients(reactor, decision_loop, limits, log, {b"video": (0, False, 5_000_000)})
+    clients = Clients(reactor, decision_loop, limits, log, {b"video": Service(0, False, 5_000_000, True)})
     servers = Servers(reactor, decision_loop, clients, limits, log, b"INFO")
     decision_loop.connect(clients, servers)
     servers.update_endpoint(1, "s-1", ("127.0.0.1", 9), 0, EndpointState.READY)
@@ -609,7 +609,7 @@
     clock, engine, limits = Clock(), FailingEngine(), plan_limits(1024, 192, 32, open_requests=9)
     log = Log("n1", 0, 1)
     decision_loop = DecisionLoop(clock, engine, limits, log)
-    clients = Clients(clock, decision_loop, limits, log, {b"video": (0, False, 5_000_000)})
+    clients = Clients(clock, decision_loop, limits, log, {b"video": Service(0, False, 5_000_000, True)})
     connection = FakeConnection()
     decision_loop.connect(clients, Servers(clock, decision_loop, clients, limits, log, b"INFO"))
     clients.accept_request(
@@ -685,7 +685,7 @@
     )
     log = Log("n1", 0, 1)
     decision_loop = DecisionLoop(reactor, engine, limits, log)
-    clients = Clients(reactor, decision_loop, limits, log, {b"video": (0, False, 5_000_000)})
+    clients = Clients(reactor, decision_loop, limits, log, {b"video": Service(0, False, 5_000_000, True)})
     servers = Servers(reactor, decision_loop, clients, limits, log, b"INFO")
     decision_loop.connect(clients, servers)
     servers.update_endpoint(1, "s-1", ("127.0.0.1", 9), 0, EndpointState.READY)
@@ -719,7 +719,7 @@
     engine.handle = lambda now, events: []
     log, connection = Log("n1", 0, 1), FakeConnection()
     decision_loop = DecisionLoop(clock, engine, limits, log)
-    clients = Clients(clock, decision_loop, limits, log, {b"video": (0, False, 5_000_000)})
+    clients = Clients(clock, decision_loop, limits, log, {b"video": Service(0, False, 5_000_000, True)})
     decision_loop.connect(clients, Servers(clock, decision_loop, clients, limits, log, b"INFO"))
     clients.accept_request(
         connection,
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -21,7 +21,11 @@
     servers = Servers(
         Clock(),
         SimpleNamespace(gather=events.append),
-        SimpleNamespace(answer_with_copy=lambda *_: None, release_if_done=lambda _: None),
+        SimpleNamespace(
+            answer_with_copy=lambda *_: None,
+            attempt_not_executed=lambda _: None,
+            release_if_done=lambda _: None,
+        ),
         plan_limits(1024, 192, 32, open_requests=9),
         Log("n1", 0, 1),
         b"INFO",
