A new server at the address of one that is still listed is not taken for it

Callers saw (reported by operators: work went to the wrong place): a cold cache at the address of one that had gone got the work of both, 61 requests in a second where slow start allows 12.

Cause: endpoints were told apart by name alone, and the list may tell of the new one first, of both, or of the former once more. Evidence: the cold cache's own budget was kept; all that came beyond it was decided on for the former.

Change: AddressOwners (no I/O) gives an address to the endpoint told last to be at it, or that started last where one update has several; the former counts as removed, so its queue, connections and place among the candidates go.

--- a/limepath/front/endpoint_watch.py
+++ b/limepath/front/endpoint_watch.py
@@ -10,6 +10,7 @@
 from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.protocol import Factory
 
+from limepath.front.address_owners import AddressOwners
 from limepath.front.clock import clock
 from limepath.front.endpoint_entry import STATES, EndpointEntry
 from limepath.front.event_stream import EventStream
@@ -63,6 +64,7 @@
         self.kinds = list(settings["models"])
         self.seed = seed
         self.entries: dict[str, EndpointEntry] = {}  # by name
+        self.address_owners = AddressOwners()
         self.last_seq = 0  # number of the last event applied
         self.is_loaded = False  # whether the events of the configuration have been applied
         self.suspect_event: str | None = None  # number of an event that was rejected once
@@ -147,13 +149,14 @@
         """Apply a full or partial endpoint update; raises WatchError if some of its entries are malformed."""
         is_complete = update.get("complete", False)
         entries, errors = self._parse_entries(update["members"], self.is_loaded and not is_complete)
+        entries = self._replaced_entries(entries, is_complete) + entries
         changed = (self._removed_entries(entries) if is_complete else []) + entries
+        obsolete = {entry.endpoint.id for entry in changed if self._makes_attempts_obsolete(entry)}
         for entry in changed:
             self._update_entry(entry)
-        unready = {entry.endpoint.id for entry in changed if entry.endpoint.state != EndpointState.READY}
-        if unready:  # one call for all endpoints, because each call scans the queues of all endpoints
+        if obsolete:  # one call for all endpoints, because each call scans the queues of all endpoints
             self.servers.cancel_waiting(
-                lambda command, request: not unready.isdisjoint((command.endpoint, command.source))
+                lambda command, request: not obsolete.isdisjoint((command.endpoint, command.source))
             )
         kind = UpdateKind.FULL if is_complete else UpdateKind.DELTA
         endpoints = tuple(entry.endpoint for entry in entries)
@@ -161,6 +164,21 @@
         if errors:
             raise WatchError("; ".join(errors[:MAX_ERRORS_LOGGED]))
 
+    def _makes_attempts_obsolete(self, entry: EndpointEntry) -> bool:
+        """Return whether attempts that wait for this endpoint were decided on by a state that has changed."""
+        return entry.endpoint.state != EndpointState.READY
+
+    def _replaced_entries(self, entries: list[EndpointEntry], is_complete: bool) -> list[EndpointEntry]:
+        """Mark the entries that lost their address to another as removed; return those not in `entries`."""
+        names = self.address_owners.apply(entries, is_complete)
+        told = {entry.name for entry in entries}
+        replaced = [self.entries[name] for name in names if name in self.entries and name not in told]
+        for entry in replaced:
+            entry.set_state(EndpointState.REMOVED)
+        for name in names & self.entries.keys():
+            self.log.info("changelog", "another server has its address; counts as removed", cache=name)
+        return replaced
+
     def _removed_entries(self, entries: list[EndpointEntry]) -> list[EndpointEntry]:
         """Mark as removed, and return, the known entries that a complete list does not contain."""
         named = {entry.name for entry in entries}
--- a/limepath/front/server_endpoint.py
+++ b/limepath/front/server_endpoint.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError
 from twisted.internet.protocol import Factory
 
+from limepath.front.address_owners import Incarnation
 from limepath.front.attempt import Attempt, Probe
 from limepath.front.clock import clock
 from limepath.front.server_connection import ConnectionState, ServerConnection
@@ -24,13 +25,6 @@
 MICROSECONDS = 1e6
 
 
-class Incarnation(NamedTuple):
-    """Identifies one run of a server, because its address may later be given to another server."""
-
-    address: tuple[str, int]
-    started_ms: int  # milliseconds of Unix time, as given in the endpoint list
-
-
 class ServerEndpoint:
     """One endpoint: its address, its connections, and the queue for a connection."""
 
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -7,11 +7,12 @@
 from typing import TYPE_CHECKING
 
 from limepath.configuration.process_limits import MAX_EXCESS_CONNECTIONS
+from limepath.front.address_owners import Incarnation
 from limepath.front.attempt import Attempt, Probe
 from limepath.front.clock import clock
 from limepath.front.reference_clock import ReferenceClock
 from limepath.front.server_connection import ConnectionState, ServerConnection
-from limepath.front.server_endpoint import Incarnation, ServerEndpoint
+from limepath.front.server_endpoint import ServerEndpoint
 from limepath.front.server_protocol import NOT_MODIFIED, Answer, parse_load
 from limepath.interface.commands import CloseIdleConnections, ForwardRequest, SendProbe
 from limepath.interface.events import (
