Attempts that wait for a server that starts anew are decided on again

Cause: only a drain or removal made waiting attempts obsolete. Evidence: the command that came to the new process had no fill source.

Change: a new address or start does too; the attempt ends as never sent, and the decisions choose again with the budgets of the new start.

Test: test_an_attempt_that_waits_for_a_server_is_decided_anew_when_the_server_starts_anew failed before.

--- a/limepath/front/endpoint_watch.py
+++ b/limepath/front/endpoint_watch.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.protocol import Factory
 
-from limepath.front.address_owners import AddressOwners
+from limepath.front.address_owners import AddressOwners, incarnation_of
 from limepath.front.clock import clock
 from limepath.front.endpoint_entry import STATES, EndpointEntry
 from limepath.front.event_stream import EventStream
@@ -165,8 +165,13 @@
             raise WatchError("; ".join(errors[:MAX_ERRORS_LOGGED]))
 
     def _makes_attempts_obsolete(self, entry: EndpointEntry) -> bool:
-        """Return whether attempts that wait for this endpoint were decided on by a state that has changed."""
-        return entry.endpoint.state != EndpointState.READY
+        """Return whether attempts that wait for this endpoint were decided on by a state that has changed.
+
+        A server that has started anew holds no copies, and slow start limits the work for it.
+        """
+        known = self.entries.get(entry.name)
+        has_started_anew = known is not None and incarnation_of(known) != incarnation_of(entry)
+        return has_started_anew or entry.endpoint.state != EndpointState.READY
 
     def _replaced_entries(self, entries: list[EndpointEntry], is_complete: bool) -> list[EndpointEntry]:
         """Mark the entries that lost their address to another as removed; return those not in `entries`."""
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -5,7 +5,8 @@
 from limepath.front.address_owners import AddressOwners
 from limepath.front.endpoint_entry import EndpointEntry
 from limepath.front.reference_clock import ReferenceClock
-from tests.stand_ins import Site
+from tests.stand_ins import Site, StandInCache
+from tests.test_endings import COPY_FIELDS, LONG_WAIT
 from tests.test_terms_clock import TXNS, Answering, milliseconds
 
 COLD_LIMIT = 12  # in a second: N = 2 x 0.2 x 5 transfers of 0.6 s, with random variation
@@ -46,6 +47,23 @@
         assert answering.most_in_a_second("s-1") <= COLD_LIMIT
 
 
+def test_an_attempt_that_waits_for_a_server_is_decided_anew_when_the_server_starts_anew():
+    """Guards against attempts for a server that held copies, which go out to the empty one in its place."""
+    with Site(settings=LONG_WAIT) as site:
+        site.log.next_call()
+        site.cache.fill_accept_queue()
+        client = site.open_client().send()
+        site.cache.wait_for_connect_attempt()
+        restarted = StandInCache("s-1", "box", "sur")
+        entry = restarted.entry(up_since_ms=milliseconds())
+        site.log.send_event(2, fleet={"revision": 2, "complete": False, "members": [entry]})
+        command = restarted.next()
+        assert command.fields["up"] == "p-1"  # a fill: the cache has just started
+        command.answer("DONE", COPY_FIELDS, b"x")
+        assert client.answer()[2] == b"x"
+        restarted.stop()
+
+
 # Which endpoint has an address
 
 
