A failed connect to a former address does not count against the new one

Callers saw (by the test): after a server had moved, the refusal of its former address failed an attempt that had never been tried at the new one, and counted as a failure of the server.

Cause: the outcome of a pending connect was taken for that of the endpoint's present incarnation.

Change: where the incarnation has changed since, the attempt goes on waiting and a connect to the present address begins.

Test: test_a_failed_connect_to_a_former_address_fails_no_attempt_at_the_new_one failed before.

--- a/limepath/front/server_endpoint.py
+++ b/limepath/front/server_endpoint.py
@@ -157,7 +157,7 @@
         if self.servers.paced:
             self.servers.paced.connection_started(self.ident)
         connecting = self._open(ServerConnection(self))
-        connecting.addCallbacks(self.connected, self._connect_failed)
+        connecting.addCallbacks(self.connected, self._connect_failed, errbackArgs=(self.incarnation,))
         connecting.addErrback(
             lambda failure: self.log.info("fault", failure.getErrorMessage(), where="connecting")
         )
@@ -189,13 +189,19 @@
         if self.waiting:
             self.connect()
 
-    def _connect_failed(self, failure: Failure) -> None:
-        """Fail the first queued attempt, or all if there is no other connection or pending connect."""
+    def _connect_failed(self, failure: Failure, incarnation: Incarnation | None) -> None:
+        """Fail the first queued attempt, or all if there is no other connection or pending connect.
+
+        A failed connect to a former incarnation says nothing of the present one, so it is tried instead.
+        """
         self.connecting -= 1
         self.servers.connection_count -= 1
         if self.servers.paced:
             self.servers.paced.update()
         failure.trap(ConnectError)
+        if incarnation != self.incarnation:
+            self.connect()
+            return
         for _ in range(len(self.waiting) if not (self.connecting or self.connections) else 1):
             if self.waiting:
                 self.servers.end_attempt(self.waiting.popleft(), AttemptOutcome.CONNECT_FAILED)
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -1,12 +1,15 @@
 """Tests that a new server at the address of another is not taken for the one that had it."""
 
 import pytest
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
 
 from limepath.front.address_owners import AddressOwners
 from limepath.front.endpoint_entry import EndpointEntry
 from limepath.front.reference_clock import ReferenceClock
+from limepath.interface.events import AttemptEnded, EndpointState
 from tests.stand_ins import Site, StandInCache
-from tests.test_endings import COPY_FIELDS, LONG_WAIT
+from tests.test_endings import COPY_FIELDS, LONG_WAIT, ForwardingDecisions, build_front
 from tests.test_terms_clock import TXNS, Answering, milliseconds
 
 COLD_LIMIT = 12  # in a second: N = 2 x 0.2 x 5 transfers of 0.6 s, with random variation
@@ -64,6 +67,20 @@
         restarted.stop()
 
 
+def test_a_failed_connect_to_a_former_address_fails_no_attempt_at_the_new_one():
+    """Guards against a server that counts as unreachable because its former address refuses connections."""
+    front = ForwardingDecisions()
+    reactor, _, servers, get = build_front(front)
+    get()
+    (_, former_port, connecting, *_) = reactor.tcpClients[0]
+    servers.update_endpoint(1, "s-1", ("127.0.0.1", former_port + 1), 7, EndpointState.READY)
+    connecting.clientConnectionFailed(None, Failure(ConnectError()))
+    reactor.advance(0)
+    assert not [event for event in front.received_events if isinstance(event, AttemptEnded)]
+    assert [port for _, port, *_ in reactor.tcpClients] == [former_port, former_port + 1]
+    assert servers.connection_count == 1
+
+
 # Which endpoint has an address
 
 
