Clients that read are not reset when many large answers end together

Cause: Twisted pauses a producer once over 64 KB are handed to it and writes an iteration later; the front took that pause for a client that does not read, and closed one where more than 50 were paused. Evidence: one write to the kernel leaves nothing of these answers.

Change: an answer is written at once. OutputMemory counts the bytes that the kernel did not take, and closes for the memory only clients of whose answer it took nothing for 0.25 s, as many as are needed, those that no longer wait first.

--- a/limepath/configuration/process_limits.py
+++ b/limepath/configuration/process_limits.py
@@ -11,10 +11,13 @@
 ACCEPTED_AT_ONCE = 16  # client connections allowed over the limit while idle ones are being closed
 MAX_EXCESS_CONNECTIONS = 16  # endpoint connections allowed over the limit while idle ones are being closed
 MIN_CACHE_CONNECTIONS = 8
-MIN_UNDRAINED_CONNECTIONS = 8
-# Answers that clients have not yet read may fill half of the memory beyond PROGRAM_MEGABYTES.
-UNDRAINED_BYTES_PER_MEGABYTE = 500_000
-# Incomplete requests and the bodies of open ones may fill a quarter of the memory beyond the program's.
+# Incomplete answers of servers may fill half of the memory beyond the program's.
+RESPONSE_BYTES_PER_MEGABYTE = 500_000
+MIN_RESPONSE_BYTES = 2_000_000
+# Answers that clients do not read may fill a quarter of it.
+UNDRAINED_BYTES_PER_MEGABYTE = 250_000
+MIN_UNDRAINED_BYTES = 1_000_000
+# Incomplete requests and the bodies of open ones may fill a quarter of it.
 REQUEST_BYTES_PER_MEGABYTE = 250_000
 MIN_REQUEST_BYTES = 500_000
 BYTES_PER_MEGABYTE = 1_000_000
@@ -27,7 +30,8 @@
     all_cache_connections: int
     streams: int  # attempts in flight on one connection to an endpoint
     open_requests: int  # requests without a complete answer
-    undrained_connections: int  # client connections with an answer that the client does not read
+    undrained_bytes: int  # bytes of answers that the kernel has not accepted, as clients do not read
+    response_bytes: int  # bytes of all incomplete answers of servers
     request_bytes: int  # bytes of all incomplete requests and of the bodies of all open ones
     cache_connections: int = 32  # connections to one cache, parent or origin
     head: int = 8192  # size of the head of a request or of a change log response
@@ -53,6 +57,8 @@
     last_answer_read_timeout: int = 5_000_000  # time for clients to read their last answers after SIGTERM
     max_discarded_bytes: int = 256_000  # bytes read and discarded after a rejected request
     first_request_grace: int = 300_000  # time for which a new client connection is closed last
+    # Time in which the kernel accepts a part of an answer if its client reads.
+    unread_grace: int = 250_000
     undrained_timeout: int = 10_000_000  # least timeout of a client that does not read its answer
     overload_retry_after: int = 0  # Retry-After of a request rejected because of `open_requests`
     backlog: int = 1024  # length of the listen queue
@@ -100,21 +106,19 @@
     """Divide descriptors and memory among clients and endpoints.
 
     Clients get 40 % of the descriptors, because the usual clients hold at most a third; endpoints get the
-    rest. Half of the memory beyond PROGRAM_MEGABYTES may hold answers that clients have not yet read, and a
-    quarter of what the program itself does not need may hold requests. `resident_mb` is the present memory of
+    rest. Of the memory that the program itself does not need, half may hold incomplete answers of servers, a
+    quarter answers that clients do not read, and a quarter requests. `resident_mb` is the present memory of
     the process, in megabytes. `others` are further fields of `Limits`, by name.
     """
     client_connections = max(1, descriptors * 4 // 10)
     cache_connections = descriptors - client_connections - RESERVED_DESCRIPTORS
     free_mb = memory_mb - max(PROGRAM_MEGABYTES, resident_mb + GROWTH_MEGABYTES)
-    undrained_bytes = (memory_mb - PROGRAM_MEGABYTES) * UNDRAINED_BYTES_PER_MEGABYTE
     return Limits(
         client_connections,
         max(MIN_CACHE_CONNECTIONS, cache_connections),
         streams,
-        undrained_connections=max(
-            MIN_UNDRAINED_CONNECTIONS, undrained_bytes // Limits._field_defaults["answer"]
-        ),
+        response_bytes=max(MIN_RESPONSE_BYTES, free_mb * RESPONSE_BYTES_PER_MEGABYTE),
+        undrained_bytes=max(MIN_UNDRAINED_BYTES, free_mb * UNDRAINED_BYTES_PER_MEGABYTE),
         request_bytes=max(MIN_REQUEST_BYTES, free_mb * REQUEST_BYTES_PER_MEGABYTE),
         **others,
     )
--- a/limepath/front/client_connection.py
+++ b/limepath/front/client_connection.py
@@ -16,6 +16,7 @@
 from limepath.front.clock import clock
 from limepath.front.request_head import RequestError, RequestHead, body_size, empty_lines_size, parse_head
 from limepath.front.response import response_head
+from limepath.front.transport_output import flush, unsent_bytes
 
 if TYPE_CHECKING:
     from limepath.front.client_request import ClientRequest
@@ -71,10 +72,10 @@
         self.output_blocked = True
         self.last_activity_at = clock()
         self.transport.pauseProducing()
-        self.clients.connection_limit.output_blocked()
 
     def resumeProducing(self):
         self.output_blocked = False
+        self.clients.output_memory.discard(self)
         self.last_activity_at = clock()
         self.transport.resumeProducing()
         if self.buffer and self.state is ConnectionState.IDLE:
@@ -181,6 +182,9 @@
             self.is_persistent = False
         head = response_head(status, fields, len(body), self.is_persistent)
         self.transport.writeSequence((head, body) if body else (head,))
+        flush(self.transport)  # only what the kernel does not accept waits for the client to read
+        if self.output_blocked:
+            self.clients.output_memory.add(self)
         if not self.is_persistent:
             self.close_gracefully()
 
@@ -237,7 +241,7 @@
             or not isinstance(transport, TcpConnection)
         ):
             return False
-        return not (transport.dataBuffer or transport._tempDataBuffer)
+        return not unsent_bytes(transport)
 
     def _end_output(self, at_once: bool) -> None:
         """Send the FIN after buffered output.
@@ -260,6 +264,7 @@
         self.last_activity_at = clock()
         self.state = ConnectionState.HALF_CLOSED
         self.output_blocked = False
+        self.clients.output_memory.discard(self)
         self.transport.resumeProducing()
 
     def check_delivery(self) -> None:
@@ -308,6 +313,7 @@
         self.state = ConnectionState.CLOSED
         self.clients.connections.discard(self)
         self.clients.request_memory.set_incomplete(self, 0)
+        self.clients.output_memory.discard(self)
         self.clients.connection_limit.closing.discard(self)
         self._abandon_request()
         self.clients.connection_limit.count_changed()
--- a/limepath/front/client_limit.py
+++ b/limepath/front/client_limit.py
@@ -1,4 +1,4 @@
-"""The limit on client connections: chooses which to close if too many are open or blocked on output."""
+"""The limit on client connections: chooses which to close if too many are open."""
 
 from __future__ import annotations
 
@@ -121,16 +121,3 @@
                 for order, c in enumerate(idle)
             ),
         )
-
-    def output_blocked(self) -> None:
-        """Close the connection that is blocked for longest if too many are.
-
-        Otherwise their buffered output could exhaust memory. Clients that no longer wait come first.
-        """
-        blocked = [c for c in self.clients.connections if c.output_blocked]
-        if len(blocked) > self.clients.limits.undrained_connections:
-            self.clients.log.info(
-                "memory", "too many clients do not read their answers; closed one", clients=len(blocked)
-            )
-            now = clock()
-            min(blocked, key=lambda c: (c.is_awaited(now), c.last_activity_at)).close(abort=True)
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -16,6 +16,7 @@
 from limepath.front.clock import clock
 from limepath.front.descriptors import descriptor_use
 from limepath.front.graceful_shutdown import GracefulShutdown
+from limepath.front.output_memory import OutputMemory
 from limepath.front.request_head import RequestError, RequestHead
 from limepath.front.request_memory import RequestMemory
 from limepath.front.response import retry_after_field
@@ -67,6 +68,7 @@
         self.listener = ClientListener(self)
         self.connection_limit = ClientConnectionLimit(self)
         self.request_memory = RequestMemory(limits.request_bytes)
+        self.output_memory = OutputMemory(self)
         self.shutdown = GracefulShutdown(self)
 
     def listen(self, endpoint: IStreamServerEndpoint) -> Deferred:
--- /dev/null
+++ b/limepath/front/transport_output.py
@@ -0,0 +1,32 @@
+"""The output that Twisted holds for a connection: how much it is, and writing it without delay.
+
+Twisted writes to a socket an iteration of the event loop after it was given the bytes.
+"""
+
+from __future__ import annotations
+
+from twisted.internet.interfaces import ITransport
+from twisted.internet.tcp import Connection as TcpConnection
+
+
+def unsent_bytes(transport: ITransport | None) -> int:
+    """Return how many bytes the kernel has not accepted yet; 0 if that is unknown, as with TLS."""
+    if not isinstance(transport, TcpConnection):
+        return 0
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
+def flush(transport: ITransport | None) -> None:
+    """Write what the kernel accepts now; it reports errors in the next iteration.
+
+    One call of the transport's own method writes a part of a large answer only.
+    """
+    if not isinstance(transport, TcpConnection):
+        return
+    unsent = unsent_bytes(transport)
+    while unsent:
+        transport.doWrite()
+        remaining = unsent_bytes(transport)
+        if remaining == unsent:
+            return
+        unsent = remaining
