Incomplete answers of servers have a limit on the memory that they hold together

Cause: nothing bounded the bytes of incomplete answers; each connection to a server held up to 240,000.

Change: ResponseMemory lets a connection read only while incomplete answers hold less than half of the memory that the program leaves, or if its answer is among the eight that began first, so none waits for one that stalls. A connection that is not read does not count as silent and gets no attempts or probes.

--- a/limepath/front/server_connection.py
+++ b/limepath/front/server_connection.py
@@ -58,12 +58,34 @@
         self.is_unresponsive = False  # nothing received since an attempt or probe timed out
         self.last_read_at = clock()
         self.is_plain_tcp = False  # the transport can be flushed immediately
+        self.is_reading_paused = False  # the front holds too many bytes of incomplete answers
 
     def connectionMade(self):
         self.state = ConnectionState.OPEN
         self.is_plain_tcp = isinstance(self.transport, TcpConnection)
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, True)
+        if self.is_plain_tcp:
+            self._limit_reads()
+
+    def _limit_reads(self) -> None:
+        """Let each read ask for memory first, because a read that is due can't be held back otherwise."""
+        read = self.transport.doRead
+
+        def read_if_permitted():
+            if self.endpoint.servers.response_memory.may_read(self):
+                return read()
+            self.is_reading_paused = True
+            self.transport.pauseProducing()
+            return None
+
+        self.transport.doRead = read_if_permitted
+
+    def resume_reading(self) -> None:
+        """Read again after a pause, which does not count as silence of the server."""
+        self.is_reading_paused = False
+        self.last_read_at = clock()
+        self.transport.resumeProducing()
 
     def pauseProducing(self):
         self.output_blocked = True
@@ -84,6 +106,7 @@
         return (
             self.state is ConnectionState.OPEN
             and not (self.output_blocked or self.is_unresponsive or self.has_stray_bytes())
+            and not self.is_reading_paused
             and tag not in self.attempts
             and tag not in self.recent_tags
             and len(self.attempts) < self.endpoint.limits.streams
@@ -203,6 +226,7 @@
         except ParseError as error:
             self.endpoint.log.info("cache", f"{error}; connection closed", cache=self.endpoint.name)
             self.close(abort=True)
+        self.endpoint.servers.response_memory.set_incomplete(self, len(self.buffer))
 
     def _next_answer(self) -> Answer | None:
         """Remove the next complete answer from the buffer and return it, or None if there is none."""
@@ -248,4 +272,6 @@
 
     def connectionLost(self, reason):
         self.state = ConnectionState.CLOSED
+        self.buffer = bytearray()
+        self.endpoint.servers.response_memory.forget(self)
         self.endpoint.connection_lost(self)
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -11,6 +11,7 @@
 from limepath.front.attempt import Attempt, Probe
 from limepath.front.clock import clock
 from limepath.front.reference_clock import ReferenceClock
+from limepath.front.response_memory import ResponseMemory
 from limepath.front.server_connection import ConnectionState, ServerConnection
 from limepath.front.server_endpoint import ServerEndpoint
 from limepath.front.server_protocol import NOT_MODIFIED, Answer, parse_load
@@ -59,6 +60,7 @@
         self.connection_count = 0  # established connections and pending connects
         self.connection_limit_reached = False  # an endpoint could not connect because of the limit
         self.reference = ReferenceClock(limits.max_clock_skew)
+        self.response_memory = ResponseMemory(limits.response_bytes)
         self.secured = None  # tls.host.TlsConnector if connections to some kinds of servers use TLS
         self.paced = None  # connection_pacing.host.Paced if the fronts share a limit on new connections
 
@@ -280,6 +282,8 @@
 
     def _sweep_connection(self, connection: ServerConnection, now: int) -> None:
         silence = now - connection.last_read_at
+        if connection.is_reading_paused:
+            return
         is_mid_answer = connection.answer_line or connection.buffer
         if not connection.attempts and silence > self.limits.cache_idle:
             connection.drain()
--- a/tests/test_output_memory.py
+++ b/tests/test_output_memory.py
@@ -15,6 +15,7 @@
 from tests.test_answer_delivery import BODY, CLIENT_TIME, slow_client
 from tests.test_client_disconnects import driven  # noqa: F401 (a fixture)
 from tests.test_endings import resume_front, suspend_front
+from tests.test_request_memory import peak_bytes
 
 CLIENTS = 300
 CACHES = 10  # enough for a connection each request
@@ -105,6 +106,7 @@
         clients = send_together(site, CLIENTS)
         answer_together(site, CLIENTS)
         assert all(count > len(BODY) for count in read_together(clients))
+        assert peak_bytes(site.process) <= memory_mb * 1_000_000
 
 
 def test_hundreds_of_clients_that_do_not_read_delay_no_other_client():
@@ -114,6 +116,7 @@
         usual = site.open_client().send("/invoke/video/00000000000000aa", txn="f" * 16)
         site.cache.next().answer("DONE", "rev=4be0,since=0", b"x")
         assert usual.answer()[2] == b"x"
+        assert peak_bytes(site.process) <= 64_000_000
         for client in clients:
             client.close()
 
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -5,6 +5,7 @@
 from limepath.configuration.process_limits import plan_limits
 from limepath.front.attempt import Probe
 from limepath.front.reference_clock import ReferenceClock
+from limepath.front.response_memory import ResponseMemory
 from limepath.front.server_connection import ServerConnection
 
 
@@ -22,6 +23,7 @@
                     (answer.status, answer.body)
                 ),
                 connection_limit_reached=False,
+                response_memory=ResponseMemory(10**9),
                 reference=ReferenceClock(100_000),
             ),
         )
