A request that all caches decline costs one pass over them

Cause: after each server that declined, the router looked for the next one from the start of the order.

Change: Candidates remembers how far all servers are excluded; the order and its restarts are the same.

--- a/limepath/decisions/request.py
+++ b/limepath/decisions/request.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from limepath.decisions.attempt import AttemptId
+from limepath.decisions.candidates import Candidates
 from limepath.interface.events import RequestArrived
 from limepath.interface.settings import DeliveryService, Idempotency
 
@@ -103,8 +104,8 @@
         self.size_factor: float = _size_factor(event, service, sending_time)
         self.rank: int = 0
         self.phase: Phase = Phase.LOOKUP
-        self.caches: list[Server] = []
-        self.sources: list[Server] = []
+        self.caches = Candidates()
+        self.sources = Candidates()
         self.excluded: set[Server] = set()
         self.cache: Server | None = None
         self.attempts: int = 0
@@ -115,6 +116,12 @@
         self.accepts_stale: bool = False
         self.cached_only: bool = False
 
+    def include_all_servers(self) -> None:
+        """Offer the request to all servers again, also to those that were excluded."""
+        self.excluded = set()
+        self.caches.restart()
+        self.sources.restart()
+
 
 def _idempotency(event: RequestArrived, service: DeliveryService) -> Idempotency:
     if service.idempotency == Idempotency.KEYED and not event.has_key:
--- a/limepath/decisions/router.py
+++ b/limepath/decisions/router.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from limepath.decisions.attempt import ActiveAttempt, AttemptId, AttemptResult, evaluate_attempt
+from limepath.decisions.candidates import Candidates
 from limepath.decisions.event_queue import EventQueue
 from limepath.decisions.fetch_window import FetchWindow
 from limepath.decisions.frequency_table import FrequencyTable
@@ -86,14 +87,14 @@
         request = PendingRequest(event, service, self._queue.now + event.time_left, sending_time)
         self.open_requests[event.id] = request
         object_part = request.object_part
-        request.caches = rendezvous_order(object_part, self.caches)
+        request.caches = Candidates(rendezvous_order(object_part, self.caches))
         if service.uncacheable:  # pass-through: directly to the origin, or by a cache that uses it as source
-            request.sources = [self.origin] if self.origin else []
+            request.sources = Candidates([self.origin] if self.origin else [])
             if self._permissions.direct:
                 request.caches = request.sources
         else:
             request.rank = self._frequency_table.count_request(object_part, request.size_kb)
-            request.sources = rendezvous_order(object_part, self.parents)
+            request.sources = Candidates(rendezvous_order(object_part, self.parents))
         self._offer_to_next_server(request)
 
     def _offer_to_next_server(self, request: PendingRequest) -> None:
@@ -102,13 +103,11 @@
         if not (is_lookup or request.service.uncacheable or self._fetch_window.may_fill(request)):
             self._fall_back(request)
             return
-        excluded = request.excluded
-        for server in request.caches if is_lookup else request.sources:
-            if server not in excluded:
-                self._queue.put(server.handle_offer, request)
-                return
-        if request.phase is Phase.FILL and (origin := self._origin_as_source(request)):
-            excluded.add(origin)
+        candidates = request.caches if is_lookup else request.sources
+        if server := candidates.first_except(request.excluded):
+            self._queue.put(server.handle_offer, request)
+        elif request.phase is Phase.FILL and (origin := self._origin_as_source(request)):
+            request.excluded.add(origin)
             self._queue.put(origin.handle_offer, request)
         else:
             self._fall_back(request)
@@ -129,7 +128,7 @@
         if request.phase is Phase.FILL and request.service.stale_grace and not request.accepts_stale:
             request.accepts_stale = True
             request.phase = Phase.LOOKUP
-            request.excluded = set()
+            request.include_all_servers()
             self._offer_to_next_server(request)
         elif self._may_go_direct(request):
             request.phase = Phase.DIRECT
