Servers that send slowly do not keep other answers out of a full memory

Change: a connection reads on by one of eight permits, until its answer is complete or for 50 ms; those that wait get theirs in the order in which they were stopped. The counts by connection of requests and answers are one class.

Tests: test_a_connection_that_sends_slowly_keeps_others_waiting_for_a_limited_time; there was no permit before.

--- a/limepath/front/request_memory.py
+++ b/limepath/front/request_memory.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from limepath.front.byte_counts import ByteCounts
+
 if TYPE_CHECKING:
     from limepath.front.client_connection import ClientConnection
 
@@ -16,28 +18,23 @@
 
     Attributes:
         limit: bytes that the requests may hold together.
-        incomplete: bytes received of each incomplete request; the request that began first comes first.
+        incomplete: bytes received of the incomplete requests, by connection.
         body_bytes: size of the bodies of all complete requests that have not been released.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.incomplete: dict[ClientConnection, int] = {}
+        self.incomplete: ByteCounts[ClientConnection] = ByteCounts()
         self.body_bytes = 0
-        self._incomplete_bytes = 0
 
     @property
     def total(self) -> int:
         """The bytes that all requests hold together."""
-        return self._incomplete_bytes + self.body_bytes
+        return self.incomplete.total + self.body_bytes
 
     def set_incomplete(self, connection: ClientConnection, size: int) -> None:
         """Set how many bytes of an incomplete request the connection holds; 0 if it has none."""
-        self._incomplete_bytes += size - self.incomplete.get(connection, 0)
-        if size:
-            self.incomplete[connection] = size
-        else:
-            self.incomplete.pop(connection, None)
+        self.incomplete.set(connection, size)
         self._make_room(0)
 
     def add_body(self, size: int) -> bool:
@@ -57,7 +54,7 @@
     def _make_room(self, size: int) -> bool:
         """Reject incomplete requests until `size` more bytes fit; return whether they do."""
         while self.incomplete and self.total + size > self.limit:
-            connection = next(iter(self.incomplete))
-            self._incomplete_bytes -= self.incomplete.pop(connection)
+            (connection,) = self.incomplete.first(1)
+            self.incomplete.set(connection, 0)
             connection.reject_incomplete_request()
         return self.total + size <= self.limit
--- a/limepath/front/servers.py
+++ b/limepath/front/servers.py
@@ -60,7 +60,7 @@
         self.connection_count = 0  # established connections and pending connects
         self.connection_limit_reached = False  # an endpoint could not connect because of the limit
         self.reference = ReferenceClock(limits.max_clock_skew)
-        self.response_memory = ResponseMemory(limits.response_bytes)
+        self.response_memory = ResponseMemory(limits.response_bytes, reactor.callLater)
         self.secured = None  # tls.host.TlsConnector if connections to some kinds of servers use TLS
         self.paced = None  # connection_pacing.host.Paced if the fronts share a limit on new connections
 
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -1,6 +1,10 @@
 """Tests of the limit on the bytes of incomplete answers that the front holds."""
 
-from limepath.front.response_memory import ALWAYS_READ, ResponseMemory
+import pytest
+from twisted.internet.task import Clock
+
+from limepath.front import response_memory
+from limepath.front.response_memory import MAX_PERMITS, PERMIT_DURATION, ResponseMemory
 from tests.stand_ins import Site
 from tests.test_endings import ForwardingDecisions, build_front, open_connection
 
@@ -17,51 +21,65 @@
         self.resumed += 1
 
 
-def make_full_memory():
-    """Return a full memory and the connections whose answers fill it."""
-    memory = ResponseMemory(100)
-    connections = [FakeConnection() for _ in range(ALWAYS_READ + 2)]
-    for connection in connections:
-        memory.set_incomplete(connection, 50)
-    return memory, connections
+class FullMemory(ResponseMemory):
+    """A memory that one incomplete answer fills, with a clock of its own."""
+
+    def __init__(self, monkeypatch):
+        self.reactor = Clock()
+        super().__init__(100, self.reactor.callLater)
+        monkeypatch.setattr(response_memory, "clock", lambda: int(self.reactor.seconds() * 1_000_000))
+        self.stalled = FakeConnection()
+        self.set_incomplete(self.stalled, 100)
+
+    def readers(self, number):
+        """Return new connections and whether each may read."""
+        connections = [FakeConnection() for _ in range(number)]
+        return connections, [self.may_read(connection) for connection in connections]
+
 
+@pytest.fixture
+def memory(monkeypatch):
+    return FullMemory(monkeypatch)
 
-def test_only_the_answers_that_began_first_are_read_while_the_memory_is_full():
-    memory, connections = make_full_memory()
-    permitted = [memory.may_read(connection) for connection in connections]
-    assert permitted == [True] * ALWAYS_READ + [False] * 2
-    assert not memory.may_read(FakeConnection())  # a new answer would fill it further
 
+def test_a_few_connections_may_read_while_the_memory_is_full(memory):
+    connections, permitted = memory.readers(MAX_PERMITS + 2)
+    assert permitted == [True] * MAX_PERMITS + [False] * 2
+    assert memory.may_read(connections[0])  # it goes on with its answer
 
-def test_the_next_answer_is_read_as_soon_as_one_of_the_first_is_complete():
-    memory, connections = make_full_memory()
-    for connection in connections:
-        memory.may_read(connection)
+
+def test_the_next_connection_reads_as_soon_as_an_answer_is_complete(memory):
+    connections, _ = memory.readers(MAX_PERMITS + 2)
     memory.set_incomplete(connections[3], 0)
-    assert [connection.resumed for connection in connections[ALWAYS_READ:]] == [1, 0]
+    assert [connection.resumed for connection in connections[MAX_PERMITS:]] == [1, 0]
+    assert memory.may_read(connections[MAX_PERMITS])
     memory.forget(connections[0])
-    assert [connection.resumed for connection in connections[ALWAYS_READ:]] == [1, 1]
+    assert [connection.resumed for connection in connections[MAX_PERMITS:]] == [1, 1]
+
+
+def test_a_connection_that_sends_slowly_keeps_others_waiting_for_a_limited_time(memory):
+    """Guards against slow servers that fill the memory and keep the answers of all others out."""
+    connections, _ = memory.readers(MAX_PERMITS + 2)
+    for connection in connections[:MAX_PERMITS]:
+        memory.set_incomplete(connection, 10)
+    memory.reactor.advance(PERMIT_DURATION / 1_000_000)
+    assert [connection.resumed for connection in connections[MAX_PERMITS:]] == [1, 1]
+    assert all(memory.may_read(connection) for connection in connections[MAX_PERMITS:])
 
 
-def test_all_connections_are_resumed_once_there_is_memory():
-    memory, connections = make_full_memory()
-    other = FakeConnection()
-    assert not memory.may_read(other)
-    for connection in connections[1:]:
-        memory.set_incomplete(connection, 0)
-    assert other.resumed == 1
-    assert memory.total == 50
-    assert memory.may_read(other)
+def test_all_connections_are_resumed_once_there_is_memory(memory):
+    connections, _ = memory.readers(MAX_PERMITS + 20)
+    memory.set_incomplete(memory.stalled, 0)
+    assert [connection.resumed for connection in connections[MAX_PERMITS:]] == [1] * 20
+    assert all(memory.may_read(connection) for connection in connections)
 
 
-def test_a_closed_connection_is_not_resumed():
-    memory, connections = make_full_memory()
-    memory.may_read(connections[-1])
+def test_a_closed_connection_is_not_resumed(memory):
+    connections, _ = memory.readers(MAX_PERMITS + 1)
     memory.forget(connections[-1])
-    for connection in connections:
-        memory.forget(connection)
+    memory.forget(memory.stalled)
     assert connections[-1].resumed == 0
-    assert memory.total == 0
+    assert memory.incomplete.total == 0
 
 
 def test_a_connection_that_the_front_does_not_read_does_not_count_as_stalled():
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -23,7 +23,7 @@
                     (answer.status, answer.body)
                 ),
                 connection_limit_reached=False,
-                response_memory=ResponseMemory(10**9),
+                response_memory=ResponseMemory(10**9, lambda *_: None),
                 reference=ReferenceClock(100_000),
             ),
         )
