An entry with an unreadable name does not hide the drain of another

Callers saw (by a trial): an update of the list with an entry whose id is no text, beside the drain of a cache, was rejected as a whole, and skipped when it came again, so the cache went on getting work.

Cause: the search for a known entry by that id raised an error of its own inside the handler of malformed entries.

Change: name and state are looked at before they are used.

--- a/limepath/front/endpoint_entry.py
+++ b/limepath/front/endpoint_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from typing import NamedTuple
 
 from limepath.configuration.addresses import parse_host_port
 from limepath.front.clock import clock
@@ -15,6 +16,8 @@
     "terminated": EndpointState.REMOVED,
 }
 IDENT_BYTES = 6
+MALFORMED_EVENT_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
+"""The exceptions that reading a malformed event can raise."""
 
 
 def endpoint_ident(name: str) -> int:
@@ -74,3 +77,48 @@
     def set_state(self, state: EndpointState) -> None:
         """Set the endpoint's state and keep everything else."""
         self.endpoint = self.endpoint._replace(state=state)
+
+
+class ParsedEntries(NamedTuple):
+    """The entries of an event that could be parsed, and an error message for each of the others."""
+
+    entries: list[EndpointEntry]
+    errors: list[str]
+
+
+def parse_entries(
+    lines: list,
+    zones: list[str],
+    kinds: list[str],
+    known: dict[str, EndpointEntry],
+    reference: ReferenceClock,
+    is_live_change: bool,
+) -> ParsedEntries:
+    """Parse the entries of an update one by one; the arguments are those of `EndpointEntry`.
+
+    A malformed entry must not hide the drain of another endpoint. If a malformed entry belongs to a known
+    endpoint and has a valid state, that state is applied.
+    """
+    entries, errors = [], []
+    for line in lines:
+        try:
+            entries.append(EndpointEntry(line, zones, kinds, known, reference, is_live_change))
+        except MALFORMED_EVENT_ERRORS as error:
+            errors.append(f"{type(error).__name__}: {error}")
+            if entry := _entry_with_new_state(line, known):
+                entries.append(entry)
+    return ParsedEntries(entries, errors)
+
+
+def _entry_with_new_state(line: object, known: dict[str, EndpointEntry]) -> EndpointEntry | None:
+    """Apply the state in a malformed line to the known entry that it names; return the entry, if any."""
+    if not isinstance(line, dict):
+        return None
+    name, phase = line.get("id"), line.get("phase")
+    if not (isinstance(name, str) and isinstance(phase, str)):
+        return None
+    entry = known.get(name)
+    if entry is None or phase not in STATES:
+        return None
+    entry.set_state(STATES[phase])
+    return entry
--- a/limepath/front/endpoint_watch.py
+++ b/limepath/front/endpoint_watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 from zlib import crc32
 
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -12,7 +12,7 @@
 
 from limepath.front.address_owners import AddressOwners, incarnation_of
 from limepath.front.clock import clock
-from limepath.front.endpoint_entry import STATES, EndpointEntry
+from limepath.front.endpoint_entry import MALFORMED_EVENT_ERRORS, EndpointEntry, parse_entries
 from limepath.front.event_stream import EventStream
 from limepath.front.watch_error import WatchError
 from limepath.interface.events import EndpointListUpdated, EndpointState, PurgeAnnounced, UpdateKind
@@ -28,15 +28,6 @@
 MICROSECONDS = 1e6
 MAX_BACKOFF_DOUBLINGS = 10  # of the reconnect backoff
 MAX_ERRORS_LOGGED = 3  # per event
-MALFORMED_EVENT_ERRORS = (KeyError, ValueError, TypeError, AttributeError)
-"""The exceptions that reading a malformed event can raise."""
-
-
-class ParsedEntries(NamedTuple):
-    """The entries of an event that could be parsed, and an error message for each of the others."""
-
-    entries: list[EndpointEntry]
-    errors: list[str]
 
 
 class EndpointWatch:
@@ -148,7 +139,14 @@
     def apply_update(self, update: dict) -> None:
         """Apply a full or partial endpoint update; raises WatchError if some of its entries are malformed."""
         is_complete = update.get("complete", False)
-        entries, errors = self._parse_entries(update["members"], self.is_loaded and not is_complete)
+        entries, errors = parse_entries(
+            update["members"],
+            self.zones,
+            self.kinds,
+            self.entries,
+            self.servers.reference,
+            self.is_loaded and not is_complete,
+        )
         entries = self._replaced_entries(entries, is_complete) + entries
         changed = (self._removed_entries(entries) if is_complete else []) + entries
         obsolete = {entry.endpoint.id for entry in changed if self._makes_attempts_obsolete(entry)}
@@ -201,27 +199,6 @@
             endpoint.id, entry.name, entry.address, entry.started_ms, endpoint.state, endpoint.kind
         )
 
-    def _parse_entries(self, lines: list, is_live_change: bool) -> ParsedEntries:
-        """Parse the entries of an update one by one; for `is_live_change` see `EndpointEntry`.
-
-        A malformed entry must not hide the drain of another endpoint. If a malformed entry belongs to a known
-        endpoint and has a valid state, that state is applied.
-        """
-        entries, errors = [], []
-        for line in lines:
-            try:
-                entry = EndpointEntry(
-                    line, self.zones, self.kinds, self.entries, self.servers.reference, is_live_change
-                )
-                entries.append(entry)
-            except MALFORMED_EVENT_ERRORS as error:
-                errors.append(f"{type(error).__name__}: {error}")
-                known = isinstance(line, dict) and self.entries.get(line.get("id"))
-                if known and line.get("phase") in STATES:
-                    known.set_state(STATES[line["phase"]])
-                    entries.append(known)
-        return ParsedEntries(entries, errors)
-
     def apply_purge(self, purge: dict, age: int = 0) -> None:
         """Apply a purge of one object or of a group, which a front received at least `age` microseconds ago.
 
