One place each for readable sockets, buffered bytes and states of client connections

No behaviour changes. Three polls of sockets were written out separately (readiness.py has them now), and the bytes that Twisted holds were counted in two places (transport_output.py). What a fill's end tells of its source stands beside the evaluation of attempts.

--- a/limepath/decisions/attempt.py
+++ b/limepath/decisions/attempt.py
@@ -62,3 +62,15 @@
         is_overloaded = True
     work = NOT_MODIFIED_WORK if event.is_not_modified else 1.0
     return AttemptResult(outcome, event.duration, in_time, is_overloaded, work)
+
+
+def indicates_source_load(ended: ActiveAttempt, outcome: AttemptOutcome) -> bool:
+    """Return whether the end of a fill tells anything of the load of its source.
+
+    A late fill indicates overload of its source only if the source has reported overload itself, because the
+    delay may arise upstream of the source. A FULL outcome indicates overload only if the source was asked for
+    a copy that it holds.
+    """
+    if outcome == AttemptOutcome.FULL:
+        return ended.request.cached_only
+    return ended.source.limit.factor < 1
--- a/limepath/decisions/router.py
+++ b/limepath/decisions/router.py
@@ -9,7 +9,13 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from limepath.decisions.attempt import ActiveAttempt, AttemptId, AttemptResult, evaluate_attempt
+from limepath.decisions.attempt import (
+    ActiveAttempt,
+    AttemptId,
+    AttemptResult,
+    evaluate_attempt,
+    indicates_source_load,
+)
 from limepath.decisions.candidates import Candidates
 from limepath.decisions.event_queue import EventQueue
 from limepath.decisions.fetch_window import FetchWindow
@@ -189,9 +195,7 @@
         """Exclude the server at which the attempt would break a rule, or end the request."""
         server = violation.server
         if request.phase is Phase.FILL and server is request.cache:
-            request.phase = (
-                Phase.LOOKUP
-            )  # the cache's slow start budget may be spent; do not exclude the source
+            request.phase = Phase.LOOKUP  # do not exclude the source: the cache's budget may be spent
         is_last_option = request.phase is Phase.DIRECT and server is self.origin
         if violation.rule.ends_request or is_last_option:
             self._give_up(request)
@@ -242,14 +246,7 @@
             self._queue.put(server.handle_attempt_ended, attempt, result.outcome, True, overload, result.work)
             return
         self._queue.put(server.handle_attempt_ended, attempt, result.outcome, True, None)
-        # A late fill indicates overload of its source only if the source has reported overload itself,
-        # because the delay may arise upstream of the source. A FULL outcome indicates overload only if the
-        # source was asked for a copy that it holds.
-        if result.outcome == AttemptOutcome.FULL:
-            indicates_source_load = ended.request.cached_only
-        else:
-            indicates_source_load = source.limit.factor < 1
-        source_overload = overload if indicates_source_load else None
+        source_overload = overload if indicates_source_load(ended, result.outcome) else None
         self._queue.put(source.handle_attempt_ended, attempt, result.outcome, False, source_overload)
 
     def _retry(self, ended: ActiveAttempt, outcome: AttemptOutcome) -> None:
--- a/limepath/front/client_connection.py
+++ b/limepath/front/client_connection.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import select
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from twisted.internet.interfaces import IHalfCloseableProtocol, IPushProducer
@@ -12,8 +10,10 @@
 from zope.interface import implementer
 
 from limepath.front.answer_delivery import is_delivered
+from limepath.front.client_connection_state import CLOSING_STATES, ConnectionState
 from limepath.front.client_disconnects import has_ended, since_last_data, since_last_packet
 from limepath.front.clock import clock
+from limepath.front.readiness import is_readable
 from limepath.front.request_head import RequestError, RequestHead, body_size, empty_lines_size, parse_head
 from limepath.front.response import response_head
 from limepath.front.transport_output import flush, unsent_bytes
@@ -26,21 +26,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ConnectionState(Enum):
-    """State of a client connection; docs/front.md lists what the front may do in each."""
-
-    IDLE = 0  # new, or kept open after an answer
-    READING = 1  # a part of a request has arrived
-    AWAITING_ANSWER = 2  # a request is open
-    LINGERING = 3  # buffered output is being sent, followed by the FIN; input is discarded
-    HALF_CLOSED = 4  # the kernel has all output and the FIN, and may still send them; input is discarded
-    DELIVERED = 5  # the client's machine has acknowledged both; input is discarded until the client closes
-    CLOSED = 6
-
-
-CLOSING_STATES = (ConnectionState.LINGERING, ConnectionState.HALF_CLOSED, ConnectionState.DELIVERED)
-
-
 @implementer(IPushProducer, IHalfCloseableProtocol)
 class ClientConnection(Protocol):
     """A client connection, which handles one request at a time."""
@@ -234,14 +219,9 @@
 
     def _can_end_at_once(self) -> bool:
         """Whether no request is open and the kernel has accepted all output."""
-        transport = self.transport
-        if (
-            self.request is not None
-            or not self.is_between_requests
-            or not isinstance(transport, TcpConnection)
-        ):
+        if self.request is not None or not self.is_between_requests:
             return False
-        return not unsent_bytes(transport)
+        return isinstance(self.transport, TcpConnection) and not unsent_bytes(self.transport)
 
     def _end_output(self, at_once: bool) -> None:
         """Send the FIN after buffered output.
@@ -255,9 +235,7 @@
 
     def has_unread_bytes(self) -> bool:
         """Whether the socket has unread bytes or an unread FIN."""
-        poller = select.poll()
-        poller.register(self.transport.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return is_readable(self.transport.fileno())
 
     def writeConnectionLost(self):
         """Wait until the client has all output, which the kernel holds now, and closes."""
--- a/limepath/front/client_limit.py
+++ b/limepath/front/client_limit.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import select
 from enum import IntEnum
 from heapq import nsmallest
 from typing import TYPE_CHECKING, NamedTuple
 
-from limepath.front.client_connection import ClientConnection, ConnectionState
+from limepath.front.client_connection import ClientConnection
+from limepath.front.client_connection_state import ConnectionState
 from limepath.front.clock import clock
+from limepath.front.readiness import readable
 
 if TYPE_CHECKING:
     from limepath.front.clients import Clients
@@ -56,10 +57,7 @@
 def with_unread_bytes(connections: list[ClientConnection]) -> set[ClientConnection]:
     """Return those of the connections whose sockets have unread bytes or an unread FIN."""
     by_descriptor = {c.transport.fileno(): c for c in connections if c.transport.fileno() >= 0}
-    poller = select.poll()
-    for descriptor in by_descriptor:
-        poller.register(descriptor, select.POLLIN)
-    return {by_descriptor[descriptor] for descriptor, _ in poller.poll(0)}
+    return {by_descriptor[descriptor] for descriptor in readable(by_descriptor)}
 
 
 class ClientConnectionLimit:
--- a/limepath/front/client_listener.py
+++ b/limepath/front/client_listener.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 from typing import TYPE_CHECKING
 
 from twisted.internet import tcp
@@ -11,6 +10,7 @@
 
 from limepath.configuration.process_limits import ACCEPTED_AT_ONCE
 from limepath.front.client_connection import ClientConnection
+from limepath.front.readiness import is_readable
 
 if TYPE_CHECKING:
     from twisted.internet.interfaces import IStreamServerEndpoint
@@ -70,9 +70,7 @@
 
     def has_backlog(self) -> bool:
         """Whether the kernel's accept queue is not empty."""
-        poller = select.poll()
-        poller.register(self.port.socket, select.POLLIN)
-        return bool(poller.poll(0))
+        return is_readable(self.port.fileno())
 
     def close(self) -> None:
         """Close the port."""
--- a/limepath/front/client_request.py
+++ b/limepath/front/client_request.py
@@ -143,19 +143,13 @@
         raise RequestError(405, "method not allowed for this service")
     block = _block_of(target)
     _check_ids(head.fields.get(b"x-txn", b""), target.object_id)
-    time_to_live = (
-        parse_integer(head.fields.get(b"x-ttl-ms", b""), service.max_deadline // 1000, "X-Ttl-Ms") * 1000
-    )
-    if not time_to_live:
-        raise RequestError(400, "X-Ttl-Ms: 0 is not allowed; expected 1 or more")
-    deadline = arrived_at + time_to_live  # the client counts from the request's last byte
-    time_left = max(1, deadline - clock())
+    deadline = arrived_at + _time_to_live(head, service)  # the client counts from the request's last byte
     event = RequestArrived(
         id=request_id,
         service=service.index,
         tenant=0,
         object=int(target.object_id, 16),
-        time_left=time_left,
+        time_left=max(1, deadline - clock()),
         size_kb=0.0,
         group=parse_integer(head.fields.get(b"x-family", b""), MAX_GROUP, "X-Family"),
         part=parse_integer(block, MAX_BLOCK, "block") if block is not None else 0,
@@ -166,6 +160,15 @@
     return ClientRequest(connection, target, block, head.fields, body, event, deadline, service.is_idempotent)
 
 
+def _time_to_live(head: RequestHead, service: Service) -> int:
+    """Return how long the client waits for its answer, in microseconds."""
+    longest_ms = service.max_deadline // 1000
+    time_to_live = parse_integer(head.fields.get(b"x-ttl-ms", b""), longest_ms, "X-Ttl-Ms") * 1000
+    if not time_to_live:
+        raise RequestError(400, "X-Ttl-Ms: 0 is not allowed; expected 1 or more")
+    return time_to_live
+
+
 def _parse_target(target: bytes, services: dict[bytes, Service]) -> RequestTarget:
     path, mark, query = _origin_form(target).partition(b"?")
     service, slash, object_id = path[len(PATH_PREFIX) :].partition(b"/")
--- a/limepath/front/clients.py
+++ b/limepath/front/clients.py
@@ -8,7 +8,8 @@
 from twisted.internet.defer import Deferred
 
 from limepath.front.answer_delivery import is_delivered
-from limepath.front.client_connection import ClientConnection, ConnectionState
+from limepath.front.client_connection import ClientConnection
+from limepath.front.client_connection_state import ConnectionState
 from limepath.front.client_disconnects import DisconnectCounter
 from limepath.front.client_limit import ClientConnectionLimit
 from limepath.front.client_listener import ClientListener
--- a/limepath/front/graceful_shutdown.py
+++ b/limepath/front/graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 
-from limepath.front.client_connection import ConnectionState
+from limepath.front.client_connection_state import ConnectionState
 from limepath.front.clock import clock
 from limepath.interface.events import ShutdownStarted
 
--- /dev/null
+++ b/limepath/front/readiness.py
@@ -0,0 +1,19 @@
+"""Tells without waiting which sockets can be read: bytes, a FIN or connections have arrived."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Iterable
+
+
+def readable(descriptors: Iterable[int]) -> set[int]:
+    """Return the descriptors that can be read now."""
+    poller = select.poll()
+    for descriptor in descriptors:
+        poller.register(descriptor, select.POLLIN)
+    return {descriptor for descriptor, _ in poller.poll(0)}
+
+
+def is_readable(descriptor: int) -> bool:
+    """Return whether the descriptor can be read now."""
+    return bool(readable((descriptor,)))
--- a/limepath/front/server_connection.py
+++ b/limepath/front/server_connection.py
@@ -26,6 +26,7 @@
     check_copy,
     parse_answer_line,
 )
+from limepath.front.transport_output import buffered_bytes
 
 if TYPE_CHECKING:
     from limepath.front.server_endpoint import ServerEndpoint
@@ -161,8 +162,7 @@
         """
         if self.endpoint.uses_tls:
             return 0
-        transport = self.transport
-        return len(transport.dataBuffer) - transport.offset + sum(map(len, transport._tempDataBuffer))
+        return buffered_bytes(self.transport)
 
     def is_fully_sent(self, attempt: Attempt | Probe) -> bool:
         """Return whether the kernel accepted the whole command; otherwise it cannot have been executed."""
--- a/limepath/front/transport_output.py
+++ b/limepath/front/transport_output.py
@@ -13,7 +13,12 @@
     """Return how many bytes the kernel has not accepted yet; 0 if that is unknown, as with TLS."""
     if not isinstance(transport, TcpConnection):
         return 0
-    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+    return buffered_bytes(transport)
+
+
+def buffered_bytes(transport: TcpConnection) -> int:
+    """Return how many bytes Twisted holds for a plain TCP connection."""
+    return len(transport.dataBuffer) - transport.offset + sum(map(len, transport._tempDataBuffer))
 
 
 def flush(transport: ITransport | None) -> None:
--- a/tests/test_answer_delivery.py
+++ b/tests/test_answer_delivery.py
@@ -6,7 +6,7 @@
 import pytest
 
 from limepath.front.answer_delivery import is_delivered
-from limepath.front.client_connection import ConnectionState
+from limepath.front.client_connection_state import ConnectionState
 from limepath.front.clock import clock
 from tests.stand_ins import TIMEOUT, HttpClient
 from tests.test_client_disconnects import driven  # noqa: F401 (a fixture)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,7 +19,8 @@
 from limepath.configuration.platform import Service, front_settings
 from limepath.configuration.process_limits import plan_limits
 from limepath.front import server_endpoint
-from limepath.front.client_connection import ClientConnection, ConnectionState
+from limepath.front.client_connection import ClientConnection
+from limepath.front.client_connection_state import ConnectionState
 from limepath.front.clients import Clients
 from limepath.front.decision_loop import DecisionLoop
 from limepath.front.request_head import RequestHead
