--- a/limepath/front/client_listener.py
+++ b/limepath/front/client_listener.py
@@ -70,7 +70,7 @@
 
     def has_backlog(self) -> bool:
         """Whether the kernel's accept queue is not empty."""
-        return is_readable(self.port.fileno())
+        return is_readable(self.port.socket)
 
     def close(self) -> None:
         """Close the port."""
--- a/limepath/front/readiness.py
+++ b/limepath/front/readiness.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import select
+import socket
 from collections.abc import Iterable
 
 
-def readable(descriptors: Iterable[int]) -> set[int]:
+def readable(descriptors: Iterable[int | socket.socket]) -> set[int]:
     """Return the descriptors that can be read now."""
     poller = select.poll()
     for descriptor in descriptors:
@@ -14,6 +15,6 @@
     return {descriptor for descriptor, _ in poller.poll(0)}
 
 
-def is_readable(descriptor: int) -> bool:
+def is_readable(descriptor: int | socket.socket) -> bool:
     """Return whether the descriptor can be read now."""
     return bool(readable((descriptor,)))
