Tests wait until the kernel stamps arrivals before they rely on its stamps

Seen: test_command_read_late_has_its_arrival_time failed once beside other runs; the stamp was that of the read, 0.3 s after the arrival.

Cause: the kernel begins to stamp some time after the first socket of the machine has asked for it, and gives the time of the read until then. Reproduced: 10 of 60 new processes that send at once got the time of the read.

Change: the first use opens a socket that stays open, and waits until a trial datagram bears the time of its arrival. No bound is changed.

--- a/tests/arrival_times.py
+++ b/tests/arrival_times.py
@@ -15,13 +15,37 @@
 TIMESPEC = struct.Struct("qq")  # seconds, nanoseconds
 READ_SIZE = 1 << 16
 CLOCK_READINGS = 5
+READ_DELAY = 0.005  # seconds from the arrival of a trial datagram to its read
+MAX_TRIALS = 1000
+_stamped_sockets = []  # one that stays open, so that the kernel goes on stamping
 
 
 def stamp_arrivals(connection):
     """Enable kernel timestamps on a socket; connections accepted by a listener inherit the option."""
+    if not _stamped_sockets:
+        _stamped_sockets.append(_open_stamped_socket())
     connection.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
 
 
+def _open_stamped_socket():
+    """Return a socket with timestamps, once the kernel stamps what arrives.
+
+    It begins to do so some time after the first socket of the machine has asked for it. Until then it gives
+    the time of the read in place of that of the arrival.
+    """
+    receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    receiver.bind(("127.0.0.1", 0))
+    receiver.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for _ in range(MAX_TRIALS):
+            sender.sendto(b"x", receiver.getsockname())
+            time.sleep(READ_DELAY)
+            before_read = time.monotonic()
+            if receive(receiver)[1] < before_read - READ_DELAY / 2:
+                return receiver
+    raise AssertionError("the kernel does not stamp arrivals")
+
+
 def receive(connection, size=READ_SIZE):
     """Read once; return the data and the arrival time of its last byte, in seconds of the monotonic clock.
 
