--- a/tests/soak.py
+++ b/tests/soak.py
@@ -35,6 +35,9 @@
 )
 
 CLIENTS, SLOW_CLIENTS, IDLE_CLIENTS, SOCKETS = 12, 8, 130, 256
+GROUPS = 5
+EDGE_NAME_SHARE = 0.3  # of the requests and of the purges of objects
+RESENT_SHARE = 0.5  # of the writes whose clients leave
 LARGEST_BODY = 240_000  # bytes (protocol page)
 LARGE_NAMES = range(1000, 1010)  # numbers of objects with the largest body
 LINK_BYTES_PER_S = 155_000  # of a slow client: an eighth of a link of 1,240,000 (deployment page)
@@ -64,6 +67,8 @@
         has_slow_clients: some clients read large answers over a slow link.
         has_crowd: idle clients connect again at once when they are shut out.
         clocks_are_wrong: the clocks of the change log and of new caches are ahead, behind and stepped.
+        has_edge_names: many requests and purges are for object 0, which is not of group 0.
+        ids_come_again: clients that leave a write send it again under the same id.
     """
 
     def __init__(self, seed):
@@ -71,6 +76,16 @@
         self.has_slow_clients = rng.random() < 0.5
         self.has_crowd = rng.random() < 0.4
         self.clocks_are_wrong = rng.random() < 0.5
+        self.has_edge_names = rng.random() < 0.5
+        self.ids_come_again = rng.random() < 0.5
+
+    def pick_name(self, rng, name):
+        """Return the name of an object: the given one, or often that of object 0."""
+        return "0" * 16 if self.has_edge_names and rng.random() < EDGE_NAME_SHARE else name
+
+    def group_of(self, name):
+        """Return the group of an object."""
+        return (int(name, 16) + self.has_edge_names) % GROUPS
 
 
 def make_settings(rng, variant):
@@ -217,6 +232,7 @@
     def __init__(self, soak, number):
         super().__init__(daemon=True)
         self.soak, self.number, self.rng = soak, number, Random(soak.seed * 1000 + number)
+        self.variant_rng = Random(f"client {soak.seed} {number}")  # apart, as for `Variant`
         self.sent = 0
 
     def run(self):
@@ -245,9 +261,9 @@
         self.sent += 1
         service = self.rng.choices(CLASSES, (8, 1, 1))[0]
         ttl = max(5, int(self.rng.choice((0.01, 0.1, 0.5, 1, 1, 1)) * self.soak.longest))
-        name = f"{self.rng.randrange(40):016x}"
+        name = self.soak.variant.pick_name(self.variant_rng, f"{self.rng.randrange(40):016x}")
         txn = f"{self.number:08x}{self.sent:08x}"
-        group = int(name, 16) % 5
+        group = self.soak.variant.group_of(name)
         tag, body = make_body(f"{service}/{name}")
         fields = {"X_Family": group}
         if service == "video" and self.rng.random() < 0.2:
@@ -270,9 +286,26 @@
             time.sleep(self.rng.random() * 0.2)
             client.close()
             request.disconnected_at = time.monotonic()  # the client is connected until the close returns
+            if service != "video":
+                self.send_again(request, f"/invoke/{service}/{name}", {"txn": txn, "ttl": ttl} | fields | put)
             return False
         return self.answer(client, request)
 
+    def send_again(self, request, target, fields):
+        """Send a write again under its id after its client has left; what comes of it is not awaited here."""
+        if not self.soak.variant.ids_come_again or self.variant_rng.random() > RESENT_SHARE:
+            return
+        request.resent_at = time.monotonic()
+        try:
+            client = self.open_connection()
+            client.socket.settimeout(request.ttl + LATE_ANSWER_WAIT)
+            client.send(target, **fields)
+            client.answer()
+            client.close()
+        except (OSError, AssertionError, ValueError):
+            return
+        self.soak.taken_effect["ids that came again"] += 1
+
     def answer(self, client, request):
         client.socket.settimeout(request.ttl + LATE_ANSWER_WAIT)
         try:
@@ -326,7 +359,7 @@
         self.sent += 1
         name = f"{self.rng.choice(LARGE_NAMES):016x}"
         txn = f"{self.number:08x}{self.sent:08x}"
-        group = int(name, 16) % 5
+        group = self.soak.variant.group_of(name)
         tag, body = make_body(f"video/{name}")
         request = Request("video", name, group, SLOW_TTL / 1000, tag, body)
         request.is_slow = True
@@ -385,6 +418,7 @@
         self.seed, self.rng, self.quiet = seed, Random(seed), quiet
         self.max_suspension = max_suspension
         self.variant = Variant(seed)
+        self.variant_rng = Random(f"events {seed}")
         self.settings, self.longest = make_settings(self.rng, self.variant)
         self.checker = RuleChecker(self.settings, REPEAT_WINDOW)
         self.terminated_at, self.killed = None, threading.Event()
@@ -471,6 +505,7 @@
         if self.rng.random() < 0.5:
             event, target = ChangeEvent(group=group), {"bucket": group}
         else:
+            name = self.variant.pick_name(self.variant_rng, name)
             event, target = ChangeEvent(object=name), {"object": name}
         event.purged_at = time.monotonic()
         self.checker.purges.append(event)
--- a/tests/soak_rules.py
+++ b/tests/soak_rules.py
@@ -47,6 +47,7 @@
         )
         self.sent_at = self.ended_at = self.disconnected_at = self.status = self.got = self.got_tag = None
         self.first = False
+        self.resent_at = None  # when it was sent again under its id, after its client had left
         self.is_slow = False  # whether the client's link, not the front, decides when the answer is whole
         self.cut_off = False  # whether the connection ended within an answer
 
@@ -209,6 +210,8 @@
                         f"purge: {txn} accepts copies of up to {attempt.fields.get('cap')} ms, "
                         f"{age:.3f} s after the purge"
                     )
+        if request.resent_at is not None and attempt.latest >= request.resent_at:
+            return  # it may be the one that came again, whose client is connected and whose time began anew
         since_disconnect = (
             attempt.earliest - request.disconnected_at if request.disconnected_at is not None else 0
         )
