Bodies of open writes leave room for requests that arrive in pieces

Found while the change was read again: with the memory for requests full of the bodies of open writes, each request that came in two pieces was answered 503 at its first.

Change: bodies may take half of that memory. Test: test_requests_can_arrive_beside_as_many_bodies_as_fit failed before; the test of bodies in place of incomplete requests follows the half.

--- a/limepath/front/request_memory.py
+++ b/limepath/front/request_memory.py
@@ -10,6 +10,9 @@
     from limepath.front.client_connection import ClientConnection
 
 
+BODY_DIVISOR = 2  # bodies may hold this part of the limit, so that requests can still arrive beside them
+
+
 class RequestMemory:
     """Counts the bytes of requests, and rejects incomplete requests while there are more than the limit.
 
@@ -42,7 +45,7 @@
 
         A request without a body always fits.
         """
-        if size and not self._make_room(size):
+        if size and (self.body_bytes + size > self.limit // BODY_DIVISOR or not self._make_room(size)):
             return False
         self.body_bytes += size
         return True
