A client that read while the front stood still is not closed for its unread answer

Found while the change was read again: after a standstill of the process the timer of the memory for unread answers runs before the sockets are written, and a client that had read all the time counted as one that had not for 0.25 s.

Change: the kernel is asked for room before the clients are judged. A transport that closes by itself once all is written is left to the reactor. Test: test_a_client_that_read_while_the_front_stood_still_is_not_closed failed before.

--- a/limepath/front/output_memory.py
+++ b/limepath/front/output_memory.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from limepath.front.clock import clock
-from limepath.front.transport_output import unsent_bytes
+from limepath.front.transport_output import flush, unsent_bytes
 
 if TYPE_CHECKING:
     from limepath.front.client_connection import ClientConnection
@@ -67,6 +67,9 @@
     def enforce(self) -> None:
         """Close clients that do not read while the bytes exceed the limit; repeat while any are blocked."""
         self._is_scheduled = False
+        # After a standstill of the process the kernel may have room that it was not asked for yet.
+        for connection in list(self.blocked):
+            flush(connection.transport)
         now = clock()
         for connection, progress in self.blocked.items():
             progress.update(unsent_bytes(connection.transport), now)
--- a/limepath/front/transport_output.py
+++ b/limepath/front/transport_output.py
@@ -24,9 +24,10 @@
 def flush(transport: ITransport | None) -> None:
     """Write what the kernel accepts now; it reports errors in the next iteration.
 
-    One call of the transport's own method writes a part of a large answer only.
+    One call of the transport's own method writes a part of a large answer only. A transport that closes once
+    all is written is left to the reactor, which alone can close it.
     """
-    if not isinstance(transport, TcpConnection):
+    if not isinstance(transport, TcpConnection) or transport.disconnecting:
         return
     unsent = unsent_bytes(transport)
     while unsent:
--- a/tests/test_output_memory.py
+++ b/tests/test_output_memory.py
@@ -21,6 +21,7 @@
 CACHES = 10  # enough for a connection each request
 SENT_WITHIN = 1.0  # seconds in which the system takes all answers that it has room for
 MORE_THAN_THE_KERNEL_HOLDS = b"z" * 16_000_000
+READ_MEANWHILE = 1_000_000  # bytes
 ROOMY = SETTINGS | {
     "weight-kind": "nominal",
     "family-info": SETTINGS["family-info"] | {"pipe-kb-per-s": [9_000_000.0, 0.0]},
@@ -158,6 +159,19 @@
     assert not front.clients.output_memory.blocked
 
 
+def test_a_client_that_read_while_the_front_stood_still_is_not_closed(driven):  # noqa: F811
+    """Guards against a client that counts as not reading because the process was stopped meanwhile."""
+    front = driven()
+    (connection,) = blocked_connections(front, 1)
+    (client,) = front.silent_clients
+    read = 0
+    while read < READ_MEANWHILE:
+        read += len(client.socket.recv(READ_MEANWHILE))
+    enforce(front, undrained_bytes=0, later=front.clients.limits.unread_grace)
+    front.reactor.iterate(0)
+    assert connection in front.clients.connections
+
+
 def test_only_as_many_clients_are_closed_as_the_memory_needs(driven):  # noqa: F811
     front = driven()
     connections = blocked_connections(front, 3)
