--- a/tests/test_terms_system_calls.py
+++ b/tests/test_terms_system_calls.py
@@ -102,8 +102,8 @@
 def test_failed_send_counts_as_not_sent(error):
     """On a new and on a kept connection. Two errors, because a broken connection fails again.
 
-    Without probes: the first failure calls for one, and where a busy machine lets the stand-in answer it late,
-    the server rightly counts as away for the second write.
+    Without probes: the first failure calls for one, and where a busy machine lets the stand-in answer it
+    late, the server rightly counts as away for the second write.
     """
     settings = SETTINGS | {"limits": SETTINGS["limits"] | {"probing": False}}
     with Site(faults={}, settings=settings) as site:
